--- /dev/null
+++ b/glencleat/benchlink.py
@@ -0,0 +1,287 @@
+"""The bench's wire to the module's types and back: one Scheduler an instance, no decision of its own."""
+
+from __future__ import annotations
+
+import json
+import sys
+from collections.abc import Callable
+from typing import Any, TextIO
+
+from glencleat import interface as api
+from glencleat.logic import Scheduler
+
+OUTCOMES = {
+    0: api.Outcome.ERROR,
+    1: api.Outcome.ENDED,
+    2: api.Outcome.REFUSED,
+    3: api.Outcome.TIMED_OUT,
+    4: api.Outcome.UNREACHABLE,
+    5: api.Outcome.LOST,
+    6: api.Outcome.STOPPED,
+    7: api.Outcome.NOT_SENT,
+}
+REASONS = {
+    1: api.Why.CORES,
+    2: api.Why.MEMORY,
+    3: api.Why.LINE,
+    4: api.Why.NOT_HERE,
+    5: api.Why.EVICTED,
+    6: api.Why.PUSHED_OUT,
+    7: api.Why.SENT_AWAY,
+}
+NOTES = {
+    1: api.NoteKind.RUNS,
+    2: api.NoteKind.CORES,
+    3: api.NoteKind.MEMORY,
+    4: api.NoteKind.SERVED,
+    5: api.NoteKind.MACHINE_MEMORY,
+}
+PHASES = {"SERVING": api.Phase.SERVING, "DRAINING": api.Phase.DRAINING, "DELETED": api.Phase.GONE}
+LISTS = {
+    "delta": api.ListKind.CHANGES,
+    "full": api.ListKind.WHOLE,
+    "cached": api.ListKind.WHOLE,
+    "failed": api.ListKind.FAILED,
+}
+EFFECTS = {"pure": api.Effect.SAFE, "token": api.Effect.KEYED, "side_effect": api.Effect.UNSAFE}
+FIELDS = {  # fields each message needs, its name included
+    "BEGIN_BATCH": 3,
+    "EOB": 1,
+    "NEW_INSTANCE": 4,
+    "DIRECTORY": 3,
+    "REGISTRY": 5,
+    "ARRIVAL": 11,
+    "STATUS_BACK": 4,
+    "TICK_DUE": 3,
+    "SHUTDOWN": 2,
+    "MEMO": 4,
+    "STATUS_NOTE": 6,
+    "OPEN": 12,
+    "RETURNED": 9,
+    "LEFT": 3,
+    "LANDED": 6,
+}
+
+
+class WireError(Exception):
+    """A line that is not on the wire's page: what was wrong and what was expected."""
+
+
+def read_settings(raw: dict[str, Any]) -> api.Settings:
+    domain, limits, rules = raw["domain"], raw["limits"], raw["rules"]
+    prices, feedback = raw.get("prices", {}), raw.get("feedback", {})
+    kinds = raw.get("kinds", [])
+
+    def per_class(key: str, index: int, default: Any) -> Any:
+        values = domain.get(key) or []
+        return values[index] if index < len(values) else default
+
+    classes = []
+    for i, item in enumerate(raw["classes"]):
+        kind = per_class("needs-kind", i, -1)
+        classes.append(
+            api.TaskClass(
+                name=item["name"],
+                effect=EFFECTS[item["effect"]],
+                aim_ms=item["goal-time-ms"],
+                deadline_ms=item["deadline-ms"],
+                worth=item.get("worth", 1.0),
+                late_worth=item.get("late-worth", 0.0),
+                group=item.get("group") or "all",
+                window_ms=item.get("memory-span-ms", 0.0),
+                start_s=per_class("start-seconds", i, 0.0),
+                spread=per_class("spread-by", i, "off"),
+                most=per_class("class-most", i, 0),
+                kind=kinds[kind] if kind >= 0 else None,
+                priority=per_class("precedence", i, 0),
+                calm=per_class("calm-level", i, 1.0),
+            )
+        )
+    quotas = domain.get("tenant-quota-cores") or []
+    tenants = [item["name"] for item in raw.get("customers", [])]
+    return api.Settings(
+        me=raw.get("position", 0),
+        peers=raw["peers-total"],
+        zone=raw.get("az", ""),
+        classes=tuple(classes),
+        kinds={
+            name: api.Size(cores, memory)
+            for name, cores, memory in zip(kinds, domain["cores-by-kind"], domain["kind-memory"])
+        },
+        accept_cores=domain.get("cpu-booking", 1.0),
+        accept_memory=domain.get("accepts-memory", 1.0),
+        view=domain.get("view", False),
+        must_ask=raw.get("discovery") == "ask",
+        reports_used=domain.get("report-counts") == "used",
+        reports_on_probe=feedback.get("how") == "on_probe",
+        probes=limits.get("probes", False),
+        notes_pressure=domain.get("tells-pressure", False),
+        max_attempts=limits["max-attempts"],
+        max_retry_after_ms=limits.get("max-retry-after-ms", 0.0) if limits.get("retry-after") else 0.0,
+        drain_ms=rules["stop-sending-within-ms"],
+        cold_ms=rules["warm-within-ms"],
+        cold_window_ms=rules["overload-for-ms"],
+        cold_offers=domain.get("fresh-offers", 0.0),
+        settle_ms=domain.get("settle-ms", 0.0),
+        tick_ms=raw.get("resolution-ms", 1.0),
+        fleet_price=prices.get("fleet", 0.0),
+        cross_zone_price=prices.get("cross-zone", 0.0),
+        over_share_worth=raw.get("over-share-worth", 1.0),
+        tenant_cores=dict(zip(tenants, quotas)) if tenants and quotas else None,
+    )
+
+
+def read_machine(row: list[Any]) -> api.Machine:
+    _, memory_left, kind, phase, name, cores_left, zone, cell = row[:8]
+    ready = row[8] if len(row) > 8 else None
+    left = (cores_left or 0.0, memory_left or 0.0)
+    return api.Machine(name, kind, zone or "", cell or 0, PHASES[phase], *left, ready or None)
+
+
+def read_report(raw: dict[str, float] | None) -> api.Report | None:
+    if not raw:
+        return None
+    return api.Report(raw.get("x0"), raw.get("x1"), raw.get("busy"), raw.get("q"))
+
+
+def read_event(line: list[Any], rosters: dict[int, tuple[api.Machine, ...]]) -> api.Event | None:
+    """The event of one line about an instance, or None where the module has no use for it."""
+    name, values = line[0], line[2:]
+    if name == "ARRIVAL":
+        call, band, team, _, left, lasts, service, cores, memory = values[:9]
+        again = bool((values[9] or 0) & 16) if len(values) > 9 else False
+        return api.Asked(call, band, service, cores, memory, left, team or None, lasts, None, again)
+    if name == "OPEN":
+        call, cores, _, service, _, team, band, host, lasts, memory = values[:10]
+        return api.Asked(call, band, service, cores, memory, 0.0, team or None, lasts, host)
+    if name == "RETURNED":
+        call, attempt, info, how, spent, over, host = values[:7]
+        report = read_report(values[7]) if len(values) > 7 else None
+        why = REASONS.get(info or 0, api.Why.NONE)
+        return api.Returned(call, attempt, host, OUTCOMES[how or 0], spent or 0.0, bool(over), why, report)
+    if name == "LANDED":
+        return api.Accepted(*values[:4])
+    if name == "STATUS_NOTE":
+        call, topic, host, value = values[:4]
+        return api.Noted(call, host, NOTES[topic], value or 0.0) if topic in NOTES else None
+    if name == "REGISTRY":
+        kind = LISTS[values[2]]
+        return api.ListTold(kind, () if kind is api.ListKind.FAILED else rosters[values[1]])
+    if name == "STATUS_BACK":
+        report = read_report(values[3]) if len(values) > 3 else None
+        return api.Probed(values[0], OUTCOMES[values[1] or 0], report)
+    if name == "LEFT":
+        return api.Left(values[0])
+    if name == "TICK_DUE":
+        return api.TimerDue(values[0])
+    return None
+
+
+WRITERS: dict[type, Callable[[str, Any], list[Any]]] = {
+    api.Bind: lambda inst, a: ["BIND", inst, a.call, a.machine, a.timeout_ms],
+    api.Refuse: lambda inst, a: ["PUSH_BACK", inst, a.call, a.retry_after_ms],
+    api.Fail: lambda inst, a: ["FAIL", inst, a.call],
+    api.Move: lambda inst, a: ["SHIFT", inst, a.call],
+    api.Probe: lambda inst, a: ["INSPECT", inst, a.machine],
+    api.SetTimer: lambda inst, a: ["SET_TIMER", inst, a.in_ms, a.token],
+    api.Watch: lambda inst, a: ["KEEP_INFORMED", inst, True],
+    api.Log: lambda inst, a: ["TRACE", inst, a.text],
+}
+
+
+class Link:
+    """Reads batches, keeps one Scheduler an instance, writes their replies."""
+
+    def __init__(self, source: TextIO, sink: TextIO) -> None:
+        self.source, self.sink = source, sink
+        self.instances: dict[str, Scheduler] = {}
+        self.rosters: dict[int, tuple[api.Machine, ...]] = {}
+
+    def read_line(self) -> list[Any] | None:
+        text = self.source.readline()
+        while text and not text.strip():
+            text = self.source.readline()
+        if not text:
+            return None
+        try:
+            line = json.loads(text)
+        except ValueError:
+            raise WireError(f"not JSON: {text.strip()[:80]!r}; expected one JSON array a line") from None
+        if not isinstance(line, list) or not line or not isinstance(line[0], str):
+            raise WireError(f"not a message: {text.strip()[:80]!r}; expected an array that begins with a name")
+        if line[0] not in FIELDS:
+            raise WireError(f"unknown message {line[0][:40]!r}; expected one of {', '.join(FIELDS)}")
+        if len(line) < FIELDS[line[0]]:
+            raise WireError(f"{line[0]} has {len(line)} fields; expected at least {FIELDS[line[0]]}")
+        return line
+
+    def run(self) -> None:
+        while (line := self.read_line()) is not None:
+            if line[0] != "BEGIN_BATCH":
+                raise WireError(f"{line[0]} outside a batch; expected BEGIN_BATCH")
+            if not isinstance(line[1], int | float) or not isinstance(line[2], int):
+                raise WireError(f"BEGIN_BATCH with {line[1:3]!r}; expected a clock and a batch number")
+            reply = self.batch(float(line[1]))
+            reply.append(["NEXT", line[2]])
+            self.sink.write("".join(json.dumps(item, separators=(",", ":")) + "\n" for item in reply))
+            self.sink.flush()
+
+    def batch(self, now: float) -> list[list[Any]]:
+        reply: list[list[Any]] = []
+        while True:
+            line = self.read_line()
+            if line is None:
+                raise WireError("input ended within a batch; expected EOB")
+            if line[0] == "EOB":
+                return reply
+            if line[0] == "BEGIN_BATCH":
+                raise WireError("BEGIN_BATCH within a batch; expected an event or EOB")
+            try:
+                self.one(now, line, reply)
+            except (KeyError, TypeError, ValueError, IndexError, AttributeError) as error:
+                shown = json.dumps(line)[:120]
+                raise WireError(f"{line[0]} can't be read ({error!r}): {shown}; expected the wire's fields") from None
+
+    def one(self, now: float, line: list[Any], reply: list[list[Any]]) -> None:
+        name = line[0]
+        if name == "DIRECTORY":
+            self.rosters[line[1]] = tuple(read_machine(row) for row in line[2])
+            return
+        inst = line[1]
+        if name == "NEW_INSTANCE":
+            settings = read_settings(line[3])
+            self.instances[inst] = Scheduler(settings, line[2])
+            return
+        if name == "SHUTDOWN":
+            self.instances.pop(inst, None)
+            return
+        event = read_event(line, self.rosters)
+        scheduler = self.instances.get(inst)
+        if event is None or scheduler is None:
+            return
+        reply.extend(act(scheduler, inst, now, event))
+
+
+def act(scheduler: Scheduler, inst: str, now: float, event: api.Event) -> list[list[Any]]:
+    """What the module answers; a fault of the module is told to the bench, not raised here."""
+    try:
+        return [WRITERS[type(action)](inst, action) for action in scheduler.handle(now, event)]
+    except Exception as error:  # the wire wants any fault of the module as a message
+        where = error.__traceback__
+        while where is not None and where.tb_next is not None:
+            where = where.tb_next
+        line = where.tb_lineno if where is not None else 0
+        return [["DIE", inst, f"{type(error).__name__} at line {line}: {error}"]]
+
+
+def main() -> int:
+    try:
+        Link(sys.stdin, sys.stdout).run()
+    except WireError as error:
+        print(f"glencleat.benchlink: {error}", file=sys.stderr)
+        return 2
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
