--- a/glencleat/benchlink.py
+++ b/glencleat/benchlink.py
@@ -106,7 +106,9 @@
         classes=tuple(classes),
         kinds={
             name: api.Size(cores, memory)
-            for name, cores, memory in zip(kinds, domain["cores-by-kind"], domain["kind-memory"])
+            for name, cores, memory in zip(
+                kinds, domain["cores-by-kind"], domain["kind-memory"], strict=False
+            )
         },
         accept_cores=domain.get("cpu-booking", 1.0),
         accept_memory=domain.get("accepts-memory", 1.0),
@@ -127,7 +129,7 @@
         fleet_price=prices.get("fleet", 0.0),
         cross_zone_price=prices.get("cross-zone", 0.0),
         over_share_worth=raw.get("over-share-worth", 1.0),
-        tenant_cores=dict(zip(tenants, quotas)) if tenants and quotas else None,
+        tenant_cores=dict(zip(tenants, quotas, strict=False)) if tenants and quotas else None,
     )
 
 
@@ -208,7 +210,7 @@
         except ValueError:
             raise WireError(f"not JSON: {text.strip()[:80]!r}; expected one JSON array a line") from None
         if not isinstance(line, list) or not line or not isinstance(line[0], str):
-            raise WireError(f"not a message: {text.strip()[:80]!r}; expected an array that begins with a name")
+            raise WireError(f"not a message: {text.strip()[:80]!r}; expected an array led by a name")
         if line[0] not in FIELDS:
             raise WireError(f"unknown message {line[0][:40]!r}; expected one of {', '.join(FIELDS)}")
         if len(line) < FIELDS[line[0]]:
@@ -239,8 +241,8 @@
             try:
                 self.one(now, line, reply)
             except (KeyError, TypeError, ValueError, IndexError, AttributeError) as error:
-                shown = json.dumps(line)[:120]
-                raise WireError(f"{line[0]} can't be read ({error!r}): {shown}; expected the wire's fields") from None
+                shown = f"{line[0]} can't be read ({error!r}): {json.dumps(line)[:120]}"
+                raise WireError(f"{shown}; expected the fields of the wire's page") from None
 
     def one(self, now: float, line: list[Any], reply: list[list[Any]]) -> None:
         name = line[0]
--- a/glencleat/interface.py
+++ b/glencleat/interface.py
@@ -1,6 +1,6 @@
-"""What the decision module is told and what it answers: settings, events and actions, in the field's own words.
+"""What the decision module is told and what it answers: settings, events and actions, in plain words.
 
-Times are milliseconds on the caller's monotonic clock, cores and memory are in the units of the machines' sizes.
+Times are milliseconds on the caller's monotonic clock; cores and memory are in the units of the machines.
 Everything is frozen; a field that the caller does not know is None.
 """
 
--- a/glencleat/logic.py
+++ b/glencleat/logic.py
@@ -1,9 +1,9 @@
-"""The decisions of one scheduler; its types, events and actions stand in glencleat/interface.py: read that first.
+"""The decisions of one scheduler; its types, events and actions stand in glencleat/interface.py: read it first.
 
-The ordinary path (LIBRA sections 4-5, bent to tasks that can't be resized): every machine is split evenly among the
-schedulers. A task whose ask covers its predicted need goes to its service's hashed machine, rehashing while that slice
-is full; any other task is bound by need where the harvested room of our own tasks covers its excess best; failing that
-it borrows room that is shown free, and waits only when none shows.
+The ordinary path (LIBRA sections 4-5, bent to tasks that can't be resized): every machine is split evenly among
+the schedulers. A task whose ask covers its predicted need goes to its service's hashed machine, rehashing while
+that slice is full; any other task is bound by need where the harvested room of our own tasks covers its excess
+best; failing that it borrows room that is shown free, and waits only when none shows.
 
 In order: profiler, slices and own binds, harvested room, choice, attempts and rules, health, list and reports.
 """
@@ -11,42 +11,17 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from hashlib import blake2b
+from typing import Any
 
-from glencleat.interface import (
-    Accepted,
-    Action,
-    Asked,
-    Bind,
-    Effect,
-    Event,
-    Fail,
-    Left,
-    ListKind,
-    ListTold,
-    Log,
-    Machine,
-    Noted,
-    NoteKind,
-    Outcome,
-    Phase,
-    Probe,
-    Probed,
-    Refuse,
-    Report,
-    Returned,
-    SetTimer,
-    Settings,
-    Size,
-    TaskClass,
-    TimerDue,
-    Watch,
-    Why,
-)
-
-NEED_SHARE = 0.75  # need: peak that this share of ended tasks kept under; sums of 99ths would leave machines half empty
-LIFE_SHARE = 0.25  # life left: a quarter end sooner; the 5th of lives so spread lapses all room within a second
+from glencleat.interface import Accepted, Action, Asked, Bind, Effect, Event, Fail, Left, ListKind, ListTold
+from glencleat.interface import Log, Machine, Noted, NoteKind, Outcome, Phase, Probe, Probed, Refuse, Report
+from glencleat.interface import Returned, SetTimer, Settings, Size, TaskClass, TimerDue, Watch, Why
+
+NEED_SHARE = 0.75  # need: the peak most ended tasks kept under; sums of 99ths leave machines half empty
+LIFE_SHARE = 0.25  # life left: a quarter end sooner; the 5th of such spread lives lapses all room at once
 ENOUGH = 20  # ended tasks before a histogram speaks
 ALPHA = 0.5  # weight of cores in coverage; memory evicts but cores serve, so neither is put first
 LIKE = 0.1  # coverages this close are alike: then warmth and hash decide
@@ -66,7 +41,7 @@
 BAR_MS = 1_000.0  # first bar of a suspect, doubled up to eight times
 TIMEOUT_MIN, TIMEOUT_MAX = 300.0, 1_500.0  # bounds of the answer time-out: a short line, and a usual aim
 UNSAFE_TIMEOUT_MS = 3_000.0  # an unsafe task can't be sent again, so its answer is worth waiting for
-REFUSED_MS = 700.0  # a machine that refused is not asked again by the same task before its room can have changed
+REFUSED_MS = 700.0  # a task stays off a machine that refused it until its room can have changed
 PULSE_MS = 50.0  # held tasks and deadlines are looked at this often
 PROBE_MS = 1_000.0  # age of a report at which a probe is due, where only probes tell
 REASK_MS, REASK_MAX_MS = 500.0, 4_000.0  # asking for the list again after a failure, doubled
@@ -74,14 +49,15 @@
 LOG_MS = 1_000.0  # log lines of one kind are this far apart
 
 
-# ---- profiler ------------------------------------------------------------------------------------------------------
+# ---- profiler ----
 
 
 class Histogram:
-    """Counts of a value in even steps; answers percentiles by upper edge, also among the values beyond a floor."""
+    """Counts of a value in even steps; percentiles by upper edge, also among values beyond a floor."""
 
     def __init__(self, step: float) -> None:
         self.step, self.total, self.counts = step, 0, [0] * 16
+        self.known: dict[tuple[float, int], float] = {}
 
     def add(self, value: float) -> None:
         i = int(value / self.step)
@@ -89,16 +65,16 @@
             self.counts.extend([0] * (i + 1 - len(self.counts)))
         self.counts[i] += 1
         self.total += 1
+        self.known.clear()
 
     def percentile(self, share: float, floor: float = 0.0) -> float:
         first = int(floor / self.step)
-        wanted = share * sum(self.counts[first:])
-        seen = 0
-        for i in range(first, len(self.counts)):
-            seen += self.counts[i]
-            if seen and seen >= wanted:
-                return (i + 1) * self.step
-        return floor + self.step
+        if (share, first) not in self.known:
+            wanted, seen, i = share * sum(self.counts[first:]), 0, first
+            while i < len(self.counts) and (not seen or seen < wanted):
+                seen, i = seen + self.counts[i], i + 1
+            self.known[share, first] = (i if seen else first + 1) * self.step
+        return self.known[share, first]
 
 
 class Profile:
@@ -115,7 +91,7 @@
             self.life.add(life)
 
 
-# ---- slices and own binds ------------------------------------------------------------------------------------------
+# ---- slices and own binds ----
 
 
 @dataclass(slots=True, eq=False)
@@ -183,6 +159,7 @@
         self.held: dict[int, Task] = {}
         self.services: dict[str, dict[int, Task]] = {}
         self.nodes: dict[str, Node] = {}
+        self.tenant_asks: dict[str, float] = {}
         self.profiles: dict[tuple[str, str], Profile] = {}
         self.ranks: dict[tuple[str, str], int] = {}
         self.fleet: list[str] = []
@@ -194,31 +171,25 @@
         self.logged: dict[str, float] = {}
         self.now = 0.0
         self.out: list[Action] = []
+        self.handlers: dict[type, Callable[[Any], None]] = {
+            Asked: self.on_asked, Accepted: self.on_accepted, Returned: self.on_returned, Noted: self.on_noted,
+            Left: self.on_left, ListTold: self.on_list, Probed: self.on_probed, TimerDue: self.on_timer,
+        }
 
     def handle(self, now_ms: float, event: Event) -> list[Action]:
         self.now, self.out = now_ms, []
-        handler = {
-            Asked: self.on_asked,
-            Accepted: self.on_accepted,
-            Returned: self.on_returned,
-            Noted: self.on_noted,
-            Left: self.on_left,
-            ListTold: self.on_list,
-            Probed: self.on_probed,
-            TimerDue: self.on_timer,
-        }[type(event)]
         if not self.started:
             self.started = True
             self.out.append(SetTimer(PULSE_MS, 0))
             if self.set.must_ask:
                 self.out.append(Watch())
-        handler(event)
+        self.handlers[type(event)](event)
         return self.out
 
     def profile(self, task: Task, part: str) -> Profile:
         """The service's profile once enough tasks have ended; until then its class's, pooled.
 
-        A departure: twenty ends of one service take most of a day, and its class's ratios are close to its own.
+        A departure: twenty ends of one service take most of a day, and its class's ratios are close.
         """
         own = self.profiles.get(("service", task.service))
         if own is not None and getattr(own, part).total >= ENOUGH:
@@ -226,16 +197,14 @@
         return self.profiles.setdefault(("class", task.cls.name), Profile())
 
     def need(self, task: Task) -> tuple[float, float]:
-        """Predicted peak, never under the use that is seen now: histograms lag behind a service that climbs."""
-        need = []
-        for part, ask, use in (
-            ("cores", task.cores, task.use_cores),
-            ("memory", task.memory, task.use_memory),
-        ):
-            histogram = getattr(self.profile(task, part), part)
-            told = histogram.percentile(NEED_SHARE) * ask if histogram.total >= ENOUGH else ask
-            need.append(max(told, use))
-        return need[0], need[1]
+        """Predicted peak, never under the use seen now: histograms lag behind a service that climbs."""
+        seen = self.profile(task, "cores")
+        if seen.cores.total < ENOUGH:
+            return max(task.cores, task.use_cores), max(task.memory, task.use_memory)
+        return (
+            max(seen.cores.percentile(NEED_SHARE) * task.cores, task.use_cores),
+            max(seen.memory.percentile(NEED_SHARE) * task.memory, task.use_memory),
+        )
 
     def life_left(self, task: Task) -> float:
         """Predicted life beyond the task's age, from the lives that grew as old."""
@@ -246,7 +215,7 @@
         return max(0.0, histogram.percentile(LIFE_SHARE, age) - age)
 
     def sums(self, node: Node) -> Node:
-        """Brings the node's sums up to date: own asks, own needs, and what others are thought to use there."""
+        """Brings the node's sums up to date: own asks and needs, and what others are thought to use there."""
         if node.sums_at == self.now or node.size is None:
             return node
         node.sums_at = self.now
@@ -275,9 +244,9 @@
     def left(self, node: Node) -> tuple[float, float] | None:
         """Cores and memory that nobody has asked for, by list or report, whichever tells it."""
         report = node.report
-        if report and not self.set.reports_used and report.cores_free is not None and report.memory_free is not None:
-            if not self.set.view or node.report_at >= node.told_at:
-                return report.cores_free, report.memory_free
+        told = report and not self.set.reports_used and (not self.set.view or node.report_at >= node.told_at)
+        if report and told and report.cores_free is not None and report.memory_free is not None:
+            return report.cores_free, report.memory_free
         return (node.told.cores_left, node.told.memory_left) if self.set.view else None
 
     def load(self, node: Node, more: tuple[float, float] = (0.0, 0.0)) -> float:
@@ -289,23 +258,24 @@
         return max(cores, memory)
 
     def slice_left(self, node: Node, multiple: bool = False) -> tuple[float, float]:
-        """What our even share of the machine has beyond our own asks, at size or at what the machine accepts."""
+        """What our even share of the machine has beyond our asks, at size or at what it accepts."""
         self.sums(node)
         assert node.size is not None
         cores = node.size.cores * (self.set.accept_cores if multiple else 1.0) / self.set.peers
         memory = node.size.memory * (self.set.accept_memory if multiple else 1.0) / self.set.peers
         return cores - node.asks[0], memory - node.asks[1]
 
-    # ---- harvested room --------------------------------------------------------------------------------------------
+    # ---- harvested room ----
 
     def coverage(self, node: Node, task: Task, need: tuple[float, float]) -> float:
         """Demand coverage D: the share of the excess, over the predicted life, that harvested room covers.
 
-        The excess is the need beyond what the slice still holds of the ask. A donor's room lapses at its predicted
-        end; asks beyond the slice are a debt to be met first.
+        The excess is the need beyond what the slice still holds of the ask. A donor's room lapses at its
+        predicted end; asks beyond the slice are a debt to be met first.
         """
         free = self.slice_left(node)
-        excess = tuple(max(0.0, need[i] - max(0.0, min((task.cores, task.memory)[i], free[i]))) for i in (0, 1))
+        held = (min(task.cores, free[0]), min(task.memory, free[1]))
+        excess = [max(0.0, need[i] - max(0.0, held[i])) for i in (0, 1)]
         if excess[0] <= 0.0 and excess[1] <= 0.0:
             return 1.0
         life = max(500.0, self.life_left(task))
@@ -330,7 +300,7 @@
         share = [covered[i] / life if excess[i] > 0.0 else 1.0 for i in (0, 1)]
         return ALPHA * share[0] + (1.0 - ALPHA) * share[1]
 
-    # ---- choice ----------------------------------------------------------------------------------------------------
+    # ---- choice ----
 
     def rank(self, service: str, node: str) -> int:
         """Rendezvous hash: all schedulers rank the machines of a service alike, so all warm the same ones."""
@@ -340,9 +310,8 @@
         return self.ranks[key]
 
     def warm(self, node: Node, service: str) -> bool:
-        return self.now - node.kept.get(service, -1e18) < KEPT_MS or any(
-            t.service == service for t in node.tasks.values()
-        )
+        there = self.services.get(service, {}).values()
+        return self.now - node.kept.get(service, -1e18) < KEPT_MS or any(t.node is node for t in there)
 
     def cold(self, node: Node) -> bool:
         """Came up a short time ago: it starts few tasks at a time and holds no programs."""
@@ -352,7 +321,7 @@
     def fleet_order(self) -> list[str]:
         """Where machines in use cost: the shortest prefix of one common order that holds the present need.
 
-        A departure: the paper's machines cost nothing. The order takes zones in turn so that spread tasks fit.
+        A departure: the paper's machines cost nothing. The order takes zones in turn: spread tasks must fit.
         """
         if self.now - self.fleet_at < 250.0:
             return self.fleet
@@ -384,7 +353,7 @@
         ]
 
     def allowed(self, node: Node, task: Task) -> bool:
-        """The filters that no room can outweigh: kind, drain, spread, key's group, health, a cold machine's budget."""
+        """The filters that no room outweighs: kind, drain, spread, key's group, health, a cold machine's budget."""
         if node.size is None or node.told.phase is not Phase.SERVING:
             return False
         if task.cls.kind is not None and node.told.kind != task.cls.kind:
@@ -393,17 +362,18 @@
             return False
         if node.silent >= SILENT and (self.now < node.barred_until or self.pending(node)):
             return False
-        if task.maybe is not None and task.cls.effect is Effect.KEYED and task.cls.group != "all":
-            if node.place(task.cls.group) != task.maybe[1].place(task.cls.group):
-                return False
+        grouped = task.cls.effect is Effect.KEYED and task.cls.group != "all"
+        if task.maybe and grouped and node.place(task.cls.group) != task.maybe[1].place(task.cls.group):
+            return False
         if task.cls.spread != "off":
             place = node.place(task.cls.spread)
             there = self.services.get(task.service, {}).values()
             if sum(1 for t in there if t.node and t.node.place(task.cls.spread) == place) >= task.cls.most:
                 return False
         if self.cold(node):
-            # Every peer is taken to send as much as we do, so each keeps to its part of the offers always borne.
-            node.fresh_sends = [at for at in node.fresh_sends if self.now - at < self.set.cold_window_ms * 1.25]
+            # Every peer is taken to send as much as we do, so each keeps to its part of the offers borne.
+            window = self.set.cold_window_ms * 1.25
+            node.fresh_sends = [at for at in node.fresh_sends if self.now - at < window]
             if len(node.fresh_sends) >= max(1, int(self.set.cold_offers // self.set.peers)):
                 return False
         return True
@@ -427,7 +397,7 @@
         )
         rings = [nodes]
         if self.set.cross_zone_price > 0.0:
-            # A departure: a task outside our zone is charged all its life, so room here goes first, borrowed too.
+            # A departure: a task outside our zone is charged all its life, so room here goes first.
             home = [n for n in nodes if n.told.zone == self.set.zone]
             rings = [home, [n for n in nodes if n.told.zone != self.set.zone]]
         waited = (self.now - task.came) / max(1.0, task.cls.aim_ms)
@@ -478,7 +448,7 @@
                 best = (score, node)
         return best[1] if best else None
 
-    # ---- attempts and rules ----------------------------------------------------------------------------------------
+    # ---- attempts and rules ----
 
     def on_asked(self, event: Asked) -> None:
         cls = self.classes[event.task_class]
@@ -507,6 +477,7 @@
         task.node = node
         node.tasks[task.call] = task
         self.services.setdefault(task.service, {})[task.call] = task
+        self.tenant_asks[task.tenant or ""] = self.tenant_asks.get(task.tenant or "", 0.0) + task.cores
         node.sums_at = -1e18
 
     def release(self, task: Task) -> None:
@@ -514,6 +485,7 @@
         node, task.node = task.node, None
         if node is not None:
             node.tasks.pop(task.call, None)
+            self.tenant_asks[task.tenant or ""] -= task.cores
             node.sums_at = -1e18
         self.services.get(task.service, {}).pop(task.call, None)
 
@@ -548,7 +520,7 @@
         return task.cls.effect is Effect.UNSAFE or self.now > task.maybe[0] + window
 
     def answer(self, task: Task) -> None:
-        """The final answer: a refusal promises that nothing ran (or that it does no harm), a failure nothing."""
+        """The final answer: a refusal promises that nothing ran or that it does no harm, a failure nothing."""
         harmless = task.cls.effect is Effect.SAFE or (
             task.cls.effect is Effect.KEYED and task.cls.group == "all"
         )
@@ -629,10 +601,9 @@
         quota = (self.set.tenant_cores or {}).get(task.tenant or "")
         if quota is None:
             return False
-        mine = sum(t.cores for t in self.tasks.values() if t.tenant == task.tenant and t.node is not None)
-        return mine > quota / self.set.peers
+        return self.tenant_asks.get(task.tenant or "", 0.0) > quota / self.set.peers
 
-    # ---- health ----------------------------------------------------------------------------------------------------
+    # ---- health ----
 
     def timeout(self) -> float:
         return min(TIMEOUT_MAX, max(TIMEOUT_MIN, self.answer_ms + 6.0 * self.answer_dev))
@@ -669,12 +640,13 @@
             self.void(node, VOID_EVICTED_MS, "eviction")
 
     def suspect(self, node: Node, steps: int) -> None:
-        """Silent attempts make a machine suspect: it is barred, longer each time, then let back one task at a time."""
+        """Silent attempts make a machine suspect: barred, longer each time, then let back one task at a time."""
         node.silent += steps
         if node.silent >= SILENT:
             node.barred_until = self.now + BAR_MS * 2 ** min(node.bars, 3)
             node.bars += 1
-            self.log("suspect", f"machine {node.name} does not answer, barred for {BAR_MS * 2 ** node.bars / 2:.0f} ms")
+            bar = node.barred_until - self.now
+            self.log("suspect", f"machine {node.name} does not answer, barred for {bar:.0f} ms")
 
     def void(self, node: Node, for_ms: float, cause: str) -> None:
         if self.now + for_ms > node.void_until:
@@ -698,7 +670,7 @@
             task.use_memory, task.peak_memory = event.value, max(task.peak_memory, event.value)
         task.node.sums_at = -1e18
 
-    # ---- list and reports ------------------------------------------------------------------------------------------
+    # ---- list and reports ----
 
     def on_list(self, event: ListTold) -> None:
         if event.kind is ListKind.FAILED:
