--- a/glencleat/benchlink.py
+++ b/glencleat/benchlink.py
@@ -95,6 +95,7 @@
                 kind=kinds[kind] if kind >= 0 else None,
                 priority=per_class("precedence", i, 0),
                 calm=per_class("calm-level", i, 1.0),
+                fade=per_class("class-fade", i, 1.0),
             )
         )
     quotas = domain.get("tenant-quota-cores") or []
--- a/glencleat/interface.py
+++ b/glencleat/interface.py
@@ -79,7 +79,8 @@
     most: int = 0
     kind: str | None = None
     priority: int = 0
-    calm: float = 1.0  # served in full while this share of the cores is busy
+    calm: float = 1.0  # served in full while this share of the cores is busy,
+    fade: float = 1.0  # and not at all this much above it
 
 
 @dataclass(frozen=True, slots=True)
--- a/glencleat/logic.py
+++ b/glencleat/logic.py
@@ -26,8 +26,8 @@
 ALPHA = 0.5  # weight of cores in coverage; memory evicts but cores serve, so neither is put first
 LIKE = 0.1  # coverages this close are alike: then warmth and hash decide
 LEAST_COVER = 0.3  # under this harvested room is as good as none: borrow
-FULL = 0.80  # predicted use at which most classes begin to be served worse
-FULLEST = 0.95  # accepted by a task that has waited until its aim; above it machines evict
+FADED = 0.5  # part of a class's fade that a task accepts once it has waited until its aim
+FULL, FULLEST = 0.88, 0.94  # memory in use that a task accepts at once, and at its aim: slow, then evictions
 FLEET_FILL = 0.70  # fill of the machines in use before the next one is opened: growth takes a start to show
 KEPT_MS = 15_000.0  # a program is thought kept for this long after the last of our tasks
 VOID_MS = 2_000.0  # harvested room is void this long after a sign of pressure; a few report periods
@@ -36,10 +36,12 @@
 TIGHT_MEMORY = 0.92  # share of memory in use from which machines slow down
 POORLY = 0.8  # served share that voids
 VIEW_LAG_MS = 1_500.0  # what the list shows free is about this old; newer own binds are not in it
+REPORT_LAG_MS = 700.0  # likewise a machine's own report
 SILENT = 2  # unanswered attempts that make a machine suspect; one may be a lost answer
 BAR_MS = 1_000.0  # first bar of a suspect, doubled up to eight times
 TIMEOUT_MIN, TIMEOUT_MAX = 300.0, 1_500.0  # bounds of the answer time-out: a short line, and a usual aim
 UNSAFE_TIMEOUT_MS = 3_000.0  # an unsafe task can't be sent again, so its answer is worth waiting for
+LINE_MS = 300.0  # a full line of offers takes about this long to clear
 REFUSED_MS = 700.0  # a task stays off a machine that refused it until its room can have changed
 PULSE_MS = 50.0  # held tasks and deadlines are looked at this often
 PROBE_MS = 1_000.0  # age of a report at which a probe is due, where only probes tell
@@ -133,7 +135,7 @@
         self.name, self.size, self.told = told.name, size, told
         self.tasks: dict[int, Task] = {}
         self.kept: dict[str, float] = {}  # service -> last time that a task of ours held its program here
-        self.told_at = -1e18
+        self.told_at = self.left_at = -1e18  # left_at: own binds up to then are in what is told free
         self.report: Report | None = None
         self.report_at = self.probed_at = -1e18
         self.void_until = self.heard = self.barred_until = self.back_at = -1e18
@@ -228,6 +230,7 @@
         if node.sums_at == self.now or node.size is None:
             return node
         node.sums_at = self.now
+        left = self.left(node)
         cores = memory = need_cores = need_memory = old_cores = old_memory = use_cores = use_memory = 0.0
         for task in node.tasks.values():
             need = self.need(task)
@@ -235,10 +238,9 @@
             need_cores, need_memory = need_cores + need[0], need_memory + need[1]
             use = self.use(task)
             use_cores, use_memory = use_cores + use[0], use_memory + use[1]
-            if task.sent <= node.told_at - VIEW_LAG_MS:
+            if task.sent <= node.left_at:
                 old_cores, old_memory = old_cores + task.cores, old_memory + task.memory
         node.asks, node.needs, node.uses = (cores, memory), (need_cores, need_memory), (use_cores, use_memory)
-        left = self.left(node)
         if self.set.peers == 1:
             node.others = (0.0, 0.0)
         elif left is not None:
@@ -256,7 +258,9 @@
         report = node.report
         told = report and not self.set.reports_used and (not self.set.view or node.report_at >= node.told_at)
         if report and told and report.cores_free is not None and report.memory_free is not None:
+            node.left_at = node.report_at - REPORT_LAG_MS
             return report.cores_free, report.memory_free
+        node.left_at = node.told_at - VIEW_LAG_MS
         return (node.told.cores_left, node.told.memory_left) if self.set.view else None
 
     def use(self, task: Task) -> tuple[float, float]:
@@ -264,8 +268,8 @@
         cores = task.use_cores or task.cores * self.ratio[0]
         return cores, max(task.use_memory, task.memory * self.ratio[1])
 
-    def load(self, node: Node, task: Task | None = None) -> float:
-        """Share of the machine in use, the tighter of cores and memory; reported busy cores count if higher.
+    def load(self, node: Node, task: Task | None = None) -> tuple[float, float]:
+        """Shares of the machine's cores and memory in use; reported busy cores count if higher.
 
         Sums of needs would say full at half use: peaks of many tasks don't fall together.
         """
@@ -276,7 +280,19 @@
         if node.report and node.report.busy is not None and self.now - node.report_at < REPORT_MS:
             cores = max(cores, node.report.busy)
         memory = (node.uses[1] + node.others[1] + more[1]) / node.size.memory
-        return max(cores + more[0] / node.size.cores, memory)
+        return cores + more[0] / node.size.cores, memory
+
+    def bears(self, node: Node, task: Task) -> bool:
+        """Whether the task would be served there: busy cores up to its class's calm level, memory not tight.
+
+        The longer it has waited the less it asks; a machine with signs of pressure is left alone until then.
+        """
+        waited = min(1.0, (self.now - task.came) / max(1.0, task.cls.aim_ms))
+        if self.now < node.void_until and waited < 1.0:
+            return False
+        cores, memory = self.load(node, task)
+        calm = min(1.1, task.cls.calm + FADED * task.cls.fade * waited)
+        return cores <= calm and memory <= FULL + (FULLEST - FULL) * waited
 
     def slice_left(self, node: Node, multiple: bool = False) -> tuple[float, float]:
         """What our even share of the machine has beyond our asks, at size or at what it accepts."""
@@ -423,7 +439,7 @@
         left, size = self.left(node), node.size
         if left is None or size is None:
             return self.now >= node.full_until
-        fresh = [t for t in node.tasks.values() if t.sent > node.told_at - VIEW_LAG_MS]
+        fresh = [t for t in node.tasks.values() if t.sent > node.left_at]
         cores = left[0] + size.cores * (self.set.accept_cores - 1.0) - sum(t.cores for t in fresh)
         memory = left[1] + size.memory * (self.set.accept_memory - 1.0) - sum(t.memory for t in fresh)
         return self.now >= node.full_until and cores >= task.cores and memory >= task.memory
@@ -436,14 +452,8 @@
         starts) go first; where none would, all are alike and the hash decides which to warm.
         """
         need = self.need(task)
-        waited = (self.now - task.came) / max(1.0, task.cls.aim_ms)
-        limit = FULL + (FULLEST - FULL) * min(1.0, waited)
-        nodes = [
-            n
-            for n in self.nodes.values()
-            if self.allowed(n, task) and self.now >= n.void_until and self.accepts(n, task)
-        ]
-        nodes = [n for n in nodes if self.load(n, task) <= limit]
+        nodes = [n for n in self.nodes.values() if self.allowed(n, task)]
+        nodes = [n for n in nodes if self.accepts(n, task) and self.bears(n, task)]
         fleet = self.fleet_order() if self.set.fleet_price > 0.0 else None
         order = {}
         for n in nodes:
@@ -477,7 +487,7 @@
         best, scores = LEAST_COVER, []
         for node in nodes:
             free = self.slice_left(node, multiple=True)
-            if free[0] >= task.cores and free[1] >= task.memory:
+            if self.now >= node.void_until and free[0] >= task.cores and free[1] >= task.memory:
                 score = self.coverage(node, task, need)
                 scores.append((score, node))
                 best = max(best, score)
@@ -485,7 +495,7 @@
 
     def by_borrowing(self, task: Task, nodes: list[Node]) -> Node | None:
         """Room that is shown free (the ring holds no other machines): the least loaded."""
-        return min(nodes, key=self.load, default=None)
+        return min(nodes, key=lambda n: max(self.load(n)), default=None)
 
     # ---- attempts and rules ----
 
@@ -655,10 +665,10 @@
                 sum(t.use_memory for t in seen) / sum(t.memory for t in seen),
             )
 
-    def turn(self, task: Task) -> tuple[float, float, int]:
-        """Whose turn it is when room is short: by worth, less beyond a tenant's share, then by age."""
+    def turn(self, task: Task) -> tuple[float, bool, float, int]:
+        """Whose turn it is when room is short: by worth, less beyond a tenant's share, then those still in time."""
         worth = task.cls.worth * (self.set.over_share_worth if self.over_share(task) else 1.0)
-        return (-worth, task.came, task.call)
+        return (-worth, self.now - task.came > task.cls.aim_ms, task.came, task.call)
 
     def over_share(self, task: Task) -> bool:
         quota = (self.set.tenant_cores or {}).get(task.tenant or "")
@@ -699,6 +709,7 @@
             if event.why is Why.LINE:
                 # A full line is what a stuck machine shows too: it clears no suspicion, and adds to it.
                 self.suspect(node, 1)
+                node.full_until = self.now + LINE_MS
             else:
                 self.answered_by(node, event.spent_ms)
             if event.why in (Why.CORES, Why.MEMORY):
