--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,15 @@
+"""The module's limits: operators read it whole, so it stays short."""
+
+from pathlib import Path
+
+LOGIC = Path(__file__).parent.parent / "glencleat" / "logic.py"
+
+
+def test_logic_is_short_and_narrow():
+    lines = LOGIC.read_text().splitlines()
+    assert sum(1 for line in lines if line.strip()) <= 650
+    assert max(len(line) for line in lines) <= 110
+
+
+def test_logic_begins_with_its_interface():
+    assert "glencleat/interface.py" in LOGIC.read_text().split('"""')[1]
--- /dev/null
+++ b/tests/test_logic.py
@@ -0,0 +1,331 @@
+"""The module's decisions, without the bench: each rule with its tempting wrong answer, and the ordinary path."""
+
+import os
+import subprocess
+import sys
+
+import pytest
+
+from glencleat import interface as api
+from glencleat.logic import ENOUGH, LOG_MS, PULSE_MS, VOID_MS, Scheduler
+
+SAFE = api.TaskClass("safe", api.Effect.SAFE, 1000.0, 8000.0, 1.0)
+KEYED = api.TaskClass("keyed", api.Effect.KEYED, 1000.0, 8000.0, 1.0, group="zone", window_ms=5000.0)
+KEYED_ALL = api.TaskClass("keyed-all", api.Effect.KEYED, 1000.0, 8000.0, 1.0, window_ms=5000.0)
+UNSAFE = api.TaskClass("unsafe", api.Effect.UNSAFE, 1000.0, 8000.0, 1.0)
+SPREAD = api.TaskClass("spread", api.Effect.SAFE, 1000.0, 8000.0, 1.0, spread="machine", most=1)
+BIG_ONLY = api.TaskClass("big-only", api.Effect.SAFE, 1000.0, 8000.0, 1.0, kind="big")
+
+
+def settings(**more):
+    told = dict(
+        me=0,
+        peers=1,
+        zone="a",
+        classes=(SAFE, KEYED, KEYED_ALL, UNSAFE, SPREAD, BIG_ONLY),
+        kinds={"std": api.Size(16.0, 32.0), "big": api.Size(32.0, 64.0)},
+        accept_cores=2.0,
+        accept_memory=1.5,
+        max_attempts=4,
+        drain_ms=1000.0,
+        cold_ms=10_000.0,
+        cold_window_ms=1000.0,
+        cold_offers=6.0,
+        must_ask=True,
+    )
+    return api.Settings(**(told | more))
+
+
+def machine(name, zone="a", phase=api.Phase.SERVING, kind="std", ready=None):
+    return api.Machine(name, kind, zone, 0, phase, 16.0, 32.0, ready)
+
+
+class Bench:
+    """A scheduler, its clock and what it answered."""
+
+    def __init__(self, machines=(), seed=7, **more):
+        self.now, self.scheduler, self.calls = 1_000_000.0, Scheduler(settings(**more), seed), 0
+        self.tell(api.ListTold(api.ListKind.WHOLE, tuple(machines)))
+
+    def tell(self, event):
+        return self.scheduler.handle(self.now, event)
+
+    def ask(self, cls="safe", service="s", cores=1.0, memory=2.0, left=8000.0, **more):
+        self.calls += 1
+        return self.calls, self.tell(api.Asked(self.calls, cls, service, cores, memory, left, **more))
+
+    def back(self, call, host, outcome, attempt=0, over=False, why=api.Why.NONE):
+        return self.tell(api.Returned(call, attempt, host, outcome, 20.0, over, why))
+
+    def run(self, ms):
+        actions, end = [], self.now + ms
+        while self.now < end:
+            self.now += PULSE_MS
+            actions += self.tell(api.TimerDue(0))
+        return actions
+
+    def end_some(self, service="s", cls="safe", count=ENOUGH, use=0.5, life=10_000.0):
+        """Lets tasks live and end, so that the histograms speak."""
+        for _ in range(count):
+            call, actions = self.ask(cls, service)
+            host = binds(actions)[0].machine
+            self.tell(api.Accepted(call, 0, host, 20.0))
+            self.tell(api.Noted(call, host, api.NoteKind.RUNS, 1.0))
+            self.tell(api.Noted(call, host, api.NoteKind.CORES, use))
+            self.tell(api.Noted(call, host, api.NoteKind.MEMORY, use * 2.0))
+            self.now += life
+            self.back(call, host, api.Outcome.ENDED, over=True)
+
+
+def kinds(actions, *types):
+    return [a for a in actions if isinstance(a, types)]
+
+
+def binds(actions):
+    return kinds(actions, api.Bind)
+
+
+def finals(actions):
+    return kinds(actions, api.Refuse, api.Fail)
+
+
+# ---- the rules ----
+
+
+def test_a_held_task_is_answered_once_before_its_deadline():
+    bench = Bench([])
+    call, actions = bench.ask(left=2000.0)
+    assert not binds(actions) and not finals(actions)
+    told = finals(bench.run(1990.0))
+    assert [a.call for a in told] == [call]
+    assert not finals(bench.run(3000.0))
+
+
+def test_an_unsafe_task_that_may_have_run_fails_and_is_not_sent_again():
+    bench = Bench([machine("m"), machine("n")])
+    call, actions = bench.ask("unsafe")
+    after = bench.back(call, binds(actions)[0].machine, api.Outcome.TIMED_OUT)
+    assert kinds(after, api.Fail) and not binds(after) and not kinds(after, api.Refuse)
+
+
+def test_an_unsafe_task_that_was_refused_is_sent_elsewhere():
+    bench = Bench([machine("m"), machine("n")])
+    call, actions = bench.ask("unsafe")
+    first = binds(actions)[0].machine
+    after = bench.back(call, first, api.Outcome.REFUSED, why=api.Why.CORES)
+    assert [b.machine for b in binds(after)] == [{"m": "n", "n": "m"}[first]]
+
+
+def test_a_keyed_task_that_may_have_run_stays_in_its_group_and_window():
+    bench = Bench([machine("m"), machine("far", "b")])
+    call, actions = bench.ask("keyed")
+    while binds(actions)[0].machine != "m":
+        call, actions = bench.ask("keyed", service=f"s{bench.calls}")
+    after = bench.back(call, "m", api.Outcome.TIMED_OUT)
+    assert all(b.machine != "far" for b in binds(after))
+    later = [b for b in binds(bench.run(7800.0)) if b.call == call]
+    assert all(b.machine != "far" for b in later)
+
+
+def test_a_keyed_task_is_failed_after_its_window_never_refused():
+    bench = Bench([machine("m")])
+    call, actions = bench.ask("keyed")
+    bench.now += 5100.0
+    after = bench.back(call, "m", api.Outcome.TIMED_OUT)
+    assert not binds(after) and kinds(after, api.Fail) and not kinds(after, api.Refuse)
+
+
+def test_attempts_end_at_the_limit_and_never_two_are_out():
+    bench = Bench([machine(n) for n in "mnopq"], max_attempts=2)
+    call, actions = bench.ask()
+    assert len(binds(actions)) == 1 and not binds(bench.run(200.0))
+    after = bench.back(call, binds(actions)[0].machine, api.Outcome.REFUSED, why=api.Why.LINE)
+    assert len(binds(after)) == 1
+    after = bench.back(call, binds(after)[0].machine, api.Outcome.REFUSED, attempt=1, why=api.Why.LINE)
+    assert not binds(after) and len(finals(after)) == 1
+
+
+@pytest.mark.parametrize("phase", [api.Phase.DRAINING, api.Phase.GONE])
+def test_nothing_is_sent_once_a_drain_or_loss_is_learned(phase):
+    bench = Bench([machine("m")])
+    bench.tell(api.ListTold(api.ListKind.CHANGES, (machine("m", phase=phase),)))
+    _, actions = bench.ask()
+    assert not binds(actions)
+
+
+def test_a_machine_missing_from_a_whole_list_gets_nothing():
+    bench = Bench([machine("m")])
+    bench.tell(api.ListTold(api.ListKind.WHOLE, ()))
+    assert not binds(bench.ask()[1])
+
+
+def test_a_cold_machine_gets_our_part_of_its_budget_only():
+    bench = Bench([], peers=3)
+    bench.tell(api.ListTold(api.ListKind.WHOLE, (machine("m", ready=bench.now),)))
+    sent = [b for _ in range(10) for b in binds(bench.ask(cores=0.1, memory=0.1)[1])]
+    assert len(sent) == 2  # six offers are borne, three schedulers may send
+    assert len(binds(bench.run(1000.0))) == 0
+    assert 1 <= len(binds(bench.run(500.0))) <= 2
+
+
+def test_spread_counts_attempts_and_adopted_tasks():
+    bench = Bench([machine("m")])
+    bench.tell(api.Asked(900, "spread", "s", 1.0, 1.0, machine="m"))
+    call, actions = bench.ask("spread")
+    assert not binds(actions)
+    bench.back(900, "m", api.Outcome.ENDED, over=True)
+    assert [b.call for b in binds(bench.run(100.0))] == [call]
+    assert not binds(bench.ask("spread")[1])
+
+
+def test_a_kind_is_kept():
+    bench = Bench([machine("m"), machine("large", kind="big")])
+    assert {binds(bench.ask("big-only", service=f"s{i}")[1])[0].machine for i in range(8)} == {"large"}
+
+
+# ---- the ordinary path ----
+
+
+def test_schedulers_of_other_seeds_hash_a_service_to_the_same_machine():
+    names = [machine(n) for n in "mnopq"]
+    first = [binds(Bench(names, seed=s).ask(service="web")[1])[0].machine for s in range(5)]
+    assert len(set(first)) == 1
+
+
+def test_a_full_slice_is_rehashed():
+    bench = Bench([machine("m"), machine("n")], peers=2)
+    hosts = [binds(bench.ask(cores=4.0, memory=1.0)[1])[0].machine for _ in range(3)]
+    assert hosts[0] == hosts[1] != hosts[2]  # a slice is eight cores
+
+
+def test_need_is_the_ask_until_enough_have_ended():
+    bench = Bench([machine("m")])
+    bench.end_some(count=ENOUGH - 1)
+    task = api.Asked(999, "safe", "s", 1.0, 2.0, 8000.0)
+    bench.tell(task)
+    mine = bench.scheduler.tasks[999]
+    assert bench.scheduler.need(mine) == (1.0, 2.0)
+    bench.end_some(count=1)
+    assert bench.scheduler.need(mine)[0] == pytest.approx(0.55)
+
+
+def test_need_is_never_under_the_use_that_is_seen():
+    bench = Bench([machine("m")])
+    bench.end_some()
+    call, _ = bench.ask()
+    bench.tell(api.Noted(call, "m", api.NoteKind.CORES, 0.9))
+    assert bench.scheduler.need(bench.scheduler.tasks[call])[0] == 0.9
+
+
+def test_coverage_counts_a_donor_until_its_end():
+    """By hand: excess 1 core; a donor gives 1 core for half of the life and memory is held: D = (0.5 + 1) / 2."""
+    bench = Bench([machine("m")])
+    logic = bench.scheduler
+    donor_call, _ = bench.ask(cores=16.0, memory=2.0)
+    call, _ = bench.ask("safe", "t", cores=1.0, memory=2.0)
+    node, donor, task = logic.nodes["m"], logic.tasks[donor_call], logic.tasks[call]
+    logic.release(task)
+    logic.need = lambda t: (15.0, 2.0) if t is donor else (1.0, 2.0)
+    logic.life_left = lambda t: 2000.0 if t is donor else 4000.0
+    node.sums_at = -1.0
+    assert logic.coverage(node, task, (1.0, 2.0)) == pytest.approx(0.75)
+
+
+def test_an_eviction_voids_harvested_room_for_a_time():
+    bench = Bench([machine("m")])
+    call, _ = bench.ask()
+    bench.tell(api.Accepted(call, 0, "m", 20.0))
+    bench.back(call, "m", api.Outcome.LOST, over=True, why=api.Why.EVICTED)
+    node = bench.scheduler.nodes["m"]
+    assert node.void_until > bench.now
+    bench.now = node.void_until + 1.0
+    assert binds(bench.ask()[1])
+
+
+def test_a_high_report_voids_and_lapses():
+    bench = Bench([machine("m")])
+    call, _ = bench.ask()
+    bench.tell(api.Returned(call, 0, "m", api.Outcome.ENDED, 1.0, True, api.Why.NONE, api.Report(0, 9, 0.99)))
+    assert bench.scheduler.nodes["m"].void_until == bench.now + VOID_MS
+
+
+def test_room_is_released_once():
+    bench = Bench([machine("m")])
+    call, _ = bench.ask(cores=3.0)
+    for _ in range(3):
+        bench.back(call, "m", api.Outcome.ENDED, over=True)
+    node = bench.scheduler.sums(bench.scheduler.nodes["m"])
+    assert node.asks == (0.0, 0.0) and bench.scheduler.tenant_asks[""] == 0.0
+
+
+# ---- health and ordinary oddities ----
+
+
+def test_silent_machines_are_left_alone_and_let_back():
+    bench = Bench([machine("m"), machine("n")])
+    for i in range(2):
+        call, actions = bench.ask(service="s")
+        first = binds(actions)[0].machine
+        bench.now += 500.0
+        bench.back(call, first, api.Outcome.TIMED_OUT)
+    barred = [n for n in bench.scheduler.nodes.values() if n.barred_until > bench.now]
+    assert barred
+    assert binds(bench.ask(service=f"x{i}")[1])[0].machine != barred[0].name
+
+
+def test_log_lines_are_few():
+    bench = Bench([machine("m")])
+    lines = []
+    for _ in range(20):
+        lines += kinds(bench.tell(api.ListTold(api.ListKind.FAILED)), api.Log)
+        bench.now += 100.0
+    assert 1 <= len(lines) <= 2000.0 / LOG_MS + 1
+
+
+def test_a_failed_list_is_asked_for_again():
+    bench = Bench([machine("m")])
+    bench.tell(api.ListTold(api.ListKind.FAILED))
+    assert kinds(bench.run(2000.0), api.Watch)
+    assert binds(bench.ask()[1])
+
+
+def test_unknown_and_finished_tasks_are_ordinary():
+    bench = Bench([machine("m")])
+    for event in (
+        api.Left(5),
+        api.Returned(5, 0, "zz", api.Outcome.ENDED, 1.0, True),
+        api.Accepted(5, 0, "m", 1.0),
+        api.Noted(5, "m", api.NoteKind.CORES, 1.0),
+        api.Probed("zz", api.Outcome.TIMED_OUT),
+        api.Probed("m", api.Outcome.ENDED, api.Report()),
+        api.TimerDue(77),
+    ):
+        assert not binds(bench.tell(event))
+
+
+def test_settings_that_cannot_be_used_are_named():
+    with pytest.raises(ValueError, match="peers"):
+        Scheduler(settings(peers=0), 1)
+    with pytest.raises(ValueError, match="max_attempts"):
+        Scheduler(settings(max_attempts=0), 1)
+
+
+SCRIPT = """
+from tests.test_logic import Bench, machine
+bench = Bench([machine(n) for n in "mnopq"], peers=2)
+print([bench.ask(service=f"s{i % 7}")[1] for i in range(60)], bench.run(1000.0))
+"""
+
+
+def test_equal_events_give_equal_actions_across_hash_seeds():
+    out = {
+        subprocess.run(
+            [sys.executable, "-c", SCRIPT],
+            env={**os.environ, "PYTHONHASHSEED": seed, "PYTHONPATH": "."},
+            capture_output=True,
+            text=True,
+            check=True,
+        ).stdout
+        for seed in ("1", "2", "3")
+    }
+    assert len(out) == 1 and "Bind" in out.pop()
