--- a/glencleat/logic.py
+++ b/glencleat/logic.py
@@ -157,8 +157,7 @@
         self.report: Report | None = None
         self.report_at = self.probed_at = -1e18
         self.void_until = self.heard = self.barred_until = self.back_at = self.full_until = -1e18
-        self.silent = self.bars = 0
-        self.unreachable = False
+        self.silent, self.bars, self.unreachable = 0, 0, False
         self.fresh_sends: list[float] = []
         self.sums_at = -1e18
         self.asks: Pair = (0.0, 0.0)
@@ -220,7 +219,8 @@
         A departure: twenty ends of one service take most of a day, and its class's ratios are close.
         """
         own = self.profiles.get(task.service)
-        return own if own and getattr(own, part).total >= ENOUGH else self.profiles.setdefault("class " + task.cls.name, Profile())
+        pooled = self.profiles.setdefault("class " + task.cls.name, Profile())
+        return own if own and getattr(own, part).total >= ENOUGH else pooled
 
     def need(self, task: Task) -> Pair:
         """Predicted peak, never under the use seen now: histograms lag behind a service that climbs."""
