--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -13,3 +13,8 @@
 
 def test_logic_begins_with_its_interface():
     assert "glencleat/interface.py" in LOGIC.read_text().split('"""')[1]
+
+
+def test_the_readme_example_runs():
+    readme = (LOGIC.parent.parent / "README.md").read_text()
+    exec(readme.split("```python\n")[1].split("```")[0], {})
