--- a/glencleat/logic.py
+++ b/glencleat/logic.py
@@ -26,6 +26,7 @@
 ALPHA = 0.5  # weight of cores in coverage; memory evicts but cores serve, so neither is put first
 LIKE = 0.1  # coverages this close are alike: then warmth and hash decide
 LEAST_COVER = 0.3  # under this harvested room is as good as none: borrow
+LOWER = 0.5  # weight of cores that lower priorities use: only a part crowds a task, which is not told
 FADED = 0.5  # part of a class's fade that a task accepts once it has waited until its aim
 FULL, FULLEST = 0.88, 0.94  # memory in use that a task accepts at once, and at its aim: slow, then evictions
 FLEET_FILL = 0.70  # fill of the machines in use before the next one is opened: growth takes a start to show
@@ -44,8 +45,7 @@
 TIMEOUT_MIN, TIMEOUT_MAX = 300.0, 1_500.0  # bounds of the answer time-out: a short line, and a usual aim
 UNSAFE_TIMEOUT_MS = 3_000.0  # an unsafe task can't be sent again, so its answer is worth waiting for
 LINE = 4  # own offers unanswered at one machine: all schedulers' together fit a usual line of offers
-LINE_MS = 300.0  # a full line of offers takes about this long to clear
-REFUSED_MS = 700.0  # a task stays off a machine that refused it until its room can have changed
+REFUSED_MS = 500.0  # a machine that refused as full is left alone until its room can have changed
 PULSE_MS = 50.0  # held tasks and deadlines are looked at this often
 PROBE_MS = 1_000.0  # age of a report at which a probe is due, where only probes tell
 REASK_MS, REASK_MAX_MS = 500.0, 4_000.0  # asking for the list again after a failure, doubled
@@ -160,6 +160,7 @@
         self.silent, self.bars, self.unreachable = 0, 0, False
         self.fresh_sends: list[float] = []
         self.sums_at = -1e18
+        self.ranked: dict[int, float] = {}  # cores that our tasks use, by priority
         self.asks: Pair = (0.0, 0.0)
         self.needs = self.uses = self.others = self.fresh = self.asks
 
@@ -167,7 +168,7 @@
         return {"zone": self.told.zone, "cell": (self.told.zone, self.told.cell)}.get(by, self.name)
 
     def pending(self) -> int:
-        return sum(1 for t in self.due.values() if not t.placed)
+        return sum(not t.placed for t in self.due.values())
 
 
 def hashed(text: str) -> int:
@@ -207,9 +208,7 @@
         self.now, self.out = now_ms, []
         if not self.started:
             self.started = True
-            self.out.append(SetTimer(PULSE_MS, 0))
-            if self.set.must_ask:
-                self.out.append(Watch())
+            self.out += [SetTimer(PULSE_MS, 0), Watch()] if self.set.must_ask else [SetTimer(PULSE_MS, 0)]
         self.handlers[type(event)](event)
         return self.out
 
@@ -244,9 +243,11 @@
         node.sums_at = self.now
         left = self.left(node)
         node.asks = node.needs = node.uses = node.fresh = (0.0, 0.0)
+        node.ranked = {}
         for task in node.tasks.values():
             node.asks, node.needs = plus(node.asks, task.ask), plus(node.needs, self.need(task))
-            node.uses = plus(node.uses, self.use(task))
+            use, rank = self.use(task), task.cls.priority
+            node.uses, node.ranked[rank] = plus(node.uses, use), node.ranked.get(rank, 0.0) + use[0]
             if task.sent > node.left_at:
                 node.fresh = plus(node.fresh, task.ask)
         if left is None:  # unheard: the others are taken to fill it as we do
@@ -281,6 +282,9 @@
         cores = used[0] / node.size[0]
         if node.report and node.report.busy is not None and self.now - node.report_at < REPORT_MS:
             cores = max(cores, node.report.busy)
+        if task and node.uses[0]:  # cores used by lower priorities crowd a task less
+            lower = sum(used for rank, used in node.ranked.items() if rank < task.cls.priority)
+            cores *= 1.0 - (1.0 - LOWER) * lower / node.uses[0]
         return cores + more[0] / node.size[0], (used[1] + more[1]) / node.size[1]
 
     def bears(self, node: Node, task: Task) -> bool:
@@ -379,8 +383,8 @@
         return self.fleet
 
     def usable(self) -> list[Node]:
-        serving = [n for n in self.nodes.values() if n.known and n.told.phase is Phase.SERVING]
-        return [n for n in serving if n.silent < SILENT]
+        nodes = self.nodes.values()
+        return [n for n in nodes if n.known and n.told.phase is Phase.SERVING and n.silent < SILENT]
 
     def allowed(self, node: Node, task: Task, taken: list[object]) -> bool:
         """Filters that no room outweighs: kind, drain, spread, key's group, health, a cold machine's part."""
@@ -437,8 +441,7 @@
         many times the work, so machines that would start it in time (by programs and our own starts due) go
         first; where none would, the soonest, and the hash decides which to warm.
         """
-        need, ranked = self.need(task), []
-        serving = [n.name for n in self.usable()]
+        need, ranked, serving = self.need(task), [], [n.name for n in self.usable()]
         if serving != self.serving:
             self.serving, self.heads = serving, {}
         fleet = self.fleet_order() if self.set.fleet_price > 0.0 else None
@@ -575,7 +578,7 @@
         task = self.tasks.get(event.call)
         if task is None or event.attempt != task.attempts - 1 or task.node is None:
             return
-        was_placed, sent, there = task.placed, task.sent, task.node
+        was_placed, there = task.placed, task.node
         if was_placed and event.outcome in (Outcome.ENDED, Outcome.LOST, Outcome.STOPPED):
             self.learn(task, event.outcome)
         self.release(task)
@@ -584,14 +587,13 @@
             return
         task.refused[there.name] = self.now
         if event.outcome not in (Outcome.REFUSED, Outcome.UNREACHABLE, Outcome.NOT_SENT):
-            task.maybe = task.maybe or (sent, there)
+            task.maybe = task.maybe or (task.sent, there)
         self.next_try(task)
 
     def learn(self, task: Task, outcome: Outcome) -> None:
         since = None if task.adopted or outcome is not Outcome.ENDED else task.runs_since
-        life = None if since is None else self.now - since
         for key in (task.service, "class " + task.cls.name):
-            self.profiles.setdefault(key, Profile()).add(task, life)
+            self.profiles.setdefault(key, Profile()).add(task, None if since is None else self.now - since)
         if task.node is not None and outcome is Outcome.ENDED:
             task.node.kept[task.service] = self.now
 
@@ -645,10 +647,9 @@
             self.answer_dev += 0.05 * (abs(off) - self.answer_dev)
         node.heard = self.now
         if node.unreachable:
-            # Back after it could not be reached: it may have restarted before the list says so.
-            node.back_at, node.unreachable = self.now, False
+            node.back_at, node.unreachable = self.now, False  # it may have restarted before the list says so
             node.kept.clear()
-        if node.silent >= SILENT:
+        if node.bars:
             self.log("back", f"machine {node.name} answers again")
         node.silent = node.bars = 0
 
@@ -656,19 +657,18 @@
         task = self.tasks.get(event.call)
         if event.report is not None:
             self.hear_report(node, event.report)
+        if event.outcome is Outcome.REFUSED and event.why in (Why.CORES, Why.MEMORY, Why.LINE):
+            node.full_until = self.now + REFUSED_MS
         unheard = task is not None and node.heard < task.sent
         full_line = event.outcome is Outcome.REFUSED and event.why is Why.LINE
         if full_line or event.outcome is Outcome.ERROR or (event.outcome is Outcome.TIMED_OUT and unheard):
             # Silence, errors, a line that stays full: one kind of symptom, attempts come to nothing here.
             self.suspect(node, 1)
-            node.full_until = self.now + LINE_MS if full_line else node.full_until
         elif event.outcome is Outcome.UNREACHABLE:
             node.unreachable = True
             self.suspect(node, SILENT)
         elif event.outcome is Outcome.REFUSED:
             self.answered_by(node, event.spent_ms)
-            if event.why in (Why.CORES, Why.MEMORY):
-                node.full_until = self.now + REFUSED_MS
         elif event.outcome is Outcome.LOST and event.why is Why.EVICTED:
             self.void(node, VOID_EVICTED_MS, "eviction")
 
@@ -696,8 +696,8 @@
         if event.kind is NoteKind.RUNS:
             self.runs(task)
         elif event.kind in (NoteKind.CORES, NoteKind.MEMORY):
-            of_cores = event.kind is NoteKind.CORES
-            task.use = (event.value, task.use[1]) if of_cores else (task.use[0], event.value)
+            cores = event.kind is NoteKind.CORES
+            task.use = (event.value, task.use[1]) if cores else (task.use[0], event.value)
             task.peak = max(task.peak[0], task.use[0]), max(task.peak[1], task.use[1])
 
     # ---- list and reports ----
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -329,3 +329,26 @@
         for seed in ("1", "2", "3")
     }
     assert len(out) == 1 and "Bind" in out.pop()
+
+
+def test_lower_priorities_crowd_a_task_less():
+    """Tasks of higher priority were driven off their warm machines by cores that lower ones use."""
+    low = api.TaskClass("low", api.Effect.SAFE, 1000.0, 8000.0, 1.0)
+    high = api.TaskClass("high", api.Effect.SAFE, 1000.0, 8000.0, 1.0, priority=1, calm=0.8, fade=0.2)
+    bench = Bench([machine("m")], classes=(low, high))
+    for _ in range(15):
+        call, _ = bench.ask("low", cores=1.0, memory=0.5)
+        bench.tell(api.Accepted(call, 0, "m", 20.0))
+        bench.tell(api.Noted(call, "m", api.NoteKind.CORES, 1.0))
+    bench.now += 300.0
+    assert binds(bench.ask("high", "t")[1])
+
+
+def test_errors_make_a_machine_suspect():
+    bench = Bench([machine("m"), machine("n")])
+    call, actions = bench.ask()
+    first = binds(actions)[0].machine
+    for _ in range(2):
+        bench.back(call, first, api.Outcome.ERROR)
+        call, actions = bench.ask()
+    assert bench.scheduler.nodes[first].barred_until > bench.now
