--- a/glencleat/logic.py
+++ b/glencleat/logic.py
@@ -27,6 +27,7 @@
 LIKE = 0.1  # coverages this close are alike: then warmth and hash decide
 LEAST_COVER = 0.3  # under this harvested room is as good as none: borrow
 LOWER = 0.5  # weight of cores that lower priorities use: only a part crowds a task, which is not told
+SPARE = 0.1  # machines this close to a class's calm level rank after calmer ones: use swings
 FADED = 0.5  # part of a class's fade that a task accepts once it has waited until its aim
 FULL, FULLEST = 0.88, 0.94  # memory in use that a task accepts at once, and at its aim: slow, then evictions
 FLEET_FILL = 0.70  # fill of the machines in use before the next one is opened: growth takes a start to show
@@ -194,8 +195,7 @@
         self.serving: list[str] = []
         self.heads: dict[str, list[str]] = {}  # of the serving machines, by service
         self.answer_ms = self.answer_dev = 100.0
-        self.reask_at, self.reask_ms = float("inf"), REASK_MS
-        self.started = False
+        self.reask_at, self.reask_ms, self.started = float("inf"), REASK_MS, False
         self.measured = self.fleet_at = -1e18
         self.logged: dict[str, float] = {}
         self.now, self.out = 0.0, list[Action]()
@@ -208,7 +208,7 @@
         self.now, self.out = now_ms, []
         if not self.started:
             self.started = True
-            self.out += [SetTimer(PULSE_MS, 0), Watch()] if self.set.must_ask else [SetTimer(PULSE_MS, 0)]
+            self.out += [SetTimer(PULSE_MS, 0), *([Watch()] if self.set.must_ask else [])]
         self.handlers[type(event)](event)
         return self.out
 
@@ -457,8 +457,9 @@
             # A task outside our zone is charged all its life: room here goes first, borrowed too.
             away = self.set.cross_zone_price > 0.0 and node.told.zone != self.set.zone
             out = fleet is not None and node.name not in fleet
-            order = (late > 0, away, late, out, warmth, self.rank(task.service, node.name))
-            ranked.append((order, node))
+            crowded = self.load(node, task)[0] > task.cls.calm - SPARE
+            rank = self.rank(task.service, node.name)
+            ranked.append(((late > 0, away, late, crowded, out, warmth, rank), node))
         ranked.sort(key=lambda item: item[0])
         ring = [node for order, node in ranked if order[:2] == ranked[0][0][:2]]
         # Borrowing: only machines that show room got this far; the order keeps a service together.
@@ -598,12 +599,10 @@
             task.node.kept[task.service] = self.now
 
     def on_left(self, event: Left) -> None:
-        task = self.tasks.get(event.call)
-        if task is None:
-            return
-        if task.node is None:
-            self.forget(task)
-        task.answered = True
+        if task := self.tasks.get(event.call):
+            task.answered = True
+            if task.node is None:
+                self.forget(task)
 
     def on_timer(self, _: TimerDue) -> None:
         self.out.append(SetTimer(PULSE_MS, 0))
@@ -655,7 +654,7 @@
 
     def hear_outcome(self, node: Node, event: Returned) -> None:
         task = self.tasks.get(event.call)
-        if event.report is not None:
+        if event.report:
             self.hear_report(node, event.report)
         if event.outcome is Outcome.REFUSED and event.why in (Why.CORES, Why.MEMORY, Why.LINE):
             node.full_until = self.now + REFUSED_MS
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -352,3 +352,14 @@
         bench.back(call, first, api.Outcome.ERROR)
         call, actions = bench.ask()
     assert bench.scheduler.nodes[first].barred_until > bench.now
+
+
+def test_a_machine_near_its_calm_level_ranks_after_a_calmer_one():
+    """Use swings: at the calm level tasks of a steep class were served half."""
+    steep = api.TaskClass("steep", api.Effect.SAFE, 1000.0, 8000.0, 1.0, calm=0.8, fade=0.15)
+    names = [machine("m"), machine("n")]
+    first = binds(Bench(names, classes=(steep,)).ask("steep")[1])[0].machine
+    bench = Bench(names, classes=(steep,))
+    busy = api.Returned(0, 0, first, api.Outcome.ENDED, 1.0, True, api.Why.NONE, api.Report(5.0, 20.0, 0.74))
+    bench.tell(busy)
+    assert binds(bench.ask("steep")[1])[0].machine != first
