--- a/glencleat/logic.py
+++ b/glencleat/logic.py
@@ -27,7 +27,7 @@
 LIKE = 0.1  # coverages this close are alike: then warmth and hash decide
 LEAST_COVER = 0.3  # under this harvested room is as good as none: borrow
 LOWER = 0.5  # weight of cores that lower priorities use: only a part crowds a task, which is not told
-SPARE = 0.2  # machines this close to a class's calm level rank after calmer ones: use swings
+SPARE = 0.1  # machines this close to a class's calm level rank after calmer ones: use swings
 FADED = 0.5  # part of a class's fade that a task accepts once it has waited until its aim
 FULL, FULLEST = 0.88, 0.94  # memory in use that a task accepts at once, and at its aim: slow, then evictions
 FLEET_FILL = 0.70  # fill of the machines in use before the next one is opened: growth takes a start to show
@@ -45,6 +45,7 @@
 BAR_MS = 1_000.0  # first bar of a suspect, doubled up to eight times
 TIMEOUT_MIN, TIMEOUT_MAX = 300.0, 1_500.0  # bounds of the answer time-out: a short line, and a usual aim
 UNSAFE_TIMEOUT_MS = 3_000.0  # an unsafe task can't be sent again, so its answer is worth waiting for
+OVERDUE_MS = 120.0  # at least this, and three usual deviations: an offer unanswered so long warns of silence
 LINE = 4  # own offers unanswered at one machine: all schedulers' together fit a usual line of offers
 REFUSED_MS = 500.0  # a machine that refused as full is left alone until its room can have changed
 PULSE_MS = 50.0  # held tasks and deadlines are looked at this often
@@ -168,8 +169,8 @@
     def place(self, by: str) -> object:
         return {"zone": self.told.zone, "cell": (self.told.zone, self.told.cell)}.get(by, self.name)
 
-    def pending(self) -> int:
-        return sum(not t.placed for t in self.due.values())
+    def pending(self, before: float = 1e18) -> int:
+        return sum(not t.placed and t.sent < before for t in self.due.values())
 
 
 def hashed(text: str) -> int:
@@ -424,9 +425,10 @@
     def accepts(self, node: Node, task: Task) -> bool:
         """Whether the machine would take the ask, as far as it is told, newer own binds included.
 
-        Few offers of ours wait there at once: its line is short, and a full one is refused at a price.
+        Few offers of ours wait there at once, none if one is overdue: it may be silent, or its line long.
         """
-        if self.now < node.full_until or node.pending() >= LINE:
+        overdue = self.now - max(OVERDUE_MS, self.answer_ms + 3.0 * self.answer_dev)
+        if self.now < node.full_until or node.pending() >= LINE or node.pending(overdue):
             return False
         left = self.left(node)
         if left is None:
