--- a/glencleat/logic.py
+++ b/glencleat/logic.py
@@ -45,7 +45,6 @@
 BAR_MS = 1_000.0  # first bar of a suspect, doubled up to eight times
 TIMEOUT_MIN, TIMEOUT_MAX = 300.0, 1_500.0  # bounds of the answer time-out: a short line, and a usual aim
 UNSAFE_TIMEOUT_MS = 3_000.0  # an unsafe task can't be sent again, so its answer is worth waiting for
-OVERDUE_MS = 120.0  # at least this, and three usual deviations: an offer unanswered so long warns of silence
 LINE = 4  # own offers unanswered at one machine: all schedulers' together fit a usual line of offers
 REFUSED_MS = 500.0  # a machine that refused as full is left alone until its room can have changed
 PULSE_MS = 50.0  # held tasks and deadlines are looked at this often
@@ -169,8 +168,8 @@
     def place(self, by: str) -> object:
         return {"zone": self.told.zone, "cell": (self.told.zone, self.told.cell)}.get(by, self.name)
 
-    def pending(self, before: float = 1e18) -> int:
-        return sum(not t.placed and t.sent < before for t in self.due.values())
+    def pending(self) -> int:
+        return sum(not t.placed for t in self.due.values())
 
 
 def hashed(text: str) -> int:
@@ -355,9 +354,10 @@
             self.heads[service] = sorted(self.serving, key=lambda n: self.rank(service, n))[:HASHED]
         return 1 if node.name in self.heads[service] else 2
 
-    def cold(self, node: Node) -> bool:
-        """Came up a short time ago: it starts few tasks at a time and holds no programs."""
-        return self.now < max(node.back_at, node.told.ready_at_ms or -1e18) + self.set.cold_ms
+    def cold(self, node: Node) -> float:
+        """How cold a machine is that came up lately, from 1 to 0: few starts at a time, no programs."""
+        until = max(node.back_at, node.told.ready_at_ms or -1e18) + self.set.cold_ms
+        return min(1.0, max(0.0, until - self.now) / max(1.0, self.set.cold_ms))
 
     def fleet_order(self) -> list[str]:
         """Where machines in use cost: the shortest prefix of one common order that holds the present need.
@@ -416,19 +416,18 @@
     def eta(self, node: Node, task: Task, warmth: int) -> float:
         """Expected time to the start there: our own starts still due, in a few lanes, then its own start.
 
-        A cold machine starts at a fraction of its pace.
+        A cold machine starts at a fraction of its pace, rising as it warms.
         """
         due = (self.start_ms(t, t.warmth) - (self.now - t.sent) for t in node.due.values())
         waiting = TWO_LANES * sum(max(0.0, ms) for ms in due)
-        return (waiting + self.start_ms(task, warmth)) * (COLD_SLOWER if self.cold(node) else 1.0)
+        return (waiting + self.start_ms(task, warmth)) * (1.0 + (COLD_SLOWER - 1.0) * self.cold(node))
 
     def accepts(self, node: Node, task: Task) -> bool:
         """Whether the machine would take the ask, as far as it is told, newer own binds included.
 
-        Few offers of ours wait there at once, none if one is overdue: it may be silent, or its line long.
+        Few offers of ours wait there at once: its line is short, and a full one is refused at a price.
         """
-        overdue = self.now - max(OVERDUE_MS, self.answer_ms + 3.0 * self.answer_dev)
-        if self.now < node.full_until or node.pending() >= LINE or node.pending(overdue):
+        if self.now < node.full_until or node.pending() >= LINE:
             return False
         left = self.left(node)
         if left is None:
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -363,3 +363,16 @@
     busy = api.Returned(0, 0, first, api.Outcome.ENDED, 1.0, True, api.Why.NONE, api.Report(5.0, 20.0, 0.74))
     bench.tell(busy)
     assert binds(bench.ask("steep")[1])[0].machine != first
+
+
+def test_a_fresh_machine_counts_as_ever_less_cold():
+    """In a rolling replacement most machines are fresh: all being cold alike hid the ones nearly warm."""
+    bench = Bench([])
+    bench.tell(api.ListTold(api.ListKind.WHOLE, (machine("m", ready=bench.now),)))
+    node = bench.scheduler.nodes["m"]
+    assert bench.scheduler.cold(node) == 1.0
+    bench.now += 5_000.0
+    bench.run(PULSE_MS)
+    assert 0.4 < bench.scheduler.cold(node) < 0.6
+    bench.run(6_000.0)
+    assert bench.scheduler.cold(node) == 0.0
