--- a/glencleat/logic.py
+++ b/glencleat/logic.py
@@ -27,6 +27,7 @@
 LIKE = 0.1  # coverages this close are alike: then warmth and hash decide
 LEAST_COVER = 0.3  # under this harvested room is as good as none: borrow
 LOWER = 0.5  # weight of cores that lower priorities use: only a part crowds a task, which is not told
+EXILES = 3  # tasks of a service away from home that outweigh one late start there over their lives
 SPARE = 0.1  # machines this close to a class's calm level rank after calmer ones: use swings
 FADED = 0.5  # part of a class's fade that a task accepts once it has waited until its aim
 FULL, FULLEST = 0.88, 0.94  # memory in use that a task accepts at once, and at its aim: slow, then evictions
@@ -196,7 +197,7 @@
         self.heads: dict[str, list[str]] = {}  # of the serving machines, by service
         self.answer_ms = self.answer_dev = 100.0
         self.reask_at, self.reask_ms, self.started = float("inf"), REASK_MS, False
-        self.measured = self.fleet_at = -1e18
+        self.fleet_at = -1e18
         self.logged: dict[str, float] = {}
         self.now, self.out = 0.0, list[Action]()
         self.handlers: dict[type, Any] = {
@@ -207,8 +208,8 @@
     def handle(self, now_ms: float, event: Event) -> list[Action]:
         self.now, self.out = now_ms, []
         if not self.started:
-            self.started = True
             self.out += [SetTimer(PULSE_MS, 0), *([Watch()] if self.set.must_ask else [])]
+            self.started = True
         self.handlers[type(event)](event)
         return self.out
 
@@ -384,14 +385,13 @@
         return self.fleet
 
     def usable(self) -> list[Node]:
-        nodes = self.nodes.values()
-        return [n for n in nodes if n.known and n.told.phase is Phase.SERVING and n.silent < SILENT]
+        serving = (n for n in self.nodes.values() if n.known and n.told.phase is Phase.SERVING)
+        return [n for n in serving if n.silent < SILENT]
 
     def allowed(self, node: Node, task: Task, taken: list[object]) -> bool:
         """Filters that no room outweighs: kind, drain, spread, key's group, health, a cold machine's part."""
-        if not node.known or node.told.phase is not Phase.SERVING:
-            return False
-        if task.cls.kind not in (None, node.told.kind):
+        serving = node.known and node.told.phase is Phase.SERVING
+        if not serving or task.cls.kind not in (None, node.told.kind):
             return False
         if self.now - task.refused.get(node.name, -1e18) < REFUSED_MS:
             return False
@@ -448,6 +448,8 @@
         fleet = self.fleet_order() if self.set.fleet_price > 0.0 else None
         there = self.services.get(task.service, {}).values()
         taken = [t.node.place(task.cls.spread) for t in there if t.node]
+        zones = [t.node.told.zone for t in there if t.node]
+        homing = self.set.cross_zone_price > 0.0 and self.set.zone not in zones and len(zones) >= EXILES
         left = task.cls.aim_ms - (self.now - task.came)
         for node in self.nodes.values():
             if not (self.allowed(node, task, taken) and self.accepts(node, task) and self.bears(node, task)):
@@ -455,12 +457,12 @@
             warmth = self.warmth(node, task.service)
             eta = self.eta(node, task, warmth)
             late = 0 if eta <= left else 1 + int(eta / task.cls.aim_ms)
-            # A task outside our zone is charged all its life: room here goes first, borrowed too.
+            # A task away is charged all its life: once several of a service are, one is started here, late.
             away = self.set.cross_zone_price > 0.0 and node.told.zone != self.set.zone
             out = fleet is not None and node.name not in fleet
             crowded = self.load(node, task)[0] > task.cls.calm - SPARE
-            rank = self.rank(task.service, node.name)
-            ranked.append(((late > 0, away, late, crowded, out, warmth, rank), node))
+            tier = late > 0 and (away or not homing)
+            ranked.append(((tier, away, late, crowded, out, warmth, self.rank(task.service, node.name)), node))
         ranked.sort(key=lambda item: item[0])
         ring = [node for order, node in ranked if order[:2] == ranked[0][0][:2]]
         # Borrowing: only machines that show room got this far; the order keeps a service together.
@@ -544,9 +546,9 @@
 
     def answer(self, task: Task) -> None:
         """The final answer: a refusal promises that nothing ran or that it did no harm, a failure nothing."""
-        harmless = task.cls.effect is Effect.SAFE
-        harmless |= task.cls.effect is Effect.KEYED and task.cls.group == "all"
-        self.out.append(Refuse(task.call) if task.maybe is None or harmless else Fail(task.call))
+        dropped = task.cls.effect is Effect.KEYED and task.cls.group == "all"
+        harmless = task.maybe is None or task.cls.effect is Effect.SAFE or dropped
+        self.out.append(Refuse(task.call) if harmless else Fail(task.call))
         self.forget(task)
 
     def forget(self, task: Task) -> None:
@@ -555,8 +557,8 @@
         self.tasks.pop(task.call, None)
 
     def on_accepted(self, event: Accepted) -> None:
-        task, node = self.tasks.get(event.call), self.nodes.get(event.machine)
-        if node is not None:
+        task = self.tasks.get(event.call)
+        if node := self.nodes.get(event.machine):
             self.answered_by(node, event.spent_ms)
         if task is not None and task.node is node and event.attempt == task.attempts - 1:
             task.placed = True
@@ -574,8 +576,7 @@
             task.node.due.pop(task.call, None)
 
     def on_returned(self, event: Returned) -> None:
-        node = self.nodes.get(event.machine)
-        if node is not None:
+        if node := self.nodes.get(event.machine):
             self.hear_outcome(node, event)
         task = self.tasks.get(event.call)
         if task is None or event.attempt != task.attempts - 1 or task.node is None:
@@ -614,8 +615,7 @@
             if self.now - max(node.probed_at, node.report_at) >= PROBE_MS:
                 node.probed_at = self.now
                 self.out.append(Probe(node.name))
-        if self.now >= self.measured + SUMS_MS:
-            self.measured = self.now
+        if int(self.now / PULSE_MS) % 4 == 0:  # uses drift slowly
             self.measure()
         failures = 0
         for task in sorted(self.held.values(), key=self.turn):
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -376,3 +376,17 @@
     assert 0.4 < bench.scheduler.cold(node) < 0.6
     bench.run(6_000.0)
     assert bench.scheduler.cold(node) == 0.0
+
+
+def test_a_service_that_runs_away_is_brought_home():
+    """Where other zones are priced, warm machines away kept a service from ever being started at home."""
+    bench = Bench([machine("m"), machine("far", "b")], cross_zone_price=0.05)
+    # Neither machine is at the head of its hash order here: the program is only where its tasks run.
+    bench.tell(api.Asked(803, "safe", "t", 1.0, 1.0, machine="far"))
+    bench.tell(api.Asked(804, "safe", "t", 1.0, 1.0, machine="far"))
+    bench.tell(api.Asked(805, "safe", "t", 1.0, 1.0, machine="far"))
+    bench.scheduler.heads["t"] = []
+    assert binds(bench.ask(service="t")[1])[0].machine == "m"
+    bench.tell(api.Asked(806, "safe", "u", 1.0, 1.0, machine="far"))
+    bench.scheduler.heads["u"] = []
+    assert binds(bench.ask(service="u")[1])[0].machine == "far"
