--- a/glencleat/logic.py
+++ b/glencleat/logic.py
@@ -318,9 +318,8 @@
         excess = [max(0.0, need[i] - max(0.0, min(task.ask[i], free[i]))) for i in (0, 1)]
         if not any(excess):
             return 1.0
-        life, since = max(500.0, self.life_left(task)), 0.0
+        life, since, whole = max(500.0, self.life_left(task)), 0.0, plus(free, node.asks)
         asks, needs, covered = list(node.asks), list(node.needs), [0.0, 0.0]
-        whole = plus(free, node.asks)
         donors = sorted((self.life_left(t), t.call) for t in node.tasks.values())
         for end, call in [*donors, (life, -1)]:
             until = min(end, life)
@@ -462,7 +461,8 @@
             out = fleet is not None and node.name not in fleet
             crowded = self.load(node, task)[0] > task.cls.calm - SPARE
             tier = late > 0 and (away or not homing)
-            ranked.append(((tier, away, late, crowded, out, warmth, self.rank(task.service, node.name)), node))
+            rank = self.rank(task.service, node.name)
+            ranked.append(((tier, away, late, crowded, out, warmth, rank), node))
         ranked.sort(key=lambda item: item[0])
         ring = [node for order, node in ranked if order[:2] == ranked[0][0][:2]]
         # Borrowing: only machines that show room got this far; the order keeps a service together.
