--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -390,3 +390,42 @@
     bench.tell(api.Asked(806, "safe", "u", 1.0, 1.0, machine="far"))
     bench.scheduler.heads["u"] = []
     assert binds(bench.ask(service="u")[1])[0].machine == "far"
+
+
+def test_instances_side_by_side_act_as_alone():
+    names = [machine(n) for n in "mnopq"]
+    alone = [[Bench(names, seed=s, peers=3).ask(service=f"s{i}")[1] for i in range(1)] for s in range(3)]
+    together = [Bench(names, seed=s, peers=3) for s in range(3)]
+    mixed = [[bench.ask(service="s0")[1]] for bench in together]
+    assert mixed == alone
+
+
+def test_the_log_lines_on_the_on_call_page_are_written():
+    bench = Bench([machine("m")])
+    call, _ = bench.ask()
+    lines = bench.tell(api.ListTold(api.ListKind.FAILED))
+    lines += bench.back(call, "m", api.Outcome.UNREACHABLE)
+    bench.now += 3_000.0
+    call, actions = bench.ask()
+    lines += bench.tell(api.Accepted(call, 0, "m", 20.0))
+    lines += bench.back(call, "m", api.Outcome.LOST, over=True, why=api.Why.EVICTED)
+    told = " / ".join(line.text for line in kinds(lines, api.Log))
+    for text in ("does not answer, barred for", "answers again", "harvested room of m void:", "list failed"):
+        assert text in told
+
+
+@pytest.mark.parametrize(
+    "more",
+    [
+        {"view": True, "peers": 3},
+        {"probes": True, "reports_on_probe": True, "peers": 2},
+        {"must_ask": False, "yes_means_runs": True},
+        {"cross_zone_price": 0.1, "fleet_price": 0.1, "zone": ""},
+        {"tenant_cores": {"t": 1.0}, "over_share_worth": 0.1},
+    ],
+)
+def test_what_settings_withhold_is_done_without(more):
+    bench = Bench([machine("m"), machine("n", "b")], **more)
+    assert binds(bench.ask(tenant="t")[1])
+    asked = kinds(bench.run(300.0), api.Probe)
+    assert bool(asked) == bool(more.get("reports_on_probe"))
