--- a/glencleat/logic.py
+++ b/glencleat/logic.py
@@ -43,10 +43,12 @@
 REPORT_LAG_MS = 700.0  # likewise a machine's own report
 SUMS_MS = 200.0  # a node's sums are used this long when no task came or went: uses drift slower
 SAMPLE = 8  # machines ranked by coverage, the first by hash: ranking all costs too much in a large fleet
+TIGHT_ROOM = 0.05  # part of a machine's size that peers may take between a list and the next
 LOOKED = 4  # good machines after which the walk down the hash order ends
 SILENT = 2  # unanswered attempts that make a machine suspect; one may be a lost answer
 BAR_MS = 1_000.0  # first bar of a suspect, doubled up to eight times
 TIMEOUT_MIN, TIMEOUT_MAX = 300.0, 1_500.0  # bounds of the answer time-out: a short line, and a usual aim
+SLOW_NO = 0.35  # part of the aim that an answer may take: a machine that limits a class says no that late
 UNSAFE_TIMEOUT_MS = 3_000.0  # an unsafe task can't be sent again, so its answer is worth waiting for
 LINE = 4  # own offers unanswered at one machine: all schedulers' together fit a usual line of offers
 REFUSED_MS = 500.0  # a machine that refused as full is left alone until its room can have changed
@@ -336,14 +338,12 @@
         """What our even share of the machine has beyond our asks, at size or at what it accepts.
 
         A departure: where the even share is less than one ask (many schedulers), nothing would ever fit. The
-        slice is then the room told free less newer own binds, so that hash order stays the ordinary path.
+        slice is then what the machine would still take, so that hash order stays the ordinary path.
         """
-        accept = (self.set.accept_cores, self.set.accept_memory) if multiple else (1.0, 1.0)
-        left = self.left(node) if self.thin(node, ask) else None
-        if left is not None:
-            over = times(node.size, plus(accept, (-1.0, -1.0)))
-            return plus(plus(left, over), times(self.sums(node).fresh, (-1.0, -1.0)))
-        part = times(accept, (1.0 / self.set.peers, 1.0 / self.set.peers))
+        if self.thin(node, ask):
+            return self.room(node) or node.size
+        share = 1.0 / self.set.peers
+        part = (self.set.accept_cores * share, self.set.accept_memory * share) if multiple else (share, share)
         return plus(times(node.size, part), times(self.sums(node).asks, (-1.0, -1.0)))
 
     # ---- harvested room ----
@@ -354,9 +354,11 @@
         The excess is the need beyond what the slice still holds of the ask. A donor's room lapses at its
         predicted end; asks beyond the slice are a debt to be met first.
         """
-        free, pool = self.slice_left(node, task.ask), (0.0, 0.0)
-        if self.thin(node, task.ask):  # own donors are too few: what others asked beyond their use counts
-            pool = times(node.others, (1.0 / self.ratio[0] - 1.0, 1.0 / self.ratio[1] - 1.0))
+        if self.thin(node, task.ask):  # own donors are too few: all that it does not use counts
+            used = plus(self.sums(node).uses, node.others)
+            share = [min(1.0, max(0.0, (node.size[i] - used[i]) / need[i])) for i in (0, 1)]
+            return ALPHA * share[0] + (1.0 - ALPHA) * share[1]
+        free = self.slice_left(node, task.ask)
         excess = [max(0.0, need[i] - max(0.0, min(task.ask[i], free[i]))) for i in (0, 1)]
         if not any(excess):
             return 1.0
@@ -366,7 +368,7 @@
         for end, call in [*donors, (life, -1)]:
             until = min(end, life)
             for i in (0, 1):
-                room = pool[i] + asks[i] - needs[i] - max(0.0, asks[i] - whole[i])
+                room = asks[i] - needs[i] - max(0.0, asks[i] - whole[i])
                 if excess[i]:
                     covered[i] += (until - since) * min(1.0, max(0.0, room / excess[i])) / life
                 if until < life:
@@ -487,11 +489,19 @@
         """
         if self.now < node.full_until or node.pending() >= LINE:
             return False
-        left = self.left(node)
-        if left is None:
-            return True
+        room = self.room(node)
+        return room is None or least(room, task.ask)
+
+    def room(self, node: Node) -> Pair | None:
+        """Asks that the machine would still take, as far as it is told, newer own binds taken off."""
+        left, fresh = self.left(node), self.sums(node).fresh
         over = times(node.size, (self.set.accept_cores - 1.0, self.set.accept_memory - 1.0))
-        return least(plus(left, over), plus(task.ask, self.sums(node).fresh))
+        return None if left is None else (left[0] + over[0] - fresh[0], left[1] + over[1] - fresh[1])
+
+    def tight(self, node: Node, task: Task) -> bool:
+        """Whether so little room shows that what peers sent since may have taken it."""
+        room, size = self.room(node), node.size
+        return room is not None and any(room[i] - task.ask[i] < TIGHT_ROOM * size[i] for i in (0, 1))
 
     def choose(self, task: Task) -> Node | None:
         """Hash, coverage, borrowing; first among machines where the task would start in time.
@@ -520,12 +530,14 @@
             tier = late > 0 and (away or not homing)
             took = node.took.get((task.cls.name, task.tenant), -1e18)
             unproven = task.turned and self.now - took > TURNED_MAX_MS
-            ranked.append(((tier, away, unproven, late, crowded, out, warmth), node))
-            good += not any(ranked[-1][0][:6])
+            tight = self.tight(node, task)
+            risky = tight and task.attempts > 0  # a further no may use up its attempts
+            ranked.append(((tier, away, unproven, risky, late, crowded, tight, out, warmth), node))
+            good += not any(ranked[-1][0][:8])
             if good >= LOOKED:
                 break
         ranked.sort(key=lambda item: item[0])
-        ring = [node for order, node in ranked if order[:3] == ranked[0][0][:3]]
+        ring = [node for order, node in ranked if order[:7] == ranked[0][0][:7]]
         # Borrowing: only machines that show room got this far; the order keeps a service together.
         return self.by_hash(task, need, ring) or self.by_coverage(task, need, ring) or next(iter(ring), None)
 
@@ -592,7 +604,8 @@
             return False
         self.held.pop(task.call, None)
         left = max(1.0, task.deadline - self.now)
-        timeout = min(TIMEOUT_MAX, max(TIMEOUT_MIN, self.answer_ms + 6.0 * self.answer_dev))
+        floor = max(TIMEOUT_MIN, SLOW_NO * task.cls.aim_ms)
+        timeout = min(TIMEOUT_MAX, max(floor, self.answer_ms + 6.0 * self.answer_dev))
         timeout = UNSAFE_TIMEOUT_MS if task.cls.effect is Effect.UNSAFE else timeout
         task.attempts += 1
         task.sent, task.placed, task.runs_since = self.now, False, None
