--- a/glencleat/logic.py
+++ b/glencleat/logic.py
@@ -44,7 +44,7 @@
 SUMS_MS = 200.0  # a node's sums are used this long when no task came or went: uses drift slower
 SAMPLE = 8  # machines ranked by coverage, the first by hash: ranking all costs too much in a large fleet
 TIGHT_ROOM = 0.05  # part of a machine's size that peers may take between a list and the next
-LOOKED = 4  # good machines after which the walk down the hash order ends
+LOOKED, RANKED = 4, 16  # good machines, and any that would do, after which the walk down the hash order ends
 SILENT = 2  # unanswered attempts that make a machine suspect; one may be a lost answer
 BAR_MS = 1_000.0  # first bar of a suspect, doubled up to eight times
 TIMEOUT_MIN, TIMEOUT_MAX = 300.0, 1_500.0  # bounds of the answer time-out: a short line, and a usual aim
@@ -534,7 +534,7 @@
             risky = tight and task.attempts > 0  # a further no may use up its attempts
             ranked.append(((tier, away, unproven, risky, late, crowded, tight, out, warmth), node))
             good += not any(ranked[-1][0][:8])
-            if good >= LOOKED:
+            if good >= LOOKED or len(ranked) >= RANKED:
                 break
         ranked.sort(key=lambda item: item[0])
         ring = [node for order, node in ranked if order[:7] == ranked[0][0][:7]]
