--- a/glencleat/logic.py
+++ b/glencleat/logic.py
@@ -27,12 +27,9 @@
 LIKE = 0.1  # coverages this close are alike: then warmth and hash decide
 LEAST_COVER = 0.3  # under this harvested room is as good as none: borrow
 LOWER = 0.5  # weight of cores that lower priorities use: only a part crowds a task, which is not told
-EXILES = 3  # tasks of a service away from home that outweigh one late start there over their lives
 SPARE = 0.1  # machines this close to a class's calm level rank after calmer ones: use swings
 FADED = 0.5  # part of a class's fade that a task accepts once it has waited until its aim
 FULL, FULLEST = 0.88, 0.94  # memory in use that a task accepts at once, and at its aim: slow, then evictions
-FLEET_MS = 1_000.0  # the machines in use are counted this often
-FLEET_FILL = 0.70  # fill of the machines in use before the next one is opened: growth takes a start to show
 KEPT_MS = 15_000.0  # a program is thought kept for this long after the last of our tasks
 VOID_MS = 2_000.0  # harvested room is void this long after a sign of pressure; a few report periods
 VOID_EVICTED_MS = 5_000.0  # after an eviction: memory takes longer to come back
@@ -53,8 +50,8 @@
 LINE = 4  # own offers unanswered at one machine: all schedulers' together fit a usual line of offers
 REFUSED_MS = 500.0  # a machine that refused as full is left alone until its room can have changed
 PULSE_MS = 50.0  # held tasks and deadlines are looked at this often, while there are any
-PROBE_MS = 1_000.0  # where only probes tell, a chosen machine with an older report is looked at first,
-LOOK_SHARE = 0.3  # for up to this part of the aim;
+PROBE_MS, PROBED = 1_000.0, 2  # where only probes tell: first choices looked at if their report is older
+LOOK_SHARE = 0.3  # part of the aim for which the answer is waited for
 SLOW_MS = 100.0  # one that has not answered such a probe for so long is passed over
 FILL = 0.05  # weight of one machine's sums in the fleet's mean
 OLD_MS = 5_000.0  # a report older than this says less than the fleet's mean
@@ -213,14 +210,13 @@
         self.kept: dict[str, dict[str, float]] = {}  # service -> machine -> last time a task of ours held it
         self.ratio = (0.6, 0.7)  # use over ask, in the mean, until our own running tasks tell
         self.starts: dict[tuple[str, int], float] = {}
-        self.fleet: list[str] = []
         self.serving: list[Node] = []
         self.orders: dict[str, list[Node]] = {}  # the serving machines in each service's hash order
         self.fill = (0.0, 0.0)  # shares of machines that others' tasks use, in the mean of those told
         self.timer_at = self.wake_at = float("inf")
         self.answer_ms = self.answer_dev = 100.0
         self.reask_at, self.reask_ms, self.started = float("inf"), REASK_MS, False
-        self.fleet_at = self.measured_at = -1e18
+        self.measured_at = -1e18
         self.logged: dict[str, float] = {}
         self.now, self.out = 0.0, list[Action]()
         self.handlers: dict[type, Any] = {
@@ -412,30 +408,6 @@
         until = max(node.back_at, node.told.ready_at_ms or -1e18) + self.set.cold_ms
         return min(1.0, max(0.0, until - self.now) / max(1.0, self.set.cold_ms))
 
-    def fleet_order(self) -> list[str]:
-        """Where machines in use cost: the shortest prefix of one common order that holds the present need.
-
-        A departure: the paper's machines cost nothing. The order takes zones in turn, for spread tasks.
-        """
-        if self.now - self.fleet_at < FLEET_MS:
-            return self.fleet
-        self.fleet_at = self.now
-        turns: dict[str, int] = {}
-        order = {}
-        for node in sorted((n for n in self.serving if n.silent < SILENT), key=lambda n: n.hash):
-            turns[node.told.zone] = turns.get(node.told.zone, 0) + 1
-            order[node.name] = (turns[node.told.zone], hashed(node.told.zone))
-        nodes = [self.sums(self.nodes[name]) for name in sorted(order, key=lambda name: order[name])]
-        rest, self.fleet = (0.0, 0.0), []
-        for node in nodes:
-            rest = plus(rest, plus(node.uses, node.others))
-        for node in nodes:
-            if max(rest) <= 0.0 and self.fleet:
-                break
-            self.fleet.append(node.name)
-            rest = plus(rest, times(node.size, (-FLEET_FILL, -FLEET_FILL)))
-        return self.fleet
-
     def may_start(self, node: Node) -> bool:
         """Whether the told offers that a cold machine bears leave one for us now: a bound on the joint sum.
 
@@ -511,11 +483,8 @@
         first; where none would, the soonest, and the hash decides which to warm.
         """
         need, ranked, good = self.need(task), [], 0
-        fleet = self.fleet_order() if self.set.fleet_price > 0.0 else None
         there = self.services.get(task.service, {}).values()
         taken = [t.node.place(task.cls.spread) for t in there if t.node]
-        zones = [t.node.told.zone for t in there if t.node]
-        homing = self.set.cross_zone_price > 0.0 and self.set.zone not in zones and len(zones) >= EXILES
         left = task.cls.aim_ms - (self.now - task.came)
         for node in self.walk(task).values():
             if not (self.allowed(node, task, taken) and self.accepts(node, task) and self.bears(node, task)):
@@ -523,21 +492,21 @@
             warmth = self.warmth(node, task.service)
             eta = self.eta(node, task, warmth)
             late = 0 if eta <= left else 1 + int(eta / task.cls.aim_ms)
-            # A task away is charged all its life: once several of a service are, one is started here, late.
+            # A task away is charged all its life.
             away = self.set.cross_zone_price > 0.0 and node.told.zone != self.set.zone
-            out = fleet is not None and node.name not in fleet
             crowded = self.load(node, task)[0] > task.cls.calm - SPARE
-            tier = late > 0 and (away or not homing)
             took = node.took.get((task.cls.name, task.tenant), -1e18)
             unproven = task.turned and self.now - took > TURNED_MAX_MS
             tight = self.tight(node, task)
             risky = tight and task.attempts > 0  # a further no may use up its attempts
-            ranked.append(((tier, away, unproven, risky, late, crowded, tight, out, warmth), node))
-            good += not any(ranked[-1][0][:8])
+            ranked.append(((late > 0, away, unproven, risky, late, crowded, tight, warmth), node))
+            good += not any(ranked[-1][0][:7])
             if good >= LOOKED or len(ranked) >= RANKED:
                 break
         ranked.sort(key=lambda item: item[0])
         ring = [node for order, node in ranked if order[:7] == ranked[0][0][:7]]
+        if self.set.probes and self.set.reports_on_probe:
+            self.probe([node for _, node in ranked[:PROBED]])
         # Borrowing: only machines that show room got this far; the order keeps a service together.
         return self.by_hash(task, need, ring) or self.by_coverage(task, need, ring) or next(iter(ring), None)
 
@@ -599,7 +568,7 @@
             self.answer(task)
             return False
         node = self.choose(task)
-        if node is None or self.look(node, task):
+        if node is None or self.awaits_look(node, task):
             self.held[task.call] = task
             return False
         self.held.pop(task.call, None)
@@ -622,18 +591,19 @@
         if len(self.kept) > KNOWN:
             self.kept = {s: at for s, at in self.kept.items() if self.now - max(at.values()) < KEPT_MS}
 
-    def look(self, node: Node, task: Task) -> bool:
-        """Where only probes tell: the machine chosen is looked at first if what is known of it is old.
+    def probe(self, nodes: list[Node]) -> None:
+        """Where only probes tell: asks the first choices of a task for their load, if what is known is old.
 
-        One probe a task at any number of schedulers; probing all every second cost more than the tasks.
+        So probes follow tasks; probing every machine each second, hundreds of schedulers cost more than tasks.
         """
-        old = self.set.probes and self.set.reports_on_probe and self.now - node.report_at >= PROBE_MS
-        if not old or self.now - task.came > LOOK_SHARE * task.cls.aim_ms:
-            return False
-        if node.probing > self.now:
-            node.probing = self.now
-            self.out.append(Probe(node.name))
-        return True
+        for node in nodes:
+            if self.now - node.report_at >= PROBE_MS and node.probing > self.now:
+                node.probing = self.now
+                self.out.append(Probe(node.name))
+
+    def awaits_look(self, node: Node, task: Task) -> bool:
+        """Whether the chosen machine's answer to a probe is worth waiting for."""
+        return node.probing <= self.now <= task.came + LOOK_SHARE * task.cls.aim_ms
 
     def spent(self, task: Task) -> bool:
         """No further attempt is allowed: attempts used up, time up, or a second run might do harm."""
