--- a/glencleat/logic.py
+++ b/glencleat/logic.py
@@ -341,11 +341,14 @@
 
     # ---- choice ----
 
+    def away(self, node: Node) -> bool:
+        return self.set.cross_zone_price > 0.0 and node.told.zone != self.set.zone
+
     def order(self, service: str) -> list[Node]:
         """Rendezvous hash: all schedulers order a service's machines alike, so all warm the same ones."""
         if service not in self.orders:
             seed, self.orders = hashed(service), self.orders if len(self.orders) < KNOWN else {}
-            self.orders[service] = sorted(self.serving, key=lambda n: (mixed(seed ^ n.hash), n.name))
+            self.orders[service] = sorted(self.serving, key=lambda n: (self.away(n), mixed(seed ^ n.hash), n.name))
         return self.orders[service]
 
     def walk(self, task: Task) -> list[Node]:
@@ -431,18 +434,17 @@
             warmth = self.warmth(node, task.service)
             eta = self.eta(node, task, warmth)
             late = 0 if eta <= left else 1 + int(eta / task.cls.aim_ms)
-            away = self.set.cross_zone_price > 0.0 and node.told.zone != self.set.zone
+            away = self.away(node)
             crowded = self.load(node, task)[0] > task.cls.calm - SPARE
             room = self.room(node)  # peers may have taken a last bit of it since
             tight = any(room[i] - task.ask[i] < TIGHT_ROOM * node.size[i] for i in (0, 1))
-            if tight and task.attempts and left > 0.0:  # quick further noes would use up its attempts
-                continue
-            ranked.append(((late > 0, away, late, crowded, tight, warmth), node))
-            good += not any(ranked[-1][0][:5])
+            risky = tight and task.attempts > 0  # a further no may use up its attempts
+            ranked.append(((late > 0, away, risky, late, crowded, tight, warmth), node))
+            good += not any(ranked[-1][0][:6])
             if good >= LOOKED or len(ranked) >= RANKED:
                 break
         ranked.sort(key=lambda item: item[0])
-        ring = [node for order, node in ranked if order[:5] == ranked[0][0][:5]]
+        ring = [node for order, node in ranked if order[:6] == ranked[0][0][:6]]
         # So probes follow tasks; by hundreds of schedulers, of all machines each second, they cost more.
         for _, node in ranked[:PROBED] if self.set.probes and self.set.reports_on_probe else ():
             if self.now - node.report_at >= PROBE_MS and not 0.0 <= self.now - node.probing < PROBE_MS:
