--- a/glencleat/logic.py
+++ b/glencleat/logic.py
@@ -32,7 +32,7 @@
 SUMS_MS = 200.0  # a node's sums are used this long when no task came or went: uses drift slower
 SAMPLE, HASHED = 8, 2  # machines ranked by coverage; those first by hash that peers are taken to keep warm
 TIGHT_ROOM = 0.05  # part of a machine's size that peers may take between a list and the next
-LOOKED, RANKED, EXAMINED = 4, 16, 32  # faultless, acceptable and seen machines after which a walk ends
+LOOKED, RANKED, EXAMINED = 4, 24, 64  # faultless, acceptable and seen machines after which a walk ends
 SILENT, BAR_MS = 2, 1_000.0  # unanswered attempts that bar a machine (one may be lost); first bar, doubled
 TIMEOUT_MIN, TIMEOUT_MAX = 300.0, 1_500.0  # bounds of the answer time-out: a short line, and a usual aim
 SLOW_NO, UNSAFE_TIMEOUT_MS = 0.35, 3_000.0  # a slow no takes part of the aim; no second try: waits longer
@@ -341,14 +341,11 @@
 
     # ---- choice ----
 
-    def away(self, node: Node) -> bool:
-        return self.set.cross_zone_price > 0.0 and node.told.zone != self.set.zone
-
     def order(self, service: str) -> list[Node]:
         """Rendezvous hash: all schedulers order a service's machines alike, so all warm the same ones."""
         if service not in self.orders:
             seed, self.orders = hashed(service), self.orders if len(self.orders) < KNOWN else {}
-            self.orders[service] = sorted(self.serving, key=lambda n: (self.away(n), mixed(seed ^ n.hash), n.name))
+            self.orders[service] = sorted(self.serving, key=lambda n: (mixed(seed ^ n.hash), n.name))
         return self.orders[service]
 
     def walk(self, task: Task) -> list[Node]:
@@ -434,7 +431,7 @@
             warmth = self.warmth(node, task.service)
             eta = self.eta(node, task, warmth)
             late = 0 if eta <= left else 1 + int(eta / task.cls.aim_ms)
-            away = self.away(node)
+            away = self.set.cross_zone_price > 0.0 and node.told.zone != self.set.zone
             crowded = self.load(node, task)[0] > task.cls.calm - SPARE
             room = self.room(node)  # peers may have taken a last bit of it since
             tight = any(room[i] - task.ask[i] < TIGHT_ROOM * node.size[i] for i in (0, 1))
