--- a/glencleat/logic.py
+++ b/glencleat/logic.py
@@ -609,9 +609,9 @@
             self.out.append(Watch())
         self.try_held()
 
-    def try_held(self) -> None:
-        failures = 0
-        for task in sorted(self.held.values(), key=self.turn):
+    def try_held(self, part: float = float("inf")) -> None:
+        failures, held = 0, [t for t in self.held.values() if self.now - t.came <= part * t.cls.aim_ms]
+        for task in sorted(held, key=self.turn):
             if self.spent(task):
                 self.answer(task)
             elif failures < TRIES_A_PULSE:
@@ -734,7 +734,7 @@
                 self.answered_by(node, None)
             elif event.outcome is not Outcome.ENDED:
                 self.suspect(node, 1)
-            self.try_held()
+            self.try_held(LOOK_SHARE)  # not all held: each try probes again, and so fed itself
 
     def log(self, kind: str, text: str) -> None:
         if self.now - self.logged.get(kind, -1e18) >= LOG_MS:
