--- a/glencleat/__init__.py
+++ b/glencleat/__init__.py
@@ -2,4 +2,6 @@
 
 from glencleat.logic import Scheduler
 
+VERSION = "0.2.0"
+
 __all__ = ["Scheduler"]
--- /dev/null
+++ b/glencleat/allocator/agent_side.py
@@ -0,0 +1,289 @@
+"""The agents' half of the core: subscriptions, updates, messages, absence.
+
+Called by the executor front and the core. What an agent says is read by `tables`, what it means for an
+attempt in doubt is decided by `late`."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from glencleat import interface as api
+from glencleat.allocator import late, tables
+from glencleat.allocator.asks import BadAsk, read
+from glencleat.allocator.ledger import Attempt, Call, Given
+from glencleat.allocator.members import split_id
+from glencleat.allocator.tables import Step, Told
+from glencleat.mesos import messages as m
+
+if TYPE_CHECKING:
+    from glencleat.allocator.core import Core
+
+
+class NotSubscribed(Exception):
+    """A call of an agent's run that has no session."""
+
+
+def as_report(payload: m.Payload) -> api.Report:
+    return api.Report(payload.cores_free, payload.memory_free, payload.busy, payload.queue)
+
+
+class AgentSide:
+    def __init__(self, core: Core) -> None:
+        self.core = core
+
+    # ---- sessions ----
+
+    def subscribe(self, call: m.ExecutorCall, session: Any) -> str:
+        """A session begins; gives the agent's id. Updates that it still held are handled as if just sent."""
+        core, now = self.core, self.core.now()
+        agent, run = split_id(call.executor_id.value)
+        told = call.subscribe or m.SubscribeExecutor()
+        joined = core.members.subscribe(agent, run, session, now)
+        core.log("agent subscribed", agent=agent, run=run, tasks=len(told.unacknowledged_tasks))
+        # An old stream that was still open may hold a LAUNCH which this run has yet to read.
+        whole_truth = joined.same_run and joined.replaced is None
+        if joined.replaced is not None:
+            text = "another connection subscribed under this id"
+            old: Any = joined.replaced
+            old.send(m.encode(m.ExecutorEvent("ERROR", error=m.ErrorEvent(text))))
+            old.close(text)
+            self._doubt(agent, old)
+        self._greet(call, agent, session)
+        for update in told.unacknowledged_updates:
+            self.update(call.executor_id.value, update.status)
+        listed = {task.task_id.value for task in told.unacknowledged_tasks}
+        listed |= {update.status.task_id.value for update in told.unacknowledged_updates}
+        for attempt in core.ledger.at(agent):
+            if attempt.session is not session:
+                self._compare(attempt, attempt.id in listed, whole_truth)
+        for task in told.unacknowledged_tasks:
+            self._listed(agent, task)
+        core.open_up()
+        return agent
+
+    def _greet(self, call: m.ExecutorCall, agent: str, session: Any) -> None:
+        framework = m.FrameworkInfo(name="glencleat", id=call.framework_id)
+        info = m.AgentInfo(hostname=agent, id=m.Value(agent))
+        subscribed = m.SubscribedExecutor(
+            m.ExecutorInfo(call.executor_id, call.framework_id), framework, info
+        )
+        session.send(m.encode(m.ExecutorEvent("SUBSCRIBED", subscribed=subscribed)))
+
+    def closed(self, agent: str, session: Any, why: str) -> None:
+        """A session's connection ended."""
+        core = self.core
+        if core.members.closed(agent, session, core.now()):
+            core.log("agent away", agent=agent, why=why)
+        self._doubt(agent, session)
+
+    def _doubt(self, agent: str, session: Any) -> None:
+        for attempt in self.core.ledger.at(agent):
+            if attempt.session is not session or attempt.back:
+                continue
+            verdict = late.on_session_lost(attempt.step, self.core.handed(attempt), attempt.call.effect)
+            if verdict.do is late.Do.RETURN:
+                self.core.give_up(attempt, verdict.outcome, verdict.may_have_run)
+
+    def _compare(self, attempt: Attempt, listed: bool, same_run: bool) -> None:
+        """An attempt of an earlier session, against what the agent says it holds."""
+        verdict = late.on_resubscribe(attempt.step, listed, same_run)
+        if verdict.do is late.Do.IGNORE:
+            return
+        never = not verdict.may_have_run
+        if attempt.back:
+            attempt.ran, attempt.step = (False, attempt.step) if never else (attempt.ran, Step.OVER)
+            self.core.ledger.settle(attempt)
+        elif attempt.step is Step.OUT:
+            attempt.step = attempt.step if never else Step.OVER
+            self.core.give_up(attempt, verdict.outcome, verdict.may_have_run)
+        else:
+            self._over(attempt, Told(Step.OVER, verdict.outcome), None)
+
+    def _listed(self, agent: str, task: m.TaskInfo) -> None:
+        """A task that the agent holds: known, or placed by a former incarnation of ours."""
+        core = self.core
+        attempt = core.ledger.attempts.get(task.task_id.value)
+        if attempt is not None:
+            if not attempt.back and attempt.step is Step.OUT:
+                self._accepted(attempt, None)
+            elif attempt.back and attempt.step in (Step.OUT, Step.ACCEPTED, Step.RUNS):
+                was_placed = attempt.step is not Step.OUT
+                attempt.step = attempt.step if was_placed else Step.ACCEPTED
+                self._late_yes(attempt, was_placed)
+            return
+        framework, name = m.label(task.labels, "framework"), m.label(task.labels, "task")
+        try:
+            if framework is None or name is None:
+                raise BadAsk("labels framework and task are missing")
+            ask = read(task, core.classes, None, 0.0)
+        except BadAsk as error:
+            core.log("task not adopted", agent=agent, task=task.task_id.value, why=str(error))
+            return
+        before = core.ledger.tasks.get((framework, name))
+        elsewhere = before is not None and (before.given is None or before.placed())
+        effect = core.classes[ask.task_class].effect
+        call = Call(0, framework, name, task, ask, effect, m.label(task.labels, "tenant"), core.now())
+        attempt = Attempt(call, 0, agent, task.task_id.value, core.now(), step=Step.ACCEPTED)
+        if late.on_unknown(elsewhere) is late.Late.KILL:
+            core.kill(attempt)
+        else:
+            self._adopt(attempt, call)
+
+    def _adopt(self, attempt: Attempt, call: Call) -> None:
+        """Makes a task that runs already a call of its own, ours from here on."""
+        core, ask = self.core, call.ask
+        call.number = next(core.numbers)
+        call.given, call.adopted, call.told = Given.SERVED, True, True
+        call.attempts.clear()
+        attempt.call, attempt.number, attempt.back, attempt.ran = call, 0, False, None
+        core.ledger.take(call)
+        core.ledger.bind(attempt)
+        core.figures.adopted[ask.task_class] += 1
+        core.tell(
+            api.Asked(
+                call.number,
+                ask.task_class,
+                ask.service,
+                ask.cores,
+                ask.memory,
+                0.0,
+                call.tenant,
+                ask.life_ms,
+                attempt.machine,
+            )
+        )
+        core.owners.status(call, tables.reconciled(attempt.fate(), attempt.step is Step.ACCEPTED))
+
+    # ---- updates ----
+
+    def update(self, executor_id: str, status: m.TaskStatus) -> None:
+        """An UPDATE; acknowledged whatever it says, as its agent repeats it until then."""
+        core = self.core
+        agent, run = split_id(executor_id)
+        if not core.members.heard(agent, run, core.now()):
+            raise NotSubscribed(f"{executor_id} is not subscribed")
+        payload = m.unpack(status.data) if status.data else None
+        attempt = core.ledger.attempts.get(status.task_id.value)
+        if status.uuid is not None:
+            link: Any = core.members.session(agent)
+            done = m.Acknowledged(status.task_id, status.uuid)
+            link.send(m.encode(m.ExecutorEvent("ACKNOWLEDGED", acknowledged=done)))
+        told = tables.read_status(status.state, status.reason, m.label(status.labels, "cause"))
+        if attempt is None or told is None or attempt.machine != agent:
+            core.figures.events["update unknown"] += 1
+            return
+        if attempt.seen(status.uuid) or told.step.value <= attempt.step.value:
+            core.figures.events["update stale"] += 1  # a duplicate, or overtaken by a later one
+            return
+        self._apply(attempt, told, None if payload is None else as_report(payload))
+
+    def _apply(self, attempt: Attempt, told: Told, report: api.Report | None) -> None:
+        if attempt.back:
+            was_placed, attempt.step = attempt.step is not Step.OUT, told.step
+            if told.step is Step.OVER:
+                attempt.ran = attempt.ran if told.ran else False
+                self.core.ledger.settle(attempt)
+            else:
+                self._late_yes(attempt, was_placed)
+            return
+        if told.step is Step.OVER and not told.ran:
+            attempt.step, attempt.ran = Step.OVER, False
+            self.core.ledger.settle(attempt)
+            self.core.returned(attempt, told.outcome, attempt.call.left, told.why, report)
+            return
+        if attempt.step is Step.OUT:
+            self._accepted(attempt, None if told.step is Step.ACCEPTED else told)
+        if told.step is Step.RUNS and not attempt.back:
+            attempt.step = Step.RUNS
+            self.core.tell(api.Noted(attempt.call.number, attempt.machine, api.NoteKind.RUNS, 1.0))
+            if attempt.call.given is not None:
+                self.core.owners.status(attempt.call, tables.Answer(tables.RUNNING, tables.Retry.NEVER))
+        elif told.step is Step.OVER:
+            self._over(attempt, told, report)
+
+    def _accepted(self, attempt: Attempt, then: Told | None) -> None:
+        """The agent's yes: the task is placed, which is its answer. `then`: what came along with it."""
+        core, call = self.core, attempt.call
+        core.stop_timer(attempt)
+        attempt.step = Step.ACCEPTED
+        spent = max(0.0, core.now() - attempt.sent_at)
+        core.tell(api.Accepted(call.number, attempt.number, attempt.machine, spent))
+        core.answer(call, Given.SERVED, tables.Answer(tables.STARTING, tables.Retry.NEVER))
+        if call.left:
+            core.kill(attempt)  # its owner gave up just as the machine said yes
+
+    def _over(self, attempt: Attempt, told: Told, report: api.Report | None) -> None:
+        """The end of a placed task."""
+        core, call = self.core, attempt.call
+        attempt.step = Step.OVER
+        core.ledger.settle(attempt)
+        core.returned(attempt, told.outcome, True, told.why, report)
+        core.owners.status(call, tables.ended(told.outcome, told.why))
+
+    def _late_yes(self, attempt: Attempt, was_placed: bool) -> None:
+        """An agent holds a task of which the module was told that the attempt came to nothing."""
+        core, call = self.core, attempt.call
+        latest = core.ledger.tasks.get((call.framework, call.task_id), call)
+        placed = latest.placed()
+        answered = latest.given.value if latest.given is not None else None
+        gone = call.left or core.framework_of(call) is None
+        core.figures.events["late yes"] += 1
+        verdict = late.on_late_yes(
+            answered, was_placed, latest.out() is not None and not placed, placed, gone
+        )
+        core.log("late yes", task=call.task_id, agent=attempt.machine, verdict=verdict.value)
+        if verdict is late.Late.ADOPT:
+            call.attempts.remove(attempt)
+            core.ledger.forget(latest)
+            again = Call(
+                0, call.framework, call.task_id, call.info, call.ask, call.effect, call.tenant, core.now()
+            )
+            self._adopt(attempt, again)
+        else:
+            core.kill(attempt)
+
+    # ---- messages ----
+
+    def message(self, executor_id: str, payload: m.Payload) -> None:
+        """A MESSAGE: a report, an answer to a probe, what our tasks use."""
+        core = self.core
+        agent, run = split_id(executor_id)
+        if not core.members.heard(agent, run, core.now()):
+            raise NotSubscribed(f"{executor_id} is not subscribed")
+        if payload.probe is not None:
+            core.probe_back(agent, payload.probe, as_report(payload))
+        for use in payload.tasks:
+            self._use(agent, use, payload.memory_used)
+
+    def _use(self, agent: str, use: m.TaskUse, memory_used: float | None) -> None:
+        attempt = self.core.ledger.attempts.get(use.task_id)
+        if attempt is None or attempt.back or attempt.machine != agent or attempt.step is Step.OUT:
+            return
+        kinds = api.NoteKind
+        for kind, value in (
+            (kinds.CORES, use.cores),
+            (kinds.MEMORY, use.memory),
+            (kinds.SERVED, use.served),
+            (kinds.MACHINE_MEMORY, memory_used),
+        ):
+            if value is not None:
+                self.core.tell(api.Noted(attempt.call.number, agent, kind, value))
+
+    def heartbeat(self, executor_id: str) -> None:
+        agent, run = split_id(executor_id)
+        if not self.core.members.heard(agent, run, self.core.now()):
+            raise NotSubscribed(f"{executor_id} is not subscribed")
+
+    # ---- absence ----
+
+    def lost(self, agent: str) -> None:
+        """The agent stayed away too long: its placed tasks are over for us, their fate is unsure."""
+        for attempt in self.core.ledger.at(agent):
+            if attempt.back or attempt.step is Step.OUT:
+                continue
+            call = attempt.call
+            self.core.returned(attempt, api.Outcome.LOST, over=True)
+            safe = call.effect is api.Effect.SAFE
+            retry = tables.Retry.HARMLESS if safe else tables.Retry.RECONCILE
+            answer = tables.Answer(tables.UNREACHABLE, retry, tables.AGENT_REMOVED)
+            self.core.owners.status(call, answer)
--- /dev/null
+++ b/glencleat/allocator/contract.py
@@ -0,0 +1,147 @@
+"""The contract of the module's interface, checked at run time in both directions.
+
+Between core and module: `Contract.handle` has the module's own signature. An embedder's mistake (a wrong
+attempt number, an answer told twice) is silently ignored by the module, which then thinks an attempt is out
+for ever and soon sends four offers a machine and no more. Here it raises ContractError at the event that is
+wrong."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from glencleat import interface as api
+
+
+class ContractError(AssertionError):
+    """A caller or the module broke the contract of `glencleat/interface.py`; the text says how."""
+
+
+class Module(Protocol):
+    def handle(self, now_ms: float, event: api.Event) -> list[api.Action]: ...
+
+
+@dataclass(slots=True)
+class Known:
+    """What the contract remembers of one call."""
+
+    binds: int = 0
+    machine: str = ""
+    out: bool = False  # the last attempt has had no Returned
+    accepted: bool = False
+    over: bool = False  # answered, left or ended: nothing more may be bound
+
+
+class Contract:
+    """Wraps a module; forgets a call once it is over and its last attempt is back."""
+
+    def __init__(self, module: Module) -> None:
+        self.module = module
+        self.now = float("-inf")
+        self.calls: dict[int, Known] = {}
+        self.timers = 0
+        self.probes: dict[str, int] = {}
+
+    def handle(self, now_ms: float, event: api.Event) -> list[api.Action]:
+        if now_ms < self.now:
+            raise ContractError(f"the clock went back from {self.now} to {now_ms}")
+        self.now = now_ms
+        self._event(event)
+        actions = self.module.handle(now_ms, event)
+        if isinstance(event, api.Returned | api.Left):
+            self._forget(event.call)
+        for action in actions:
+            self._action(action)
+        return actions
+
+    # ---- what we tell ----
+
+    def _event(self, event: api.Event) -> None:
+        if isinstance(event, api.Asked):
+            self._asked(event)
+        elif isinstance(event, api.Accepted):
+            known = self._attempt(event, "Accepted")
+            if known.accepted:
+                raise ContractError(f"call {event.call}: Accepted told twice")
+            known.accepted = True
+        elif isinstance(event, api.Returned):
+            known = self._attempt(event, "Returned")
+            known.out = False
+            if known.accepted and not event.over:
+                raise ContractError(f"call {event.call}: Returned after Accepted must be over")
+            known.over |= event.over
+        elif isinstance(event, api.Left):
+            self._known(event.call, "Left").over = True
+        elif isinstance(event, api.TimerDue):
+            self._count("timers", "TimerDue without a SetTimer")
+        elif isinstance(event, api.Probed):
+            if self.probes.get(event.machine, 0) < 1:
+                raise ContractError(f"machine {event.machine}: Probed without a Probe")
+            self.probes[event.machine] -= 1
+            if not self.probes[event.machine]:
+                del self.probes[event.machine]
+
+    def _asked(self, event: api.Asked) -> None:
+        if event.call in self.calls:
+            raise ContractError(f"call {event.call}: Asked twice; expected a number not in use")
+        if event.machine is None and not event.left_ms > 0.0:
+            raise ContractError(f"call {event.call}: left_ms is {event.left_ms}; expected a time above 0")
+        adopted = event.machine is not None
+        self.calls[event.call] = Known(int(adopted), event.machine or "", adopted, adopted)
+
+    def _known(self, call: int, name: str) -> Known:
+        if call not in self.calls:
+            raise ContractError(f"call {call}: {name} of a call never asked or over")
+        return self.calls[call]
+
+    def _attempt(self, event: api.Accepted | api.Returned, name: str) -> Known:
+        known = self._known(event.call, name)
+        if event.attempt != known.binds - 1:
+            told = f"{name} of attempt {event.attempt}"
+            raise ContractError(f"call {event.call}: {told}; attempts count from 0, out is {known.binds - 1}")
+        if event.machine != known.machine:
+            raise ContractError(f"call {event.call}: {name} by {event.machine}, bound to {known.machine}")
+        if not known.out:
+            raise ContractError(
+                f"call {event.call}: {name} of attempt {event.attempt}, which is back already"
+            )
+        if event.spent_ms < 0.0:
+            raise ContractError(f"call {event.call}: spent_ms is {event.spent_ms}")
+        return known
+
+    def _count(self, name: str, fault: str) -> None:
+        left = getattr(self, name) - 1
+        if left < 0:
+            raise ContractError(fault)
+        setattr(self, name, left)
+
+    # ---- what it answers ----
+
+    def _action(self, action: api.Action) -> None:
+        if isinstance(action, api.Bind):
+            known = self._open(action.call, "Bind")
+            if known.out:
+                raise ContractError(f"call {action.call}: Bind while attempt {known.binds - 1} is out")
+            known.binds, known.machine = known.binds + 1, action.machine
+            known.out, known.accepted = True, False
+        elif isinstance(action, api.Refuse | api.Fail):
+            known = self._open(action.call, type(action).__name__)
+            if known.out:
+                raise ContractError(f"call {action.call}: answered while attempt {known.binds - 1} is out")
+            known.over = True
+            self._forget(action.call)
+        elif isinstance(action, api.SetTimer):
+            self.timers += 1
+        elif isinstance(action, api.Probe):
+            self.probes[action.machine] = self.probes.get(action.machine, 0) + 1
+
+    def _open(self, call: int, name: str) -> Known:
+        known = self.calls.get(call)
+        if known is None or known.over:
+            raise ContractError(f"call {call}: {name} after its answer")
+        return known
+
+    def _forget(self, call: int) -> None:
+        known = self.calls.get(call)
+        if known is not None and known.over and not known.out:
+            del self.calls[call]
--- /dev/null
+++ b/glencleat/allocator/core.py
@@ -0,0 +1,428 @@
+"""The core: events in, the module's actions out, and the state of every task in between.
+
+Fronts call `owners` and `agents` (owner_side, agent_side) with parsed calls; the core keeps ledger, members
+and frameworks, tells the module, carries out what it answers. Clock and timers come from the kernel's Loop
+(or anything with its `now`, `call_in` and `clock.wall`)."""
+
+from __future__ import annotations
+
+import base64
+import itertools
+import time
+import uuid
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+from typing import Any, Protocol
+
+from glencleat import interface as api
+from glencleat.allocator import late, tables
+from glencleat.allocator.admission import Limits
+from glencleat.allocator.contract import Contract, Module
+from glencleat.allocator.figures import Figures
+from glencleat.allocator.frameworks import Framework, Frameworks
+from glencleat.allocator.ledger import Attempt, Call, Given, Ledger
+from glencleat.allocator.members import Members, State
+from glencleat.allocator.recovery import Opening
+from glencleat.allocator.tables import Answer, Step
+from glencleat.mesos import messages as m
+
+
+class Link(Protocol):
+    """A session's stream of records, as a front gives it."""
+
+    def send(self, record: bytes) -> tuple[int, int]:
+        """Queues a record; its place in the stream. Closes itself, and does not raise, when that fails."""
+
+    def written(self) -> int:
+        """How far the stream has been handed to the socket."""
+
+    def close(self, why: str) -> None: ...
+
+
+class Timing(Protocol):
+    clock: Any
+
+    def now(self) -> float: ...
+    def call_in(self, in_ms: float, call: Callable[[], None]) -> Any: ...
+
+
+@dataclass(frozen=True, slots=True)
+class Options:
+    """What the program is told beside the module's settings. Times in milliseconds."""
+
+    name: str = "a0"  # of this allocator; part of its attempts' ids
+    pool: str = "pool"
+    default_class: str | None = None
+    answer_margin_ms: float = 50.0
+    heartbeat_ms: float = 15_000.0  # towards owners and agents
+    missed: int = 3
+    return_ms: float = 10_000.0
+    probe_timeout_ms: float = 1_000.0
+    offer_again_ms: float = 1_000.0
+    sweep_ms: float = 250.0
+    unacked_most: int = 20_000
+    remembered: int = 50_000
+    frameworks_most: int = 20_000
+    agents_most: int = 20_000
+    update_retry_ms: float = 10_000.0
+    grace_ms: float = 2_000.0  # after the start, for agents to tell what they hold
+    limits: Limits = Limits()
+
+
+class Core:
+    def __init__(
+        self,
+        settings: api.Settings,
+        module: Module,
+        options: Options,
+        timing: Timing,
+        seed: int,
+        log: Callable[..., None] = lambda event, **more: None,
+    ) -> None:
+        self.settings, self.options, self.timing, self.log = settings, options, timing, log
+        self.classes = {c.name: c for c in settings.classes}
+        self.module = Contract(module)
+        self.random = Random(seed)
+        self.ledger = Ledger(options.remembered)
+        self.figures = Figures(self.ledger)
+        self.members = Members(options.heartbeat_ms, options.missed, options.return_ms, options.agents_most)
+        self.frameworks = Frameworks(
+            options.frameworks_most, options.unacked_most, retry_ms=options.update_retry_ms
+        )
+        self.incarnation = f"{self.random.getrandbits(40):010x}"
+        self.numbers, self.probe_numbers = itertools.count(1), itertools.count(1)
+        self.probes: dict[str, deque[tuple[int, Any]]] = {}  # machine -> probe number and its timer
+        self.pending: deque[api.Event] = deque()
+        self.telling = False
+        self.ending = False
+        self.watch: Callable[[], None] = lambda: None  # set by the directory's client
+        self.on_idle: Callable[[], None] = lambda: None  # the last open call was answered while ending
+        self.last_now = timing.now()
+        least = 1.25 * settings.cold_window_ms if settings.cold_offers else 0.0
+        self.opening = Opening(self.last_now, least, options.grace_ms)
+        self.listed: set[str] | None = None  # machines that the list tells as serving
+        self.early: deque[Call] = deque()  # taken before the opening
+        from glencleat.allocator.agent_side import AgentSide
+        from glencleat.allocator.owner_side import OwnerSide
+
+        self.owners, self.agents = OwnerSide(self), AgentSide(self)
+        timing.call_in(options.sweep_ms, self._sweep)
+
+    # ---- to the module and back ----
+
+    def now(self) -> float:
+        self.last_now = max(self.last_now, self.timing.now())
+        return self.last_now
+
+    def tell(self, event: api.Event) -> None:
+        """Tells the module, in order: what its actions cause at once is told after them."""
+        self.pending.append(event)
+        if self.telling:
+            return
+        self.telling = True
+        try:
+            while self.pending:
+                began = time.thread_time()
+                actions = self.module.handle(self.now(), self.pending.popleft())
+                self.figures.module_s += time.thread_time() - began
+                self.figures.module_events += 1
+                for action in actions:
+                    self._act(action)
+        finally:
+            self.telling = False
+
+    def list_told(self, event: api.ListTold) -> None:
+        """News of the machine list."""
+        if event.kind is not api.ListKind.FAILED:
+            serving = {machine.name for machine in event.machines if machine.phase is api.Phase.SERVING}
+            if event.kind is api.ListKind.WHOLE or self.listed is None:
+                self.listed = serving
+            else:
+                self.listed -= {machine.name for machine in event.machines}
+                self.listed |= serving
+        self.tell(event)
+        self.open_up()
+
+    def ask(self, call: Call) -> None:
+        """A task to be placed: told to the module, or held until the opening."""
+        if not self.opening.done:
+            self.early.append(call)
+            return
+        ask = call.ask
+        left = ask.left_ms - (self.now() - call.taken_at)
+        if left <= 0.0:
+            self.answer(call, Given.REFUSED, tables.refusal(False))
+            return
+        call.told = True
+        self.tell(
+            api.Asked(
+                call.number,
+                ask.task_class,
+                ask.service,
+                ask.cores,
+                ask.memory,
+                left,
+                call.tenant,
+                ask.life_ms,
+                None,
+                ask.again,
+            )
+        )
+
+    def open_up(self) -> None:
+        if self.opening.done:
+            return
+        here = (x.id for x in self.members.members.values() if x.state is State.SUBSCRIBED)
+        if self.opening.opens(self.now(), self.listed, here):
+            self.log("open", held=len(self.early))
+            while self.early:
+                call = self.early.popleft()
+                if call.given is None:
+                    self.ask(call)
+
+    def _act(self, action: api.Action) -> None:
+        if isinstance(action, api.Bind):
+            self._bind(action)
+        elif isinstance(action, api.Refuse):
+            call = self.ledger.calls[action.call]
+            self.answer(call, Given.REFUSED, tables.refusal(call.may_have_run()))
+        elif isinstance(action, api.Fail):
+            self.answer(self.ledger.calls[action.call], Given.FAILED, tables.failure())
+        elif isinstance(action, api.SetTimer):
+            token = action.token
+            self.timing.call_in(action.in_ms, lambda: self.tell(api.TimerDue(token)))
+        elif isinstance(action, api.Probe):
+            self._probe(action.machine)
+        elif isinstance(action, api.Watch):
+            self.watch()
+        elif isinstance(action, api.Log):
+            self.log("module", text=action.text)
+        elif isinstance(action, api.Move):
+            self._move(action.call)
+
+    # ---- attempts ----
+
+    def _bind(self, action: api.Bind) -> None:
+        call, now = self.ledger.calls[action.call], self.now()
+        number = len(call.attempts)
+        name = f"{self.options.name}-{self.incarnation}-{call.number}.{number}"
+        attempt = Attempt(call, number, action.machine, name, now)
+        self.ledger.bind(attempt)
+        link: Any = self.members.session(action.machine)
+        if link is None:
+            self.give_up(attempt, api.Outcome.UNREACHABLE, may_have_run=False)
+            return
+        attempt.session = link
+        attempt.begin = attempt.end = 1 << 62  # nothing is handed over until the link has told where it lies
+        place = link.send(self._launch(attempt, action.timeout_ms))
+        if attempt.back:
+            return  # the link failed while it took the record, and its end settled the attempt
+        attempt.begin, attempt.end = place
+        attempt.timer = self.timing.call_in(action.timeout_ms, lambda: self._timed_out(attempt))
+
+    def _launch(self, attempt: Attempt, timeout_ms: float) -> bytes:
+        call = attempt.call
+        cls = self.classes[call.ask.task_class]
+        labels = {
+            "class": call.ask.task_class,
+            "service": call.ask.service,
+            "key": call.ask.key,
+            "framework": call.framework,
+            "task": call.task_id,
+            "tenant": call.tenant,
+            "attempt": str(attempt.number),
+            "answer_within_ms": f"{timeout_ms:.0f}",
+            "priority": str(cls.priority),
+            "effect": cls.effect.value,
+            "life_ms": None if call.ask.life_ms is None else f"{call.ask.life_ms:.0f}",
+        }
+        info = m.TaskInfo(
+            name=call.info.name,
+            task_id=m.Value(attempt.id),
+            agent_id=m.Value(attempt.machine),
+            resources=m.resources(call.ask.cores, call.ask.memory),
+            labels=m.Labels([m.Label(k, v) for k, v in labels.items() if v is not None]),
+            data=call.info.data,
+        )
+        return m.encode(m.ExecutorEvent("LAUNCH", launch=m.LaunchEvent(info)))
+
+    def handed(self, attempt: Attempt) -> late.Handed:
+        session: Any = attempt.session
+        if session is None:
+            return late.Handed.NOTHING
+        return late.handed(session.written(), attempt.begin, attempt.end)
+
+    def _timed_out(self, attempt: Attempt) -> None:
+        if attempt.back:
+            return
+        verdict = late.on_timeout(attempt.step, self.handed(attempt))
+        if verdict.do is late.Do.CUT:
+            session: Any = attempt.session
+            session.close("the agent does not read")  # ends as a lost session, which settles the attempt
+        if verdict.do is not late.Do.IGNORE and not attempt.back:
+            self.give_up(attempt, verdict.outcome, verdict.may_have_run)
+
+    def give_up(self, attempt: Attempt, outcome: api.Outcome, may_have_run: bool) -> None:
+        """The attempt is back without a yes; what the agent may still say of it is late from here on."""
+        if not may_have_run:
+            attempt.ran = False
+            self.ledger.settle(attempt)
+        self.returned(attempt, outcome, over=attempt.call.left)
+
+    def returned(
+        self,
+        attempt: Attempt,
+        outcome: api.Outcome,
+        over: bool,
+        why: api.Why = api.Why.NONE,
+        report: api.Report | None = None,
+    ) -> None:
+        """Tells the module that an attempt is back, once."""
+        call = attempt.call
+        attempt.back = True
+        self.stop_timer(attempt)
+        self.figures.attempts[outcome.value] += 1
+        spent = max(0.0, self.now() - attempt.sent_at)
+        if over:
+            self.ledger.close(call) if call.given is not None else None
+        self.tell(
+            api.Returned(call.number, attempt.number, attempt.machine, outcome, spent, over, why, report)
+        )
+        if call.given is None and call.left:
+            self._withdrawn(call)
+
+    def _withdrawn(self, call: Call) -> None:
+        """The owner killed the task while an attempt was out, and the attempt is back."""
+        if call.may_have_run():
+            self.answer(call, Given.FAILED, tables.failure())
+        else:
+            self.answer(call, Given.REFUSED, Answer(tables.KILLED, tables.Retry.HARMLESS))
+
+    def stop_timer(self, attempt: Attempt) -> None:
+        timer: Any = attempt.timer
+        if timer is not None:
+            timer.cancel()
+            attempt.timer = None
+
+    def _move(self, number: int) -> None:
+        out = self.ledger.calls[number].out()
+        if out is not None:
+            self.kill(out)
+
+    def kill(self, attempt: Attempt) -> None:
+        """Asks the agent to stop the task; follows its LAUNCH on the same stream, so it can't overtake it."""
+        link: Any = self.members.session(attempt.machine)
+        if link is not None and attempt.step is not Step.OVER:
+            self.figures.events["kill"] += 1
+            link.send(m.encode(m.ExecutorEvent("KILL", kill=m.KillEvent(m.Value(attempt.id)))))
+
+    # ---- probes ----
+
+    def _probe(self, machine: str) -> None:
+        link: Any = self.members.session(machine)
+        if link is None:
+            self.tell(api.Probed(machine, api.Outcome.UNREACHABLE))
+            return
+        number = next(self.probe_numbers)
+        timeout = self.options.probe_timeout_ms
+        timer = self.timing.call_in(timeout, lambda: self.probe_back(machine, number, None))
+        self.probes.setdefault(machine, deque()).append((number, timer))
+        payload = m.pack(m.Payload("probe", probe=number))
+        link.send(m.encode(m.ExecutorEvent("MESSAGE", message=m.Message(payload))))
+
+    def probe_back(self, machine: str, number: int, report: api.Report | None) -> None:
+        waiting = self.probes.get(machine, deque())
+        for item in waiting:
+            if item[0] == number:
+                waiting.remove(item)
+                item[1].cancel()
+                if not waiting:
+                    del self.probes[machine]
+                outcome = api.Outcome.TIMED_OUT if report is None else api.Outcome.ENDED
+                self.tell(api.Probed(machine, outcome, report))
+                return
+
+    # ---- answers ----
+
+    def answer(self, call: Call, given: Given, answer: Answer) -> None:
+        """The one final answer of a call, to figures, ledger and owner."""
+        self.ledger.give(call, given)
+        self.figures.give(call.ask.task_class, given)
+        framework = self.frameworks.known.get(call.framework)
+        if framework is not None:
+            framework.open -= 1
+        if given is not Given.SERVED:
+            self.ledger.close(call)
+        self.owners.status(call, answer)
+        if self.ending and not self.ledger.open:
+            self.on_idle()
+
+    def status(
+        self,
+        task_id: str,
+        answer: Answer,
+        machine: str | None,
+        message: str | None = None,
+        acked: bool = True,
+    ) -> m.TaskStatus:
+        """A status for an owner; with a uuid if it is to be acknowledged."""
+        token = uuid.UUID(int=self.random.getrandbits(128), version=4).bytes
+        return m.TaskStatus(
+            task_id=m.Value(task_id),
+            state=answer.state,
+            source="SOURCE_MASTER" if machine is None else "SOURCE_EXECUTOR",
+            reason=answer.reason,
+            message=message,
+            agent_id=m.Value(machine or self.options.pool),
+            timestamp=self.timing.clock.wall() / 1000.0,
+            uuid=base64.b64encode(token).decode() if acked else None,
+            labels=m.Labels([m.Label("retry", answer.retry.value)]),
+        )
+
+    # ---- time ----
+
+    def _sweep(self) -> None:
+        """Looks for silent and lost agents, owners that stay away, updates and offers that are due."""
+        self.timing.call_in(self.options.sweep_ms, self._sweep)
+        self.open_up()
+        now = self.now()
+        for member in self.members.silent(now):
+            session: Any = member.session
+            self.log("agent silent", agent=member.id, heard_ms_ago=round(now - member.heard_at))
+            session.close("no heartbeat")
+        for member in self.members.lost(now):
+            self.log("agent lost", agent=member.id)
+            self.agents.lost(member.id)
+        self.owners.sweep(now)
+
+    # ---- the end ----
+
+    def end(self) -> None:
+        """SIGTERM: no new tasks from here on; `on_idle` follows when all that is held has its answer."""
+        self.ending = True
+        if not self.ledger.open:
+            self.on_idle()
+
+    def finish(self) -> None:
+        """The end's time is up: what has no answer yet gets the one that is true now."""
+        for call in [c for c in self.ledger.calls.values() if c.given is None]:
+            call.left = True
+            if call.told:
+                self.tell(api.Left(call.number))
+            out = call.out()
+            if out is not None and self.handed(out) is not late.Handed.WHOLE:
+                session: Any = out.session
+                session.close(
+                    "shutting down"
+                )  # the LAUNCH can't arrive any more, and the session's end says so
+            elif out is not None:
+                self.kill(out)
+            if call.given is None:
+                may = call.may_have_run() and call.effect is not api.Effect.SAFE
+                answer = tables.failure() if may else tables.refusal(call.may_have_run())
+                self.answer(call, Given.FAILED if may else Given.REFUSED, answer)
+
+    def framework_of(self, call: Call) -> Framework | None:
+        return self.frameworks.known.get(call.framework)
--- /dev/null
+++ b/glencleat/allocator/figures.py
@@ -0,0 +1,42 @@
+"""Figures of one allocator that add up: taken = served + refused + failed + open, by class.
+
+`open` is counted from the ledger itself and not worked out of the others, so that the identity can be wrong
+and a check of it can fail. Pure; `fronts.metrics` exports them."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from glencleat.allocator.ledger import Given, Ledger
+
+
+class Figures:
+    def __init__(self, ledger: Ledger) -> None:
+        self.ledger = ledger
+        self.taken: Counter[str] = Counter()
+        self.given: Counter[tuple[str, str]] = Counter()  # class, answer
+        self.adopted: Counter[str] = Counter()
+        self.attempts: Counter[str] = Counter()  # by outcome
+        self.events: Counter[str] = Counter()  # of any kind worth a count
+        self.module_s = 0.0  # CPU seconds inside the module
+        self.module_events = 0
+
+    def take(self, task_class: str) -> None:
+        self.taken[task_class] += 1
+
+    def give(self, task_class: str, given: Given) -> None:
+        self.given[task_class, given.value] += 1
+
+    def open_by_class(self) -> Counter[str]:
+        calls = self.ledger.calls.values()
+        return Counter(c.ask.task_class for c in calls if c.given is None and not c.adopted)
+
+    def mismatch(self) -> dict[str, int]:
+        """Classes whose sums don't add up, with the difference: always empty, or there is a fault."""
+        open_now = self.open_by_class()
+        off = {}
+        for name in set(self.taken) | {c for c, _ in self.given} | set(open_now):
+            answered = sum(self.given[name, g.value] for g in Given)
+            if difference := self.taken[name] - answered - open_now[name]:
+                off[name] = difference
+        return off
--- /dev/null
+++ b/glencleat/allocator/late.py
@@ -0,0 +1,119 @@
+"""Decides about attempts whose fate is unsure: time-outs, lost sessions, late yeses, agents that come back.
+
+Pure: no I/O, no clock. The core asks and does as told. The module knows an attempt as out, accepted or back;
+what the network leaves open in between is settled here, always on the side of the second rule: an attempt
+counts as not having run only when that is known.
+
+Known not to have run: its LAUNCH's last byte was never handed to the socket (an agent can't act on a part of
+a record), the agent dropped it, or the same run of the agent lists its tasks without it. A new run of the
+agent proves nothing: the old one may have started it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+from glencleat import interface as api
+from glencleat.allocator.tables import Fate, Step
+
+
+class Handed(Enum):
+    """How much of an attempt's LAUNCH had been handed to the socket."""
+
+    NOTHING = "nothing"  # not one byte of it
+    PART = "part"
+    WHOLE = "whole"
+
+
+class Do(Enum):
+    """What the core does about an attempt."""
+
+    WAIT = "wait"  # goes on being out: its time-out decides, or what the agent says till then
+    RETURN = "return"  # tell the module the outcome
+    CUT = "cut"  # end the agent's session first, so that the rest of the LAUNCH can never arrive; then return
+    IGNORE = "ignore"
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    do: Do
+    outcome: api.Outcome = api.Outcome.NOT_SENT
+    may_have_run: bool = False
+
+
+def handed(written: int, begin: int, end: int) -> Handed:
+    """From the stream's count of written bytes and the LAUNCH's place in it."""
+    if written >= end:
+        return Handed.WHOLE
+    return Handed.NOTHING if written <= begin else Handed.PART
+
+
+def on_session_lost(step: Step, out: Handed, effect: api.Effect) -> Verdict:
+    """The agent's session ended while the attempt was out or its task ran.
+
+    Unsent is known not to have run. A safe task tries elsewhere at once. Others wait for the agent to come
+    back and tell, as long as their time-out lets them: answering now would turn a short cut into a
+    failure."""
+    if step is not Step.OUT:
+        return Verdict(Do.WAIT)  # members decide when a silent agent's tasks are lost
+    if out is not Handed.WHOLE:
+        return Verdict(Do.RETURN, api.Outcome.UNREACHABLE)
+    if effect is api.Effect.SAFE:
+        return Verdict(Do.RETURN, api.Outcome.LOST, may_have_run=True)
+    return Verdict(Do.WAIT)
+
+
+def on_timeout(step: Step, out: Handed) -> Verdict:
+    """The attempt's time-out. If the agent does not even read, its session is cut: a LAUNCH that lies in our
+    buffer must not be sent after the module was told that the attempt is back."""
+    if step is not Step.OUT:
+        return Verdict(Do.IGNORE)
+    if out is Handed.WHOLE:
+        return Verdict(Do.RETURN, api.Outcome.TIMED_OUT, may_have_run=True)
+    return Verdict(Do.CUT, api.Outcome.UNREACHABLE)
+
+
+def on_resubscribe(step: Step, listed: bool, same_run: bool) -> Verdict:
+    """The agent subscribed again; `listed`: among the tasks or updates that it told."""
+    if listed:
+        return Verdict(Do.IGNORE)  # its own statuses follow and say all
+    if step is Step.OUT and same_run:
+        return Verdict(Do.RETURN, api.Outcome.NOT_SENT)
+    return Verdict(Do.RETURN, api.Outcome.LOST, may_have_run=True)
+
+
+class Late(Enum):
+    """What becomes of a copy that an agent says it holds although the module has given up on it."""
+
+    ADOPT = "adopt"
+    KILL = "kill"
+    NOTE = "note"  # it never ran or is over: only the fate changes
+
+
+def on_late_yes(
+    answered: str | None, was_placed: bool, other_out: bool, other_placed: bool, owner_gone: bool
+) -> Late:
+    """A machine accepted or runs an attempt that was given up.
+
+    With another attempt out or placed it is a second copy, which only a class that bears one can have got
+    here; it is stopped. An owner that was told `failed` reconciles, and learns that its task runs: adopted.
+    So is the placed task (`was_placed`) of an agent that was away and is back. One that was told `refused`
+    asks again and must not find two; an owner that left or is gone wants none."""
+    if other_out or other_placed or owner_gone:
+        return Late.KILL
+    return Late.ADOPT if was_placed or answered == "failed" else Late.KILL
+
+
+def on_unknown(live_elsewhere: bool) -> Late:
+    """An agent lists a task that the ledger does not know: placed by our former incarnation, most likely.
+
+    It is adopted, also when its owner has not come back yet: what it did so far is worth keeping."""
+    return Late.KILL if live_elsewhere else Late.ADOPT
+
+
+def merge(fates: list[Fate]) -> Fate:
+    """What is known of a task from the fates of all its attempts."""
+    for fate in (Fate.RUNS, Fate.UNSURE, Fate.ENDED):
+        if fate in fates:
+            return fate
+    return Fate.NEVER_RAN
--- /dev/null
+++ b/glencleat/allocator/ledger.py
@@ -0,0 +1,184 @@
+"""The table of calls: from it the state of every task, open or lately answered, can be told at any instant.
+
+Pure state with bounded memory. A call is one placing of an owner's task; each Bind of the module makes one
+attempt of it. Answered calls stay as long as an agent may still say something about them, or an owner may
+ask; the oldest of these go first when there are more than `remembered`."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from enum import Enum
+
+from glencleat import interface as api
+from glencleat.allocator.late import merge
+from glencleat.allocator.tables import Fate, Step
+from glencleat.mesos.messages import TaskInfo
+
+UUIDS = 8  # of an attempt's updates; older ones are stale by their step anyhow
+
+
+class Given(Enum):
+    """The one final answer of a call."""
+
+    SERVED = "served"
+    REFUSED = "refused"
+    FAILED = "failed"
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """What a TaskInfo asks for, checked (`asks.read`)."""
+
+    task_class: str
+    service: str
+    key: str
+    cores: float
+    memory: float
+    left_ms: float
+    life_ms: float | None = None
+    again: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One LAUNCH to one agent, from the Bind to the last word about it."""
+
+    call: Call
+    number: int
+    machine: str
+    id: str  # the task's id towards the agent; unique over allocators and their restarts
+    sent_at: float = 0.0
+    session: object = None  # the agent's session that the LAUNCH went to
+    begin: int = 0  # the LAUNCH's place in that session's stream
+    end: int = 0
+    step: Step = Step.OUT
+    back: bool = False  # the module has had its Returned
+    ran: bool | None = None  # None: not known
+    timer: object = None
+    uuids: list[str] = field(default_factory=list)
+
+    def fate(self) -> Fate:
+        if self.ran is False:
+            return Fate.NEVER_RAN
+        if self.step is Step.OVER:
+            return Fate.ENDED
+        return Fate.UNSURE if self.step is Step.OUT else Fate.RUNS
+
+    def seen(self, uuid: str | None) -> bool:
+        """Whether an update with this uuid was handled before; remembers it."""
+        if uuid is None:
+            return False
+        if uuid in self.uuids:
+            return True
+        self.uuids.append(uuid)
+        del self.uuids[:-UUIDS]
+        return False
+
+
+@dataclass(slots=True, eq=False)
+class Call:
+    number: int
+    framework: str
+    task_id: str
+    info: TaskInfo
+    ask: Ask
+    effect: api.Effect
+    tenant: str | None
+    taken_at: float
+    attempts: list[Attempt] = field(default_factory=list)
+    given: Given | None = None
+    adopted: bool = False
+    left: bool = False  # its owner killed it or is gone
+    over: bool = False  # nothing more is expected of the module
+    told: bool = False  # the module has been asked
+
+    def last(self) -> Attempt | None:
+        return self.attempts[-1] if self.attempts else None
+
+    def out(self) -> Attempt | None:
+        """The attempt that the module counts as out or placed."""
+        last = self.last()
+        return last if last is not None and not last.back else None
+
+    def placed(self) -> bool:
+        out = self.out()
+        return out is not None and out.step in (Step.ACCEPTED, Step.RUNS)
+
+    def fate(self) -> Fate:
+        return merge([a.fate() for a in self.attempts])
+
+    def may_have_run(self) -> bool:
+        return any(a.ran is not False for a in self.attempts)
+
+
+class Ledger:
+    """Calls by number and by owner's task, attempts by their id and by machine."""
+
+    def __init__(self, remembered: int = 50_000) -> None:
+        self.remembered = remembered
+        self.calls: dict[int, Call] = {}  # those of which the module still expects something
+        self.tasks: dict[tuple[str, str], Call] = {}  # the latest call of each owner's task
+        self.attempts: dict[str, Attempt] = {}
+        self.machines: dict[str, dict[str, Attempt]] = {}
+        self.answered: OrderedDict[int, Call] = OrderedDict()
+        self.open = 0  # taken and without an answer
+
+    def take(self, call: Call) -> None:
+        self.calls[call.number] = call
+        self.tasks[call.framework, call.task_id] = call
+        self.open += call.given is None
+
+    def bind(self, attempt: Attempt) -> None:
+        attempt.call.attempts.append(attempt)
+        self.attempts[attempt.id] = attempt
+        self.machines.setdefault(attempt.machine, {})[attempt.id] = attempt
+
+    def give(self, call: Call, given: Given) -> None:
+        if call.given is not None:
+            raise AssertionError(f"call {call.number}: {given.value} after {call.given.value}")
+        call.given = given
+        self.open -= 1
+
+    def close(self, call: Call) -> None:
+        """The module is done with the call; it is remembered for late words and RECONCILE."""
+        if call.over:
+            return
+        call.over = True
+        self.calls.pop(call.number, None)
+        self.answered[call.number] = call
+        while len(self.answered) > self.remembered:
+            _, oldest = self.answered.popitem(last=False)
+            self.forget(oldest)
+
+    def forget(self, call: Call) -> None:
+        self.answered.pop(call.number, None)
+        if self.tasks.get((call.framework, call.task_id)) is call:
+            del self.tasks[call.framework, call.task_id]
+        for attempt in call.attempts:
+            self.drop(attempt)
+
+    def drop(self, attempt: Attempt) -> None:
+        """Forgets an attempt of which no more can be heard."""
+        self.attempts.pop(attempt.id, None)
+        there = self.machines.get(attempt.machine)
+        if there is not None:
+            there.pop(attempt.id, None)
+            if not there:
+                del self.machines[attempt.machine]
+
+    def settle(self, attempt: Attempt) -> None:
+        """The last word about an attempt came: it no longer counts at its machine."""
+        there = self.machines.get(attempt.machine)
+        if there is not None:
+            there.pop(attempt.id, None)
+            if not there:
+                del self.machines[attempt.machine]
+
+    def at(self, machine: str) -> list[Attempt]:
+        """Attempts at a machine of which more may be heard."""
+        return list(self.machines.get(machine, {}).values())
+
+    def of(self, framework: str) -> Iterator[Call]:
+        return (call for call in list(self.tasks.values()) if call.framework == framework)
--- /dev/null
+++ b/glencleat/allocator/owner_side.py
@@ -0,0 +1,251 @@
+"""The owners' half of the core: the Scheduler API's calls on frameworks and tasks, and their updates.
+
+Called by the scheduler front and the core; sessions are links to write to."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from glencleat import interface as api
+from glencleat.allocator import admission, tables
+from glencleat.allocator.asks import BadAsk, read
+from glencleat.allocator.frameworks import Framework
+from glencleat.allocator.ledger import Ask, Call, Given
+from glencleat.allocator.tables import Answer, Retry
+from glencleat.mesos import messages as m
+
+if TYPE_CHECKING:
+    from glencleat.allocator.core import Core
+
+RECONCILED_MOST = 10_000  # statuses that one RECONCILE without tasks may bring
+
+
+class OwnerSide:
+    def __init__(self, core: Core) -> None:
+        self.core = core
+        self.offer_number = 0
+
+    # ---- sessions ----
+
+    def subscribe(self, info: m.FrameworkInfo, stream_id: str, session: Any) -> Framework:
+        """A session begins; raises frameworks.Refused. What was not acknowledged is sent again."""
+        core, now = self.core, self.core.now()
+        new_id = f"{core.options.name}-{core.random.getrandbits(64):016x}"
+        framework, replaced = core.frameworks.subscribe(info, new_id, stream_id, session, now)
+        if replaced is not None:
+            old: Any = replaced
+            old.send(m.encode(m.SchedulerEvent("ERROR", error=m.ErrorEvent("Framework failed over"))))
+            old.close("framework failed over")
+        told = m.SubscribedFramework(m.Value(framework.id), core.options.heartbeat_ms / 1000.0)
+        session.send(m.encode(m.SchedulerEvent("SUBSCRIBED", subscribed=told)))
+        for status in core.frameworks.unacknowledged(framework):
+            self._send(framework, m.SchedulerEvent("UPDATE", update=m.UpdateEvent(status)))
+        self._offer(framework, now)
+        core.log("framework subscribed", framework=framework.id, role=framework.role())
+        return framework
+
+    def closed(self, framework: Framework, session: Any, why: str) -> None:
+        core = self.core
+        if core.frameworks.closed(framework, session, core.now()):
+            core.log("framework away", framework=framework.id, why=why)
+
+    def teardown(self, framework: Framework, why: str) -> None:
+        """The framework is gone: its tasks are stopped, and nobody waits for their updates."""
+        core = self.core
+        for call in core.ledger.of(framework.id):
+            self._withdraw(call)
+        core.frameworks.remove(framework)
+        session: Any = framework.session
+        framework.session = None
+        if session is not None:
+            session.close(why)
+        core.log("framework removed", framework=framework.id, why=why)
+
+    def sweep(self, now: float) -> None:
+        core = self.core
+        for framework in core.frameworks.overdue(now):
+            self.teardown(framework, "failover timeout")
+        for framework in list(core.frameworks.known.values()):
+            if framework.session is None:
+                continue
+            for status in core.frameworks.to_repeat(framework, now) if framework.unacked else ():
+                self._send(framework, m.SchedulerEvent("UPDATE", update=m.UpdateEvent(status)))
+            self._offer(framework, now)
+
+    # ---- offers ----
+
+    def _offer(self, framework: Framework, now: float) -> None:
+        core = self.core
+        if core.ending or not core.frameworks.wants_offer(framework, now):
+            return
+        self.offer_number += 1
+        offer_id = f"{core.options.name}-{core.incarnation}-o{self.offer_number}"
+        cores = sum(size.cores for size in core.settings.kinds.values())
+        memory = sum(size.memory for size in core.settings.kinds.values())
+        offer = m.Offer(
+            m.Value(offer_id),
+            m.Value(framework.id),
+            m.Value(core.options.pool),
+            core.options.pool,
+            m.resources(cores, memory),
+            [m.Attribute("zone", text=m.Text(core.settings.zone))],
+        )
+        rescinded = core.frameworks.offer(framework, offer_id, now)
+        if rescinded is not None:
+            self._send(framework, m.SchedulerEvent("RESCIND", rescind=m.Rescind(m.Value(rescinded))))
+        self._send(framework, m.SchedulerEvent("OFFERS", offers=m.Offers([offer])))
+
+    def decline(self, framework: Framework, decline: m.Decline) -> None:
+        seconds = decline.filters.refuse_seconds if decline.filters is not None else 5.0
+        for offer in decline.offer_ids:
+            wait = 1000.0 * min(max(0.0, seconds), 31_536_000.0)
+            self.core.frameworks.decline(framework, offer.value, self.core.now(), wait)
+
+    # ---- tasks ----
+
+    def accept(self, framework: Framework, accept: m.Accept) -> None:
+        """ACCEPT with LAUNCH: every task gets exactly one answer, whatever is wrong with it."""
+        core, now = self.core, self.core.now()
+        again = core.options.offer_again_ms
+        valid = [core.frameworks.use(framework, o.value, now, again) for o in accept.offer_ids]
+        for operation in accept.operations:
+            if operation.type != "LAUNCH" or operation.launch is None:
+                core.log("operation ignored", framework=framework.id, type=operation.type[:40])
+                continue
+            for info in operation.launch.task_infos:
+                if valid and all(valid):
+                    self._launch(framework, info)
+                else:
+                    text = "the offer is not valid any more; expected one that was made in this session"
+                    answer = Answer(tables.DROPPED, Retry.HARMLESS, tables.INVALID_OFFERS)
+                    self._turn_away(framework, info, answer, text)
+
+    def _launch(self, framework: Framework, info: m.TaskInfo) -> None:
+        core = self.core
+        before = core.ledger.tasks.get((framework.id, info.task_id.value))
+        repeat = admission.repeats(before)
+        if repeat == "same" and before is not None:
+            core.figures.events["launch repeated"] += 1
+            if before.given is not None:
+                self._reconciled(framework, before.task_id, before)
+            return
+        if repeat == "never" and before is not None:
+            self._turn_away(framework, info, tables.reconciled(before.fate()), "it may have run before")
+            return
+        load = admission.Load(
+            core.ledger.open,
+            framework.open,
+            len(core.ledger.calls),
+            core.frameworks.behind(framework),
+            core.ending,
+        )
+        why = admission.refuses(load, core.options.limits)
+        if why is not None:
+            self._turn_away(framework, info, tables.refusal(False), why)
+            return
+        try:
+            ask = read(info, core.classes, core.options.default_class, core.options.answer_margin_ms)
+        except BadAsk as error:
+            answer = Answer(tables.ERROR, Retry.NEVER, tables.TASK_INVALID)
+            self._turn_away(framework, info, answer, str(error))
+            return
+        self._take(framework, info, ask)
+
+    def _take(self, framework: Framework, info: m.TaskInfo, ask: Ask) -> None:
+        core = self.core
+        effect = core.classes[ask.task_class].effect
+        role = framework.role()
+        call = Call(next(core.numbers), framework.id, info.task_id.value, info, ask, effect, role, core.now())
+        core.ledger.take(call)
+        core.figures.take(ask.task_class)
+        framework.open += 1
+        core.ask(call)
+
+    def _turn_away(self, framework: Framework, info: m.TaskInfo, answer: Answer, text: str) -> None:
+        """An answer without a call: the module was never asked. Counted as taken and refused or failed."""
+        name = m.label(info.labels, "class") or "-"
+        name = name if name in self.core.classes else "-"
+        given = Given.FAILED if answer.retry is not Retry.HARMLESS else Given.REFUSED
+        self.core.figures.take(name)
+        self.core.figures.give(name, given)
+        self._status(framework, info.task_id.value, answer, None, text)
+
+    def kill(self, framework: Framework, task_id: str) -> None:
+        call = self.core.ledger.tasks.get((framework.id, task_id))
+        if call is None:
+            answer = Answer(tables.UNKNOWN, Retry.RECONCILE, tables.RECONCILIATION)
+            self._status(framework, task_id, answer, None, "no such task here", acked=False)
+        else:
+            self._withdraw(call)
+
+    def _withdraw(self, call: Call) -> None:
+        """The owner wants no more of the task. With an attempt out, the answer waits for what becomes of
+        it."""
+        core = self.core
+        if call.over or call.left:
+            return
+        out = call.out()
+        call.left = True
+        if call.told:
+            core.tell(api.Left(call.number))
+        if out is not None:
+            core.kill(out)
+        elif call.given is None:
+            if call.may_have_run() and call.effect is not api.Effect.SAFE:
+                core.answer(call, Given.FAILED, tables.failure())
+            else:
+                core.answer(call, Given.REFUSED, Answer(tables.KILLED, Retry.HARMLESS))
+
+    # ---- updates ----
+
+    def status(self, call: Call, answer: Answer) -> None:
+        """A status of a call's task to its owner, if that is still known."""
+        framework = self.core.frameworks.known.get(call.framework)
+        if framework is not None:
+            out = call.last()
+            machine = out.machine if out is not None and call.given is Given.SERVED else None
+            self._status(framework, call.task_id, answer, machine)
+
+    def _status(
+        self,
+        framework: Framework,
+        task_id: str,
+        answer: Answer,
+        machine: str | None,
+        text: str | None = None,
+        acked: bool = True,
+    ) -> None:
+        status = self.core.status(task_id, answer, machine, text, acked)
+        self.core.frameworks.push(framework, status, self.core.now())
+        self._send(framework, m.SchedulerEvent("UPDATE", update=m.UpdateEvent(status)))
+
+    def _send(self, framework: Framework, event: m.SchedulerEvent) -> None:
+        session: Any = framework.session
+        if session is not None:
+            session.send(m.encode(event))
+
+    def acknowledge(self, framework: Framework, uuid: str) -> None:
+        if not self.core.frameworks.acknowledge(framework, uuid):
+            self.core.figures.events["acknowledge unknown"] += 1
+
+    def reconcile(self, framework: Framework, tasks: list[m.ReconcileTask]) -> None:
+        """RECONCILE: explicit for the named tasks, implicit (all that are not over) for none."""
+        core = self.core
+        if not tasks:
+            live = [c for c in core.ledger.of(framework.id) if not c.over and c.placed()]
+            for call in live[:RECONCILED_MOST]:
+                self._reconciled(framework, call.task_id, call)
+        for task in tasks:
+            self._reconciled(
+                framework, task.task_id.value, core.ledger.tasks.get((framework.id, task.task_id.value))
+            )
+
+    def _reconciled(self, framework: Framework, task_id: str, call: Call | None) -> None:
+        if call is not None and call.given is None:
+            answer, machine = Answer(tables.STAGING, Retry.NEVER, tables.RECONCILIATION), None
+        else:
+            last = call.last() if call is not None else None
+            accepted = last is not None and last.step is tables.Step.ACCEPTED
+            answer = tables.reconciled(None if call is None else call.fate(), accepted)
+            machine = last.machine if last is not None and call is not None and call.placed() else None
+        self._status(framework, task_id, answer, machine, acked=False)
--- /dev/null
+++ b/glencleat/allocator/recovery.py
@@ -0,0 +1,24 @@
+"""Decides when a freshly started allocator may begin to place. Pure.
+
+Tasks that its former incarnation placed run on, and each agent tells them when it subscribes. Until then the
+spread of services is not known, and nobody here remembers what was offered to cold machines just before the
+end. So asks are held until every listed machine has subscribed, or `grace_ms` is over, and in any case for
+`least_ms` (the window in which a cold machine's offers count, and a quarter)."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+
+class Opening:
+    def __init__(self, started: float, least_ms: float, grace_ms: float) -> None:
+        self.started, self.least_ms, self.grace_ms = started, least_ms, grace_ms
+        self.done = False
+
+    def opens(self, now: float, listed: Iterable[str] | None, subscribed: Iterable[str]) -> bool:
+        """Whether asks may be told now; once open it stays so. `listed` is None before the first list."""
+        if not self.done:
+            waited = now - self.started
+            whole = listed is not None and set(listed) <= set(subscribed)
+            self.done = waited >= self.least_ms and (whole or waited >= max(self.least_ms, self.grace_ms))
+        return self.done
--- /dev/null
+++ b/glencleat/allocator/tables.py
@@ -0,0 +1,135 @@
+"""The tables between the agent protocol and the module: one from an agent's statuses to events, one from the
+module's answers to the owner's statuses. Pure; the core and the docs' tables follow these.
+
+A state is read together with its reason and, for refusals, the `cause` label, as the published reasons have
+no word for a machine's stated cause."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+from glencleat import interface as api
+
+STARTING, RUNNING, STAGING = "TASK_STARTING", "TASK_RUNNING", "TASK_STAGING"
+DROPPED, ERROR, FINISHED, FAILED = "TASK_DROPPED", "TASK_ERROR", "TASK_FINISHED", "TASK_FAILED"
+KILLED, KILLING, LOST = "TASK_KILLED", "TASK_KILLING", "TASK_LOST"
+UNREACHABLE, GONE, UNKNOWN = "TASK_UNREACHABLE", "TASK_GONE", "TASK_UNKNOWN"
+GONE_BY_OPERATOR = "TASK_GONE_BY_OPERATOR"
+
+MEMORY_LIMIT = "REASON_CONTAINER_LIMITATION_MEMORY"
+PREEMPTED = "REASON_CONTAINER_PREEMPTED"
+DRAINING = "REASON_AGENT_DRAINING"
+RECONCILIATION = "REASON_RECONCILIATION"
+INVALID_OFFERS = "REASON_INVALID_OFFERS"
+TASK_INVALID = "REASON_TASK_INVALID"
+RESOURCES_UNKNOWN = "REASON_RESOURCES_UNKNOWN"
+AGENT_DISCONNECTED = "REASON_AGENT_DISCONNECTED"
+AGENT_REMOVED = "REASON_AGENT_REMOVED"
+
+CAUSES = {  # the `cause` label of an agent's TASK_DROPPED
+    "cores": api.Why.CORES,
+    "memory": api.Why.MEMORY,
+    "line": api.Why.LINE,
+    "not here": api.Why.NOT_HERE,
+}
+
+
+class Step(Enum):
+    """How far an attempt has come by what its agent said; a status that goes back is stale."""
+
+    OUT = 0
+    ACCEPTED = 1
+    RUNS = 2
+    OVER = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Told:
+    """What a status means: the step it brings, and for an end the outcome and why."""
+
+    step: Step
+    outcome: api.Outcome = api.Outcome.ENDED
+    why: api.Why = api.Why.NONE
+    ran: bool = True  # False: known not to have run
+
+
+def read_status(state: str, reason: str | None, cause: str | None) -> Told | None:
+    """What an agent's status says of its attempt; None where it says nothing that matters (TASK_KILLING)."""
+    if state == STARTING:
+        return Told(Step.ACCEPTED)
+    if state == RUNNING:
+        return Told(Step.RUNS)
+    if state == DROPPED:
+        return Told(Step.OVER, api.Outcome.REFUSED, CAUSES.get(cause or "", api.Why.NONE), ran=False)
+    if state == ERROR:  # the specification: an error in the task's description; it never started
+        return Told(Step.OVER, api.Outcome.REFUSED, api.Why.NOT_HERE, ran=False)
+    if state == FINISHED:
+        return Told(Step.OVER, api.Outcome.ENDED)
+    if state == FAILED:
+        why = {MEMORY_LIMIT: api.Why.EVICTED, PREEMPTED: api.Why.PUSHED_OUT}.get(reason or "", api.Why.NONE)
+        return Told(Step.OVER, api.Outcome.LOST, why)
+    if state == KILLED:
+        why = api.Why.SENT_AWAY if reason == DRAINING else api.Why.NONE
+        return Told(Step.OVER, api.Outcome.STOPPED, why)
+    if state in (LOST, GONE, GONE_BY_OPERATOR):
+        return Told(Step.OVER, api.Outcome.LOST)
+    return None
+
+
+class Retry(Enum):
+    """What an answer tells the owner about asking again; travels as the `retry` label."""
+
+    HARMLESS = "harmless"  # ask again at once: nothing ran, or what ran does no harm
+    RECONCILE = "reconcile"  # an attempt may have run: wait, RECONCILE, and follow what that says
+    NEVER = "never"  # it ran, or may have and nobody can tell any more
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    state: str
+    retry: Retry
+    reason: str | None = None
+
+
+def refusal(may_have_run: bool) -> Answer:
+    """The module's Refuse. TASK_DROPPED promises that nothing ran, so a copy that may have run is
+    TASK_LOST."""
+    return Answer(LOST if may_have_run else DROPPED, Retry.HARMLESS, RESOURCES_UNKNOWN)
+
+
+def failure() -> Answer:
+    """The module's Fail: an attempt may have run and a second run might do harm."""
+    return Answer(LOST, Retry.RECONCILE, AGENT_DISCONNECTED)
+
+
+class Fate(Enum):
+    """What is known of a task after its answer; RECONCILE tells it."""
+
+    RUNS = "runs"
+    NEVER_RAN = "never ran"
+    UNSURE = "unsure"  # a machine that may hold it has not been heard
+    ENDED = "ended"  # ran, or may have run, and is over
+
+
+def reconciled(fate: Fate | None, accepted: bool = False) -> Answer:
+    """The status that answers RECONCILE; `fate` is None for a task that is not known here."""
+    if fate is Fate.RUNS:
+        return Answer(STARTING if accepted else RUNNING, Retry.NEVER, RECONCILIATION)
+    if fate is Fate.NEVER_RAN:
+        return Answer(DROPPED, Retry.HARMLESS, RECONCILIATION)
+    if fate is Fate.UNSURE:
+        return Answer(UNREACHABLE, Retry.RECONCILE, RECONCILIATION)
+    if fate is Fate.ENDED:
+        return Answer(GONE, Retry.NEVER, RECONCILIATION)
+    return Answer(UNKNOWN, Retry.RECONCILE, RECONCILIATION)
+
+
+def ended(outcome: api.Outcome, why: api.Why) -> Answer:
+    """The end of a placed task, to its owner; the module is told the same outcome."""
+    if outcome is api.Outcome.ENDED:
+        return Answer(FINISHED, Retry.NEVER)
+    if outcome is api.Outcome.STOPPED:
+        return Answer(KILLED, Retry.HARMLESS, DRAINING if why is api.Why.SENT_AWAY else None)
+    reasons = {api.Why.EVICTED: MEMORY_LIMIT, api.Why.PUSHED_OUT: PREEMPTED}
+    return Answer(FAILED, Retry.HARMLESS, reasons.get(why))
--- /dev/null
+++ b/glencleat/check/record.py
@@ -0,0 +1,95 @@
+"""The record: what the stand-ins read from and wrote to their sockets, in order, one JSON line an entry.
+
+Times are milliseconds on one clock (all stand-ins of a play share a process). Stand-ins write entries; the
+checker reads them and nothing else. Kinds, with the fields that they carry:
+
+| kind | who | what happened |
+| --- | --- | --- |
+| asked | owner | wrote an ACCEPT that launches `task` to `allocator`, `left` ms before it gives up |
+| answer | owner | read an UPDATE of `task`: `state`, `retry`, `reason`, its uuid as `text` |
+| gave up | owner | its time for `task` at `allocator` was over |
+| cut | owner | its session with `allocator` ended |
+| offered | host | read a LAUNCH: `attempt`, `task`, `cls`, `effect`, `service`, `zone`, `within` ms |
+| | | (`text` is its run; `since`: it may have lain unread since then) |
+| listed | host | subscribed as run `text` and listed the attempts `ids` as all that it holds |
+| said | host | wrote an UPDATE of `attempt`: `state` |
+| kill | host | read a KILL of `attempt` |
+| started | host | the program of `attempt` began (this is the effect) |
+| up, down | host | came up (`cold` or not), went down |
+| quiet | host | its network swallows all, for a time |
+| told | directory | wrote an entry to `allocator`: `host` and its `phase` |
+| allocator | play | `allocator`'s process: `state` up, killed, stopped, stalled, resumed |
+| fault | play | a line of the script began or ended: `text` |
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Iterator
+from pathlib import Path
+from typing import TextIO
+
+import msgspec
+
+
+class Entry(msgspec.Struct, omit_defaults=True):
+    at: float
+    kind: str
+    who: str = ""
+    allocator: str = ""
+    task: str = ""
+    attempt: str = ""
+    cls: str = ""
+    effect: str = ""
+    service: str = ""
+    state: str = ""
+    retry: str = ""
+    reason: str = ""
+    zone: str = ""
+    cell: int = 0
+    left: float = 0.0
+    within: float = 0.0
+    cold: bool = False
+    text: str = ""
+    ids: list[str] = []
+    since: float = 0.0
+    line: int = 0
+
+
+ENCODER = msgspec.json.Encoder()
+DECODER = msgspec.json.Decoder(Entry)
+
+
+class BadRecord(Exception):
+    """A line of a record that can't be read."""
+
+
+class Recorder:
+    """Keeps entries in memory and, with `sink`, writes each as a line."""
+
+    def __init__(self, now: Callable[[], float], sink: TextIO | None = None) -> None:
+        self.now, self.sink = now, sink
+        self.entries: list[Entry] = []
+
+    def add(self, kind: str, **fields: object) -> Entry:
+        entry = Entry(round(self.now(), 3), kind, line=len(self.entries) + 1, **fields)  # type: ignore[arg-type]
+        self.entries.append(entry)
+        if self.sink is not None:
+            self.sink.write(ENCODER.encode(entry).decode() + "\n")
+        return entry
+
+
+def read(path: Path) -> Iterator[Entry]:
+    with path.open("rb") as source:
+        for number, line in enumerate(source, 1):
+            try:
+                entry = DECODER.decode(line)
+            except msgspec.DecodeError as error:
+                raise BadRecord(f"{path}:{number}: {error}; expected an entry of a record") from None
+            entry.line = number
+            yield entry
+
+
+def write(path: Path, entries: Iterable[Entry]) -> None:
+    with path.open("wb") as sink:
+        for entry in entries:
+            sink.write(ENCODER.encode(entry) + b"\n")
--- /dev/null
+++ b/glencleat/check/rules.py
@@ -0,0 +1,362 @@
+"""The five rules, each checked from a record's entries and the play's stated figures. Pure.
+
+A checker gives Breaches with the lines of the record that show them. `SLACK_MS` bounds how much later a
+stand-in reads what was written earlier; nothing else is forgiven, and what is (a killed or stopped allocator,
+a cut session) is in the record too."""
+
+from __future__ import annotations
+
+from bisect import bisect_right
+from collections import defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from glencleat.check.record import Entry
+
+SLACK_MS = 150.0
+PLACED = ("TASK_STARTING", "TASK_RUNNING")
+TURNED = ("TASK_DROPPED", "TASK_LOST", "TASK_ERROR", "TASK_KILLED")
+RECONCILED = "REASON_RECONCILIATION"
+Times = list[tuple[float, float]]
+
+
+@dataclass(frozen=True, slots=True)
+class Spread:
+    by: str  # machine, cell or zone
+    most: int
+
+
+@dataclass(frozen=True, slots=True)
+class Figures:
+    """What the rules state for the play that made the record."""
+
+    drain_ms: float = 2_000.0
+    cold_ms: float = 0.0
+    cold_window_ms: float = 0.0
+    cold_offers: float = 0.0
+    keyed_window_ms: dict[str, float] = field(default_factory=dict)  # by class
+    keyed_group: dict[str, str] = field(default_factory=dict)
+    spread: dict[str, Spread] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Breach:
+    rule: str
+    text: str
+    lines: tuple[int, ...]
+
+    def __str__(self) -> str:
+        return f"{self.rule}: {self.text} (record lines {', '.join(map(str, self.lines))})"
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One LAUNCH as its host saw it."""
+
+    offered: Entry
+    said: list[Entry] = field(default_factory=list)
+    started: list[Entry] = field(default_factory=list)
+    lost_at: float = float("inf")  # its host went down or its network was cut
+    unlisted_at: float = float("inf")  # the same run of its host subscribed and did not list it
+
+    def refused_by(self, at: float) -> bool:
+        """Whether its host had said by then that it never ran."""
+        said = any(e.state == "TASK_DROPPED" and e.at <= at for e in self.said)
+        return said or (self.unlisted_at <= at and not self.started and self.yes() is None)
+
+    def sent(self) -> float:
+        """When it can have been sent at the earliest: its host may not have read for a time."""
+        return self.offered.since or self.offered.at
+
+    def yes(self) -> Entry | None:
+        return next((e for e in self.said if e.state in PLACED), None)
+
+    def end(self) -> float:
+        """When its host no longer holds it."""
+        over = [e.at for e in self.said if e.state not in PLACED]
+        return min([self.lost_at, *over])
+
+    def call(self) -> str:
+        return self.offered.attempt.rpartition(".")[0]
+
+
+class Story:
+    """A record, indexed by what the rules look for."""
+
+    def __init__(self, entries: list[Entry]) -> None:
+        self.entries = entries
+        self.attempts: dict[str, Attempt] = {}
+        self.by_task: dict[str, list[Attempt]] = defaultdict(list)
+        self.down: dict[str, list[float]] = defaultdict(list)
+        self.absent: dict[str, Times] = defaultdict(list)  # allocator -> when it did not run
+        self.cuts: dict[tuple[str, str], list[float]] = defaultdict(list)
+        self.asked: dict[tuple[str, str], list[Entry]] = defaultdict(list)  # allocator, task
+        self.answers: dict[tuple[str, str], list[Entry]] = defaultdict(list)
+        for entry in entries:
+            getattr(self, "_" + entry.kind.replace(" ", "_"), self._other)(entry)
+        for attempt in self.attempts.values():
+            downs = self.down[attempt.offered.who]
+            later = [at for at in downs if at >= attempt.offered.at]
+            attempt.lost_at = min(later, default=float("inf"))
+
+    def _other(self, entry: Entry) -> None:
+        pass
+
+    def _offered(self, entry: Entry) -> None:
+        attempt = self.attempts[entry.attempt] = Attempt(entry)
+        self.by_task[entry.task].append(attempt)
+
+    def _said(self, entry: Entry) -> None:
+        if entry.attempt in self.attempts:
+            self.attempts[entry.attempt].said.append(entry)
+
+    def _started(self, entry: Entry) -> None:
+        if entry.attempt in self.attempts:
+            self.attempts[entry.attempt].started.append(entry)
+
+    def _listed(self, entry: Entry) -> None:
+        for attempt in self.attempts.values():
+            there = attempt.offered
+            same = (there.who, there.allocator, there.text) == (entry.who, entry.allocator, entry.text)
+            if same and there.attempt not in entry.ids:
+                attempt.unlisted_at = min(attempt.unlisted_at, entry.at)
+
+    def _down(self, entry: Entry) -> None:
+        self.down[entry.who].append(entry.at)
+
+    def _quiet(self, entry: Entry) -> None:
+        self.down[entry.who].append(entry.at)
+
+    def _cut(self, entry: Entry) -> None:
+        self.cuts[entry.who, entry.allocator].append(entry.at)
+
+    def _asked(self, entry: Entry) -> None:
+        self.asked[entry.allocator, entry.task].append(entry)
+
+    def _answer(self, entry: Entry) -> None:
+        self.answers[entry.allocator, entry.task].append(entry)
+
+    def _allocator(self, entry: Entry) -> None:
+        absent = self.absent[entry.allocator]
+        if entry.state in ("killed", "stopped", "stalled"):
+            absent.append((entry.at, float("inf")))
+        elif absent and absent[-1][1] == float("inf"):
+            absent[-1] = (absent[-1][0], entry.at)
+
+    def ran(self, allocator: str, since: float, until: float) -> bool:
+        """Whether the allocator's process ran all that time."""
+        return not any(a < until and b > since for a, b in self.absent[allocator])
+
+    def learned(self, allocator: str, at: float) -> float:
+        """When the allocator can have read what was written to it then: a stopped process reads later."""
+        return next((b for a, b in self.absent[allocator] if a <= at < b), at)
+
+
+def answers(story: Story, figures: Figures) -> list[Breach]:
+    """Rule 1: one answer for each ask, in time, and nothing sent after it."""
+    breaches = []
+    for (allocator, task), asked in story.asked.items():
+        for number, ask in enumerate(asked):
+            until = asked[number + 1].at if number + 1 < len(asked) else float("inf")
+            heard = _heard(story, allocator, task, ask, until)
+            breaches += _one_answer(story, ask, heard)
+            breaches += _silence_after(story, ask, heard, until)
+    return breaches
+
+
+def _heard(story: Story, allocator: str, task: str, ask: Entry, until: float) -> list[Entry]:
+    """Answers to one ask: repeats of an update (same uuid) and replies to RECONCILE left out."""
+    seen, heard = set[str](), []
+    for entry in story.answers[allocator, task]:
+        if not ask.at <= entry.at < until or entry.reason == RECONCILED or entry.text in seen:
+            continue
+        if entry.text:
+            seen.add(entry.text)
+        heard.append(entry)
+    return heard
+
+
+def _one_answer(story: Story, ask: Entry, heard: list[Entry]) -> list[Breach]:
+    final = [e for e in heard if e.state in PLACED + TURNED]
+    due = ask.at + ask.left
+    excused = not story.ran(ask.allocator, ask.at - SLACK_MS, due)
+    excused |= any(ask.at - SLACK_MS <= at <= due for at in story.cuts[ask.who, ask.allocator])
+    over = not story.entries or story.entries[-1].at < due
+    if not final or final[0].at > due:
+        if excused or over:
+            return []
+        lines = (ask.line, *(e.line for e in final[:1]))
+        return [Breach("no task lost", f"{ask.task} had no answer of {ask.allocator} in time", lines)]
+    first, rest = final[0], final[1:]
+    wrong = [e for e in rest if first.state in TURNED or e.state in ("TASK_DROPPED", "TASK_ERROR")]
+    if wrong and not any(ask.at <= at <= wrong[0].at for at in story.cuts[ask.who, ask.allocator]):
+        text = f"{ask.task} was answered {first.state} and then {wrong[0].state}"
+        return [Breach("no task lost", text, (ask.line, first.line, wrong[0].line))]
+    return []
+
+
+def _silence_after(story: Story, ask: Entry, heard: list[Entry], until: float) -> list[Breach]:
+    turned = next((e for e in heard if e.state in TURNED), None)
+    placed = next((e for e in heard if e.state in PLACED), None)
+    answered = min((e.at for e in (turned, placed) if e is not None), default=float("inf"))
+    for attempt in story.by_task.get(ask.task, ()):
+        at = attempt.sent()
+        if attempt.offered.allocator == ask.allocator and answered + SLACK_MS < at < until:
+            text = f"{ask.task} was sent to {attempt.offered.who} after its answer"
+            return [Breach("no task lost", text, (ask.line, attempt.offered.line))]
+    return []
+
+
+def effects(story: Story, figures: Figures) -> list[Breach]:
+    """Rule 2: no effect twice, and never two attempts of an ask out at once."""
+    breaches = []
+    for task, attempts in list(story.by_task.items()):
+        effect = attempts[0].offered.effect
+        if effect == "unsafe":
+            breaches += _unsafe(task, attempts)
+        calls: dict[str, list[Attempt]] = defaultdict(list)
+        for attempt in attempts:
+            calls[attempt.call()].append(attempt)
+        for of_call in calls.values():
+            breaches += _at_once(task, of_call)
+            if effect == "keyed":
+                breaches += _keyed(task, of_call, figures)
+    return breaches
+
+
+def _unsafe(task: str, attempts: list[Attempt]) -> list[Breach]:
+    starts = [e for a in attempts for e in a.started]
+    if len(starts) > 1:
+        text = f"{task} must not start twice and started {len(starts)} times"
+        return [Breach("no effect twice", text, tuple(e.line for e in starts))]
+    for number, later in enumerate(attempts):
+        for earlier in attempts[:number]:
+            if not earlier.refused_by(later.offered.at):
+                text = (
+                    f"{task} was sent to {later.offered.who} while it may have run at {earlier.offered.who}"
+                )
+                return [Breach("no effect twice", text, (earlier.offered.line, later.offered.line))]
+    return []
+
+
+def _at_once(task: str, attempts: list[Attempt]) -> list[Breach]:
+    for before, after in zip(attempts, attempts[1:], strict=False):
+        first = before.offered
+        answered = min((e.at for e in before.said), default=float("inf"))
+        out_until = min(answered, first.at + first.within, before.lost_at)
+        if after.offered.at < out_until - SLACK_MS and after.sent() >= first.at:
+            text = f"{task} was out at {first.who} and {after.offered.who} at once"
+            return [Breach("no effect twice", text, (first.line, after.offered.line))]
+    return []
+
+
+def _keyed(task: str, attempts: list[Attempt], figures: Figures) -> list[Breach]:
+    cls = attempts[0].offered.cls
+    window, group = figures.keyed_window_ms.get(cls, 0.0), figures.keyed_group.get(cls, "all")
+    for number, later in enumerate(attempts):
+        maybe = [a for a in attempts[:number] if not a.refused_by(later.offered.at)]
+        for earlier in maybe:
+            outside = group != "all" and place(earlier.offered, group) != place(later.offered, group)
+            late = later.offered.at - earlier.offered.at > window + SLACK_MS
+            if outside or late:
+                text = f"{task} was sent again {'out of its group' if outside else 'after its window'}"
+                return [Breach("no effect twice", text, (earlier.offered.line, later.offered.line))]
+    return []
+
+
+def place(entry: Entry, by: str) -> object:
+    return {"zone": entry.zone, "cell": (entry.zone, entry.cell)}.get(by, entry.who)
+
+
+def drains(story: Story, figures: Figures) -> list[Breach]:
+    """Rule 3: nothing new to a host that drains or is gone, after the grace from learning it."""
+    breaches = []
+    told: dict[tuple[str, str], tuple[float, int]] = {}  # since when it is told as not serving
+    for entry in story.entries:
+        if entry.kind == "told":
+            key = entry.allocator, entry.who
+            if entry.state == "serving":
+                told.pop(key, None)
+            elif key not in told:
+                told[key] = story.learned(entry.allocator, entry.at), entry.line
+        elif entry.kind == "offered":
+            since, line = told.get((entry.allocator, entry.who), (float("inf"), 0))
+            if (entry.since or entry.at) > since + figures.drain_ms + SLACK_MS:
+                late = (entry.since or entry.at) - since
+                text = (
+                    f"{entry.task} went to {entry.who} {late:.0f} ms after {entry.allocator} knew it drains"
+                )
+                breaches.append(Breach("drains kept", text, (line, entry.line)))
+    return breaches
+
+
+def cold(story: Story, figures: Figures) -> list[Breach]:
+    """Rule 4: no cold host is offered more than it bears in a window, by all allocators, and none falls
+    over."""
+    breaches = []
+    up: dict[str, Entry] = {}
+    offers: dict[str, list[Entry]] = defaultdict(list)
+    for entry in story.entries:
+        if entry.kind == "up":
+            up[entry.who] = entry
+            offers[entry.who].clear()
+        elif entry.kind == "down" and entry.text == "fell over":
+            lines = (up[entry.who].line, entry.line) if entry.who in up else (entry.line,)
+            breaches.append(Breach("cold machines spared", f"{entry.who} fell over", lines))
+        elif entry.kind == "offered" and entry.who in up and up[entry.who].cold:
+            if entry.at - up[entry.who].at >= figures.cold_ms:
+                continue
+            recent = offers[entry.who]
+            recent.append(entry)
+            first = bisect_right(recent, entry.at - figures.cold_window_ms, key=lambda e: e.at)
+            if len(recent) - first > figures.cold_offers:
+                text = f"{entry.who} was offered {len(recent) - first} within {figures.cold_window_ms:.0f} ms"
+                breaches.append(Breach("cold machines spared", text, tuple(e.line for e in recent[first:])))
+                recent.clear()
+    return breaches
+
+
+def spread(story: Story, figures: Figures) -> list[Breach]:
+    """Rule 5: at each send, of one service no more than stated is placed or out in one place, by one
+    allocator."""
+    breaches = []
+    groups: dict[tuple[str, str, object], list[Attempt]] = defaultdict(list)
+    for attempt in story.attempts.values():
+        entry = attempt.offered
+        rule = figures.spread.get(entry.cls)
+        if rule is None:
+            continue
+        there = groups[entry.allocator, entry.service, place(entry, rule.by)]
+        counted = [a for a in there if _counts(a, entry.at)]
+        if len(counted) + 1 > rule.most:
+            text = f"{entry.allocator} sent a task of {entry.service} where {len(counted)} were already"
+            breaches.append(Breach("spread kept", text, (*(a.offered.line for a in counted), entry.line)))
+        there.append(attempt)
+    return breaches
+
+
+def _counts(attempt: Attempt, at: float) -> bool:
+    """Whether the attempt was out or placed then, as its allocator must know."""
+    if attempt.end() <= at + SLACK_MS:
+        return False
+    yes, until = attempt.yes(), attempt.offered.at + attempt.offered.within
+    if yes is None:
+        return at < until - SLACK_MS
+    if yes.at <= until - SLACK_MS:
+        return True
+    return at < until - SLACK_MS or at > yes.at + SLACK_MS
+
+
+RULES: dict[str, Callable[[Story, Figures], list[Breach]]] = {
+    "no task lost": answers,
+    "no effect twice": effects,
+    "drains kept": drains,
+    "cold machines spared": cold,
+    "spread kept": spread,
+}
+
+
+def check(entries: list[Entry], figures: Figures) -> list[Breach]:
+    """All breaches of all rules, in the order of the rules."""
+    story = Story(entries)
+    return [breach for rule in RULES.values() for breach in rule(story, figures)]
--- /dev/null
+++ b/glencleat/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line, by click: `glencleat COMMAND`."""
--- /dev/null
+++ b/glencleat/cli/main.py
@@ -0,0 +1,133 @@
+"""glencleat's commands. Exit codes: 0 done; 1 a check failed (a rule was broken); 2 wrong use or a file that
+can't be used; 3 the system refused (an address in use, a file that can't be written)."""
+
+from __future__ import annotations
+
+import json
+import sys
+import tempfile
+from pathlib import Path
+from typing import TYPE_CHECKING, NoReturn, TextIO
+
+import click
+
+from glencleat import VERSION
+from glencleat import log as logging
+from glencleat.config import Config, ConfigError, load
+
+if TYPE_CHECKING:
+    from glencleat.check.record import Entry
+
+CONF = click.Path(dir_okay=False, path_type=Path)
+
+
+def give_up(text: str, code: int) -> NoReturn:
+    click.echo(text, err=True)
+    sys.exit(code)
+
+
+def read(path: Path) -> Config:
+    try:
+        return load(path)
+    except ConfigError as error:
+        give_up("\n".join(f"glencleat: {fault}" for fault in error.faults), 2)
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]}, epilog=__doc__)
+@click.version_option(VERSION, prog_name="glencleat")
+def main() -> None:
+    """A cluster scheduler of which many allocators run side by side, sharing nothing."""
+
+
+@main.command()
+@click.argument("conf", type=CONF)
+@click.option("--ready", type=click.File("w"), help="Write the bound addresses there as one JSON line.")
+def serve(conf: Path, ready: TextIO | None) -> None:
+    """Run one allocator until SIGTERM. SIGHUP reads CONF again, whole or not at all."""
+    from glencleat.daemon import Daemon
+
+    config = read(conf)
+    log = logging.set_up(config.log.form, config.log.level, allocator=config.allocator.name)
+    daemon = Daemon(config, log, conf)
+    daemon.follow_signals()
+    try:
+        bound = daemon.start()
+    except OSError as error:
+        give_up(f"glencleat: {error}", 3)
+    log.info("listening", **bound)
+    if ready is not None:
+        ready.write(json.dumps(bound) + "\n")
+        ready.flush()
+    daemon.loop.run()
+    log.info("stopped", open=daemon.core.ledger.open, mismatch=daemon.core.figures.mismatch())
+
+
+@main.command("check-config")
+@click.argument("conf", type=CONF)
+def check_config(conf: Path) -> None:
+    """Check CONF: names file, line, setting and what was expected of all that is wrong."""
+    config = read(conf)
+    click.echo(f"{conf}: good ({len(config.classes)} classes, {len(config.kinds)} kinds)")
+
+
+@main.command()
+@click.argument("script", type=CONF)
+@click.option("--folder", type=click.Path(file_okay=False, path_type=Path), help="Keep record and logs here.")
+@click.option("--seed", type=int, help="Instead of the script's.")
+def play(script: Path, folder: Path | None, seed: int | None) -> None:
+    """Play a day from SCRIPT on loopback and check the five rules. Exits with 1 if one was broken."""
+    from glencleat.standins.play import Play, PlayError
+    from glencleat.standins.script import load_campus, load_script
+
+    try:
+        told = load_script(script)
+        campus_file = script.parent / told.campus
+        campus = load_campus(campus_file)
+    except ConfigError as error:
+        give_up("\n".join(f"glencleat: {fault}" for fault in error.faults), 2)
+    if seed is not None:
+        told = told.model_copy(update={"play": told.play.model_copy(update={"seed": seed})})
+    with tempfile.TemporaryDirectory(prefix="glencleat-") as made:
+        kept = folder or Path(made)
+        kept.mkdir(parents=True, exist_ok=True)
+        day = Play(told, campus_file, campus, kept)
+        try:
+            day.run()
+        except PlayError as error:
+            give_up(f"glencleat: {error}", 3)
+        verdict(day.recorder.entries, campus)
+
+
+@main.command()
+@click.argument("record", type=CONF)
+@click.argument("campus", type=CONF)
+def report(record: Path, campus: Path) -> None:
+    """Check RECORD (of a play) again by the rules that CAMPUS states, and show its tables."""
+    from glencleat.check.record import BadRecord
+    from glencleat.check.record import read as read_record
+    from glencleat.standins.script import load_campus
+
+    try:
+        verdict(list(read_record(record)), load_campus(campus))
+    except ConfigError as error:
+        give_up("\n".join(f"glencleat: {fault}" for fault in error.faults), 2)
+    except (BadRecord, OSError) as error:
+        give_up(f"glencleat: {error}", 2)
+
+
+def verdict(entries: list[Entry], campus: Config) -> None:
+    """Shows the tables; exits with 1 if a rule was broken."""
+    from rich.console import Console
+
+    from glencleat.check import report as tables
+    from glencleat.check import rules
+    from glencleat.standins.script import figures
+
+    breaches = rules.check(entries, figures(campus))
+    tables.show(entries, breaches, Console(width=None if sys.stdout.isatty() else 110))
+    if breaches:
+        sys.exit(1)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/glencleat/config/__init__.py
@@ -0,0 +1,10 @@
+"""The configuration: a line-based file in the manner of classic daemons, checked into a typed schema.
+
+`lines` reads lines (no meaning), `schema` is what they may say (pydantic), `load` joins both and names file,
+line and setting of everything that is wrong, all at once."""
+
+from glencleat.config.lines import Fault
+from glencleat.config.load import ConfigError, load
+from glencleat.config.schema import Config
+
+__all__ = ["Config", "ConfigError", "Fault", "load"]
--- /dev/null
+++ b/glencleat/config/load.py
@@ -0,0 +1,168 @@
+"""Joins lines and schema: a file becomes a Config, or one ConfigError with every fault in it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, TypeVar
+
+from pydantic import BaseModel, ValidationError
+
+from glencleat.config.lines import Fault, Line, read
+from glencleat.config.schema import Config
+
+
+class ConfigError(Exception):
+    """The file can't be used; `faults` says where and why, all at once."""
+
+    def __init__(self, faults: list[Fault]) -> None:
+        super().__init__("\n".join(map(str, faults)))
+        self.faults = faults
+
+
+# keyword -> (positional fields, setting, whether there may be several); `name value` pairs follow
+PAIRS: dict[str, tuple[tuple[str, ...], str, bool]] = {
+    "allocator": (("name",), "allocator", False),
+    "class": (("name",), "classes", True),
+    "kind": (("name",), "kinds", True),
+    "accept": ((), "accept", False),
+    "reports": ((), "reports", False),
+    "cold": ((), "cold", False),
+    "heartbeat": ((), "heartbeat", False),
+    "limit": ((), "limit", False),
+    "log": ((), "log", False),
+}
+SINGLE = {
+    "directory": "directory",
+    "default-class": "default_class",
+    "pool": "pool",
+    "attempts": "attempts",
+    "drain": "drain",
+    "answer-margin": "answer_margin",
+    "shutdown": "shutdown",
+    "grace": "grace",
+    "probe-timeout": "probe_timeout",
+}
+LISTEN = ("owners", "agents", "metrics")
+
+
+@dataclass(frozen=True, slots=True)
+class Tables:
+    """Which lines a kind of file may have."""
+
+    pairs: dict[str, tuple[tuple[str, ...], str, bool]]
+    single: dict[str, str]
+    listen: tuple[str, ...] = ()
+
+    def keywords(self) -> list[str]:
+        return sorted([*self.pairs, *self.single, *(["listen"] if self.listen else []), "include"])
+
+
+class Reader:
+    """Gathers what the lines say, and which line said what."""
+
+    def __init__(self, path: Path, tables: Tables) -> None:
+        self.path, self.tables = path, tables
+        self.said: dict[str, Any] = {}
+        self.where: dict[tuple[str | int, ...], Line] = {}
+        self.faults: list[Fault] = []
+
+    def fault(self, line: Line, setting: str, text: str) -> None:
+        self.faults.append(Fault(line.file, line.number, setting, text))
+
+    def line(self, line: Line) -> None:
+        word, rest = line.words[0], line.words[1:]
+        if word in self.tables.pairs:
+            self._pairs(line, word, list(rest))
+        elif word == "listen" and self.tables.listen:
+            if len(rest) != 2 or rest[0] not in self.tables.listen:
+                self.fault(line, "listen", f"expected one of {', '.join(self.tables.listen)} and HOST:PORT")
+            else:
+                self._one(line, f"listen {rest[0]}", rest[0], rest[1])
+        elif word in self.tables.single:
+            if len(rest) != 1:
+                self.fault(line, word, f"{len(rest)} values; expected one")
+            else:
+                self._one(line, word, self.tables.single[word], rest[0])
+        else:
+            self.fault(
+                line, word[:40], f"no such setting; expected one of {', '.join(self.tables.keywords())}"
+            )
+
+    def _one(self, line: Line, shown: str, key: str, value: Any) -> None:
+        if key in self.said:
+            before = self.where[key,]
+            self.fault(line, shown, f"is there twice, first at {before.file}:{before.number}")
+            return
+        self.said[key] = value
+        self.where[key,] = line
+
+    def _pairs(self, line: Line, word: str, rest: list[str]) -> None:
+        positional, key, many = self.tables.pairs[word]
+        if len(rest) < len(positional) or (len(rest) - len(positional)) % 2:
+            names = " ".join(p.upper() for p in positional)
+            self.fault(
+                line, word, f"expected {word} {names}{' ' if names else ''}and pairs of a name and a value"
+            )
+            return
+        record = dict(zip(positional, rest, strict=False))
+        pairs = rest[len(positional) :]
+        for name, value in zip(pairs[::2], pairs[1::2], strict=True):
+            field = name.replace("-", "_")
+            if field in record:
+                self.fault(line, f"{word} {name}", "is there twice on one line")
+            record[field] = value
+        if many:
+            items = self.said.setdefault(key, [])
+            self.where[key, len(items)] = line
+            items.append(record)
+        else:
+            self._one(line, word, key, record)
+
+    def place(self, loc: tuple[str | int, ...]) -> Line:
+        for length in (2, 1):
+            if loc[:length] in self.where:
+                return self.where[loc[:length]]
+        return Line(str(self.path), 0, ())
+
+    def shown(self, loc: tuple[str | int, ...]) -> str:
+        """A place in the schema as the file writes it."""
+        names = {key: word for word, (_, key, _) in self.tables.pairs.items()}
+        names |= {key: word for word, key in self.tables.single.items()}
+        names |= {name: f"listen {name}" for name in self.tables.listen}
+        words = [names.get(part, part.replace("_", "-")) for part in loc if isinstance(part, str)]
+        return " ".join(words) or "file"
+
+
+S = TypeVar("S", bound=BaseModel)
+
+
+def load_as(
+    schema: type[S], tables: Tables, path: Path, change: Callable[[dict[str, Any]], None] = lambda said: None
+) -> S:
+    """Reads and checks a file; raises ConfigError. `change` may alter what was said before the check."""
+    lines, faults = read(path)
+    reader = Reader(path, tables)
+    reader.faults += faults
+    for line in lines:
+        reader.line(line)
+    change(reader.said)
+    try:
+        config = schema.model_validate(reader.said)
+    except ValidationError as error:
+        for item in error.errors(include_url=False):
+            text = item["msg"].removeprefix("Value error, ")
+            if item["type"] == "missing":
+                text = "is missing"
+            elif item["type"] == "extra_forbidden":
+                text = "no such setting here"
+            reader.fault(reader.place(item["loc"]), reader.shown(item["loc"]), text)
+    if reader.faults:
+        raise ConfigError(sorted(reader.faults, key=lambda f: (f.file, f.line)))
+    return config
+
+
+def load(path: Path, change: Callable[[dict[str, Any]], None] = lambda said: None) -> Config:
+    """An allocator's configuration; raises ConfigError with every fault in it."""
+    return load_as(Config, Tables(PAIRS, SINGLE, LISTEN), path, change)
--- /dev/null
+++ b/glencleat/daemon.py
@@ -0,0 +1,171 @@
+"""One allocator as a daemon: joins configuration, core, module and fronts, and follows signals.
+
+Started by `glencleat serve`. SIGTERM ends it in a bounded time, every task answered; SIGHUP reads the
+configuration again, whole or not at all."""
+
+from __future__ import annotations
+
+import dataclasses
+import gc
+import os
+import signal
+from collections.abc import Callable
+from pathlib import Path
+from random import SystemRandom
+from typing import Any
+
+from glencleat.allocator.admission import Limits as Admission
+from glencleat.allocator.core import Core, Options
+from glencleat.config import Config, ConfigError, load
+from glencleat.fronts.directory import DirectoryClient
+from glencleat.fronts.executor_api import ExecutorApi
+from glencleat.fronts.metrics import MetricsApi
+from glencleat.fronts.scheduler_api import SchedulerApi
+from glencleat.fronts.server import Limits, Server
+from glencleat.kernel import Loop
+from glencleat.kernel.loop import READ
+from glencleat.logic import Scheduler
+
+MB = 1 << 20
+LIVE = {"limit", "log", "shutdown", "answer_margin", "probe_timeout"}  # what SIGHUP can change
+
+
+def options(config: Config) -> Options:
+    limit = config.limit
+    return Options(
+        name=config.allocator.name,
+        pool=config.pool,
+        default_class=config.default_class,
+        answer_margin_ms=config.answer_margin,
+        heartbeat_ms=config.heartbeat.every,
+        missed=config.heartbeat.missed,
+        return_ms=config.heartbeat.agents_return,
+        probe_timeout_ms=config.probe_timeout,
+        grace_ms=config.grace,
+        unacked_most=limit.unacknowledged,
+        remembered=limit.remembered,
+        frameworks_most=limit.frameworks,
+        agents_most=limit.agents,
+        limits=Admission(limit.open_tasks, limit.open_each, limit.placed),
+    )
+
+
+def server_limits(config: Config) -> Limits:
+    limit = config.limit
+    return Limits(limit.connections, int(limit.body * MB), int(limit.unsent * MB), limit.request, limit.idle)
+
+
+class Daemon:
+    """`start` binds and subscribes; `loop.run` then serves until `stop` has done its work."""
+
+    def __init__(
+        self,
+        config: Config,
+        log: Any,
+        path: Path | None = None,
+        loop: Loop | None = None,
+        seed: int | None = None,
+    ) -> None:
+        self.config, self.log, self.path = config, log, path
+        self.loop = loop or Loop()
+        # The decisions' seed is the configuration's; ids must differ after a restart, so theirs is not.
+        settings = config.settings()
+        module = Scheduler(settings, config.allocator.seed)
+        ids = SystemRandom().getrandbits(64) if seed is None else seed
+        self.core = Core(settings, module, options(config), self.loop, ids, self._log)
+        self.servers: dict[str, Server] = {}
+        self.stopping = False
+        self.directory = DirectoryClient(
+            self.loop, config.directory, self.core.list_told, 3.0 * config.heartbeat.every, log=self._log
+        )
+        self.core.watch = self.directory.watch
+        self.core.on_idle = self._end_soon
+
+    def _log(self, event: str, **more: Any) -> None:
+        self.log.info(event, **more)
+
+    def start(self) -> dict[str, str]:
+        """Binds the listeners; gives their addresses. Raises OSError naming the address."""
+        limits = server_limits(self.config)
+        handlers = {
+            "owners": SchedulerApi(self.core).handle,
+            "agents": ExecutorApi(self.core).handle,
+            "metrics": MetricsApi(self.core).handle,
+        }
+        for name, handler in handlers.items():
+            address = getattr(self.config, name)
+            if address is None:
+                continue
+            try:
+                self.servers[name] = Server(self.loop, address, handler, limits, self._log)
+            except OSError as error:
+                raise OSError(f"listen {name} {address[0]}:{address[1]}: {error.strerror}") from None
+        self.directory.watch()
+        gc.freeze()  # what is there from the start need not be looked at by each collection
+        return {name: f"{s.address[0]}:{s.address[1]}" for name, s in self.servers.items()}
+
+    # ---- signals ----
+
+    def follow_signals(self) -> None:
+        """Delivers signals as bytes on a pipe, so that they are handled between two events."""
+        reader, writer = os.pipe()
+        os.set_blocking(reader, False)
+        os.set_blocking(writer, False)
+        signal.set_wakeup_fd(writer)
+        calls: dict[int, Callable[[], None]] = {
+            signal.SIGTERM: self.stop,
+            signal.SIGINT: self.stop,
+            signal.SIGHUP: self.reload,
+        }
+        for number in calls:
+            signal.signal(number, lambda *_: None)
+
+        def told(_: int) -> None:
+            for number in os.read(reader, 64):
+                if number in calls:
+                    calls[number]()
+
+        self.loop.poller.watch(reader, READ, told)
+
+    def stop(self) -> None:
+        """No new tasks; ends when all that is held is answered, or its time is up."""
+        if self.stopping:
+            return
+        self.stopping = True
+        self.log.info("stopping", open=self.core.ledger.open)
+        self.loop.call_in(self.config.shutdown, self._finish)
+        self.core.end()
+
+    def _finish(self) -> None:
+        self.core.finish()
+        self._end_soon()
+
+    def _end_soon(self) -> None:
+        """Leaves what was just answered one flush, bounded, on its way out."""
+        for server in self.servers.values():
+            server.close()
+        self.loop.call_in(100.0, self.loop.stop)
+
+    def reload(self) -> None:
+        """Reads the file again: all of it counts, or nothing of it."""
+        if self.path is None:
+            return
+        try:
+            config = load(self.path)
+        except ConfigError as error:
+            for fault in error.faults:
+                self.log.error("configuration refused", where=f"{fault.file}:{fault.line}", why=str(fault))
+            return
+        old, new = self.config.model_dump(), config.model_dump()
+        fixed = sorted(name for name in new if new[name] != old[name] and name not in LIVE)
+        if fixed:
+            self.log.error("configuration refused", why=f"only a restart can change {', '.join(fixed)}")
+            return
+        self.config = config
+        self.core.options = dataclasses.replace(options(config), name=self.core.options.name)
+        self.core.frameworks.most, self.core.members.most = config.limit.frameworks, config.limit.agents
+        self.core.frameworks.unacked_most = config.limit.unacknowledged
+        for server in self.servers.values():
+            server.limits = server_limits(config)
+            server.listener.most, server.listener.limit = config.limit.connections, server.limits.unsent
+        self.log.info("configuration read again")
--- /dev/null
+++ b/glencleat/fronts/directory.py
@@ -0,0 +1,95 @@
+"""The directory's client: subscribes to the Operator API at /api/v1 and tells the module what it says.
+
+The module asks by `Watch` and decides when to ask again; a failed or broken subscription is told as
+FAILED."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from glencleat import interface as api
+from glencleat.allocator.listing import Listing
+from glencleat.kernel import Loop, Stream, StreamClosed, Task
+from glencleat.kernel.loop import Coroutine
+from glencleat.kernel.streams import connect
+from glencleat.mesos import messages as m
+from glencleat.mesos.http import ClientConnection, End, Head, HttpError
+from glencleat.mesos.recordio import Decoder, RecordError
+
+TARGET = "/api/v1"
+CONNECT_MS = 1_000.0
+
+
+class DirectoryClient:
+    def __init__(
+        self,
+        loop: Loop,
+        address: tuple[str, int],
+        tell: Callable[[api.ListTold], None],
+        silence_ms: float = 45_000.0,
+        record_most: int = 16 << 20,
+        log: Callable[..., None] = lambda event, **more: None,
+    ) -> None:
+        self.loop, self.address, self.tell, self.log = loop, address, tell, log
+        self.silence_ms, self.record_most = silence_ms, record_most
+        self.listing = Listing()
+        self.task: Task | None = None
+        self.stream: Stream | None = None
+
+    def watch(self) -> None:
+        """Subscribes, anew if it is subscribed already; exactly one ListTold follows, whole or failed."""
+        if self.task is not None and not self.task.done:
+            self.loop.cancel(self.task)
+        self.task = self.loop.spawn(self._run(), "directory")
+
+    def _run(self) -> Coroutine:
+        stream: Stream | None = None
+        try:
+            stream = yield from connect(self.loop, self.address, CONNECT_MS)
+            yield from self._subscribed(stream)
+            why = "the directory ended the stream"
+        except (StreamClosed, HttpError, RecordError, m.BadMessage) as error:
+            why = str(error)
+        finally:
+            if stream is not None:
+                stream.close("done")
+        self.log("directory failed", why=why)
+        self.tell(api.ListTold(api.ListKind.FAILED))
+
+    def _subscribed(self, stream: Stream) -> Coroutine:
+        http, decoder = ClientConnection(), Decoder(self.record_most)
+        headers = {"content-type": "application/json", "accept": "application/json"}
+        body = m.encode(m.OperatorCall("SUBSCRIBE"))
+        stream.send(http.request("POST", TARGET, "directory", headers, body))
+        silence = self.loop.call_in(self.silence_ms, lambda: stream.close("no heartbeat"))
+        try:
+            while True:
+                data = yield from stream.read()
+                silence.cancel()
+                silence = self.loop.call_in(self.silence_ms, lambda: stream.close("no heartbeat"))
+                for event in http.feed(data):
+                    if isinstance(event, Head) and event.status != 200:
+                        raise HttpError(event.status, f"the directory answered {event.status}")
+                    if isinstance(event, End):
+                        return
+                    for record in decoder.feed(event) if isinstance(event, bytes) else ():
+                        self._event(m.decode(m.OperatorEvent, record))
+                if data == b"":
+                    return
+        finally:
+            silence.cancel()
+
+    def _event(self, event: m.OperatorEvent) -> None:
+        now, wall = self.loop.now(), self.loop.clock.wall()
+        told: Any = None
+        if event.type == "SUBSCRIBED" and event.subscribed is not None:
+            state = event.subscribed.get_state
+            agents = state.get_agents.agents if state is not None and state.get_agents is not None else []
+            told = self.listing.whole(agents, now, wall)
+        elif event.type == "AGENT_ADDED" and event.agent_added is not None:
+            told = self.listing.changed(event.agent_added.agent, now, wall)
+        elif event.type == "AGENT_REMOVED" and event.agent_removed is not None:
+            told = self.listing.removed(event.agent_removed.agent_id.value)
+        if told is not None:
+            self.tell(told)
--- /dev/null
+++ b/glencleat/fronts/executor_api.py
@@ -0,0 +1,64 @@
+"""The Executor API at /api/v1/executor, for machines' agents (mesos/v1/executor/executor.proto).
+
+SUBSCRIBE is answered with a stream of events; UPDATE, MESSAGE and HEARTBEAT are POSTs of their own, answered
+202. Calls of a run that is not subscribed are 403: its agent subscribes again and tells all it holds."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from glencleat.allocator.agent_side import NotSubscribed
+from glencleat.allocator.core import Core
+from glencleat.allocator.members import Refused
+from glencleat.fronts.scheduler_api import need
+from glencleat.fronts.server import RecordLink, Subscribe, json_call
+from glencleat.mesos import messages as m
+from glencleat.mesos.http import HttpError, Request, Response
+
+TARGET = "/api/v1/executor"
+HEARTBEAT = m.encode(m.ExecutorEvent("HEARTBEAT"))
+TYPES = ("SUBSCRIBE", "UPDATE", "MESSAGE", "HEARTBEAT")
+ID_MOST = 256
+
+
+class ExecutorApi:
+    def __init__(self, core: Core) -> None:
+        self.core = core
+
+    def handle(self, request: Request) -> Response | Subscribe:
+        body = json_call(request, TARGET)
+        try:
+            call = m.decode(m.ExecutorCall, body)
+            if not call.executor_id.value or len(call.executor_id.value) > ID_MOST:
+                raise HttpError(400, f"executor_id: expected 1 to {ID_MOST} characters")
+            if call.type == "SUBSCRIBE":
+                return self._subscribe(call)
+            self._call(call)
+        except m.BadMessage as error:
+            raise HttpError(400, f"Failed to parse body into Call: {error}") from None
+        except NotSubscribed as error:
+            raise HttpError(403, f"Executor is not subscribed: {error}") from None
+        return Response(202)
+
+    def _subscribe(self, call: m.ExecutorCall) -> Subscribe:
+        def begin(link: RecordLink) -> Callable[[str], None]:
+            try:
+                agent = self.core.agents.subscribe(call, link)
+            except (Refused, m.BadMessage, NotSubscribed) as error:
+                link.send(m.encode(m.ExecutorEvent("ERROR", error=m.ErrorEvent(str(error)))))
+                link.close(str(error))
+                return lambda why: None
+            return lambda why: self.core.agents.closed(agent, link, why)
+
+        return Subscribe({}, begin, HEARTBEAT, self.core.options.heartbeat_ms)
+
+    def _call(self, call: m.ExecutorCall) -> None:
+        agents, name = self.core.agents, call.executor_id.value
+        if call.type == "UPDATE":
+            agents.update(name, need(call.update, "update").status)
+        elif call.type == "MESSAGE":
+            agents.message(name, m.unpack(need(call.message, "message").data))
+        elif call.type == "HEARTBEAT":
+            agents.heartbeat(name)
+        else:
+            raise HttpError(400, f"type is {call.type[:40]!r}; expected one of {', '.join(TYPES)}")
--- /dev/null
+++ b/glencleat/fronts/metrics.py
@@ -0,0 +1,81 @@
+"""Metrics at /metrics, in Prometheus' text format by its own client library.
+
+Each scrape reads the core between two events, so that taken = served + refused + failed + open holds in
+it."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from prometheus_client import CONTENT_TYPE_LATEST, CollectorRegistry, generate_latest
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
+
+from glencleat.allocator.core import Core
+from glencleat.allocator.ledger import Given
+from glencleat.allocator.members import State
+from glencleat.mesos.http import HttpError, Request, Response
+
+
+class Collector:
+    def __init__(self, core: Core) -> None:
+        self.core = core
+
+    def collect(self) -> Iterator[Metric]:
+        figures = self.core.figures
+        taken = CounterMetricFamily("glencleat_tasks_taken", "Tasks taken from owners", labels=["class"])
+        for name, value in sorted(figures.taken.items()):
+            taken.add_metric([name], value)
+        yield taken
+        given = CounterMetricFamily("glencleat_tasks_answered", "Final answers", labels=["class", "answer"])
+        for name in sorted(figures.taken):
+            for answer in Given:
+                given.add_metric([name, answer.value], figures.given[name, answer.value])
+        yield given
+        still = GaugeMetricFamily("glencleat_tasks_open", "Tasks without an answer yet", labels=["class"])
+        open_now = figures.open_by_class()
+        for name in sorted(figures.taken):
+            still.add_metric([name], open_now[name])
+        yield still
+        yield from self._others()
+
+    def _others(self) -> Iterator[Metric]:
+        figures, core = self.core.figures, self.core
+        off = GaugeMetricFamily("glencleat_tasks_mismatch", "Taken less answered less open: 0, or a fault")
+        off.add_metric([], sum(abs(v) for v in figures.mismatch().values()))
+        yield off
+        attempts = CounterMetricFamily("glencleat_attempts", "Attempts back, by outcome", labels=["outcome"])
+        for name, value in sorted(figures.attempts.items()):
+            attempts.add_metric([name], value)
+        yield attempts
+        events = CounterMetricFamily("glencleat_events", "Things worth a count", labels=["event"])
+        for name, value in sorted(figures.events.items()):
+            events.add_metric([name], value)
+        yield events
+        agents = GaugeMetricFamily("glencleat_agents", "Agents by state", labels=["state"])
+        for state in State:
+            members = core.members.members.values()
+            agents.add_metric([state.value], sum(member.state is state for member in members))
+        yield agents
+        frameworks = GaugeMetricFamily("glencleat_frameworks", "Owners' frameworks", labels=["connected"])
+        for connected in (True, False):
+            known = core.frameworks.known.values()
+            frameworks.add_metric(
+                [str(connected).lower()], sum((f.session is not None) is connected for f in known)
+            )
+        yield frameworks
+        module = CounterMetricFamily("glencleat_module_cpu_seconds", "CPU time inside the decision module")
+        module.add_metric([], figures.module_s)
+        yield module
+
+
+class MetricsApi:
+    def __init__(self, core: Core) -> None:
+        self.registry = CollectorRegistry(auto_describe=False)
+        self.registry.register(Collector(core))
+
+    def handle(self, request: Request) -> Response:
+        if request.target.split("?")[0] != "/metrics":
+            raise HttpError(404, f"{request.target[:80]}: no such resource; expected /metrics")
+        if request.method != "GET":
+            raise HttpError(405, f"{request.method[:20]}: expected GET")
+        return Response(200, generate_latest(self.registry), CONTENT_TYPE_LATEST)
--- /dev/null
+++ b/glencleat/fronts/server.py
@@ -0,0 +1,227 @@
+"""An HTTP/1.1 server on the kernel's streams: one task a connection, handlers by target.
+
+A handler gets a Request and answers with a Response, or takes the connection over for a stream of records
+(`RecordLink`). Every wait for a peer has a limit: idle connections, requests that come too slowly, responses
+that are not read."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from glencleat.kernel import Listener, Loop, Stream, StreamClosed
+from glencleat.kernel.loop import Coroutine
+from glencleat.kernel.timers import Timer
+from glencleat.mesos import recordio
+from glencleat.mesos.http import HttpError, Request, Response, ServerConnection
+import contextlib
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    connections: int = 10_000
+    body: int = 1 << 20  # bytes
+    unsent: int = 1 << 20  # bytes that a slow reader may leave
+    request_ms: float = 10_000.0  # from a request's first byte to its last
+    idle_ms: float = 60_000.0  # between requests
+
+
+class RecordLink:
+    """A subscribed session: a chunked response that carries RecordIO. The core's Link."""
+
+    def __init__(self, connection: ServerConnection, stream: Stream) -> None:
+        self.connection, self.stream = connection, stream
+        self.ended: Callable[[str], None] = lambda why: None
+        self.beat: Timer | None = None
+
+    def send(self, record: bytes) -> tuple[int, int]:
+        framed = self.connection.chunk(recordio.encode(record))
+        begin = self.stream.queued
+        end = begin + len(framed) - 2  # the chunk's own line end comes after the record's last byte
+        if self.stream.closed is None:
+            try:
+                self.stream.send(framed)
+            except StreamClosed:
+                return begin, end
+        return begin, end
+
+    def written(self) -> int:
+        return self.stream.written
+
+    def close(self, why: str) -> None:
+        """Ends the response, as far as the socket takes it, and the connection."""
+        if self.stream.closed is None:
+            try:
+                self.stream.send(self.connection.end_stream())
+            except StreamClosed:
+                return
+            self.stream.close(why)
+
+
+@dataclass(slots=True)
+class Subscribe:
+    """A handler's answer that turns the connection into a session."""
+
+    headers: dict[str, str]
+    begin: Callable[[RecordLink], Callable[[str], None]]  # gives what is called at the session's end
+    heartbeat: bytes
+    every_ms: float
+
+
+Handler = Callable[[Request], Response | Subscribe]
+
+
+class Server:
+    def __init__(
+        self,
+        loop: Loop,
+        address: tuple[str, int],
+        handler: Handler,
+        limits: Limits,
+        log: Callable[..., None] = lambda event, **more: None,
+    ) -> None:
+        self.loop, self.handler, self.limits, self.log = loop, handler, limits, log
+        self.refused = 0
+        self.listener = Listener(
+            loop, address, self._accept, limits.connections, limits.unsent, self._dropped
+        )
+
+    @property
+    def address(self) -> tuple[str, int]:
+        return self.listener.address
+
+    def _dropped(self, why: str) -> None:
+        self.refused += 1
+        if self.refused & (self.refused - 1) == 0:  # 1, 2, 4, 8 ...: a storm must not fill the log
+            self.log("connection refused", why=why, so_far=self.refused)
+
+    def _accept(self, stream: Stream) -> None:
+        self.loop.spawn(self._serve(stream), "connection")
+
+    def _serve(self, stream: Stream) -> Coroutine:
+        connection = ServerConnection(self.limits.body)
+        clock = Patience(self.loop, stream, self.limits)
+        try:
+            while stream.closed is None:
+                clock.waits(connection.waits())
+                data = yield from stream.read()
+                requests = connection.feed(data)
+                while requests:
+                    link = yield from self._answer(connection, stream, requests[0], clock)
+                    if link is not None:
+                        clock.stop()
+                        yield from self._hold(stream)
+                        return
+                    requests = requests[1:] or connection.more()
+                if data == b"" or connection.ended():
+                    break
+        except HttpError as error:
+            self._complain(connection, stream, error)
+            yield from stream.flush()
+        except StreamClosed:
+            pass
+        finally:
+            clock.stop()
+            stream.close("done")
+
+    def _complain(self, connection: ServerConnection, stream: Stream, error: HttpError) -> None:
+        self.log("bad request", status=error.status, why=error.text[:200])
+        with contextlib.suppress(StreamClosed):
+            stream.send(connection.refuse(error))
+
+    def _answer(
+        self, connection: ServerConnection, stream: Stream, request: Request, clock: Patience
+    ) -> Coroutine:
+        try:
+            told = self.handler(request)
+        except HttpError as error:
+            told = Response(error.status, (error.text + "\n").encode())
+        if isinstance(told, Response):
+            stream.send(connection.answer(told))
+            if stream.out:
+                clock.waits(True)  # the response, too, is to be taken in that time
+                yield from stream.flush()
+            return None
+        stream.send(connection.open_stream(told.headers))
+        return self._subscribe(connection, stream, told)
+
+    def _subscribe(self, connection: ServerConnection, stream: Stream, told: Subscribe) -> RecordLink:
+        link = RecordLink(connection, stream)
+
+        def beat() -> None:
+            if stream.closed is None:
+                link.send(told.heartbeat)
+                link.beat = self.loop.call_in(told.every_ms, beat)
+
+        link.beat = self.loop.call_in(told.every_ms, beat)
+        ended: list[Callable[[str], None]] = []
+        why_closed: list[str] = []
+
+        def closed(why: str) -> None:
+            if link.beat is not None:
+                link.beat.cancel()
+            why_closed.append(why)
+            for call in ended:
+                call(why)
+
+        stream.on_close.append(closed)
+        end = told.begin(link)
+        ended.append(end)
+        if why_closed:  # it was cut off while it began
+            end(why_closed[0])
+        return link
+
+    @staticmethod
+    def _hold(stream: Stream) -> Coroutine:
+        """The session's read side: its peer sends nothing more, an end means that it is gone."""
+        while True:
+            data = yield from stream.read(4096)
+            if data == b"":
+                stream.close("peer closed")
+                return
+
+    def close(self) -> None:
+        """Stops listening; open connections stay."""
+        self.listener.close()
+
+
+class Patience:
+    """One timer a connection: how long a peer may take with a request, or stay idle.
+
+    Dripping a byte now and then does not help a slow sender: the limit runs from the request's first byte."""
+
+    def __init__(self, loop: Loop, stream: Stream, limits: Limits) -> None:
+        self.loop, self.stream, self.limits = loop, stream, limits
+        self.busy: bool | None = None
+        self.timer: Timer | None = None
+        self.waits(False)
+
+    def waits(self, busy: bool) -> None:
+        if busy and self.busy:
+            return
+        self.stop()
+        self.busy = busy
+        limit = self.limits.request_ms if busy else self.limits.idle_ms
+        why = "request too slow" if busy else "idle"
+        self.timer = self.loop.call_in(limit, lambda: self.stream.close(why))
+
+    def stop(self) -> None:
+        self.busy = None
+        if self.timer is not None:
+            self.timer.cancel()
+
+
+def json_call(request: Request, target: str) -> Any:
+    """Checks what all API calls share; raises HttpError with the published statuses."""
+    if request.target.split("?")[0] != target:
+        raise HttpError(404, f"{request.target[:80]}: no such resource; expected {target}")
+    if request.method != "POST":
+        raise HttpError(405, f"{request.method[:20]}: expected POST")
+    kind = request.headers.get("content-type", "").split(";")[0].strip().lower()
+    if kind != "application/json":
+        raise HttpError(415, f"Content-Type is {kind[:40]!r}; expected application/json")
+    accept = request.headers.get("accept", "*/*")
+    if "application/json" not in accept and "*/*" not in accept and "application/*" not in accept:
+        raise HttpError(406, f"Accept is {accept[:40]!r}; expected application/json")
+    return request.body
--- /dev/null
+++ b/glencleat/kernel/__init__.py
@@ -0,0 +1,24 @@
+"""A small kernel: an epoll loop that runs generators as coroutines, timers and bounded streams.
+
+It imports nothing of glencleat. Clock and sockets come in from outside (`Loop(clock, poller)`)."""
+
+from glencleat.kernel.loop import Cancelled, Clock, Loop, Poller, SystemClock, Task
+from glencleat.kernel.streams import Listener, Overflow, Stream, StreamClosed, connect
+from glencleat.kernel.timers import Timer, TimerHeap, TimerWheel
+
+__all__ = [
+    "Cancelled",
+    "Clock",
+    "Listener",
+    "Loop",
+    "Overflow",
+    "Poller",
+    "Stream",
+    "StreamClosed",
+    "SystemClock",
+    "Task",
+    "Timer",
+    "TimerHeap",
+    "TimerWheel",
+    "connect",
+]
--- /dev/null
+++ b/glencleat/kernel/loop.py
@@ -0,0 +1,221 @@
+"""The loop: generators as coroutines over epoll, one thread. A task waits by yielding an arming function.
+
+Imports the timers only. Whoever starts the program makes one Loop and calls `run`. Clock and poller are
+arguments, so that the same tasks can run on a virtual clock."""
+
+from __future__ import annotations
+
+import select
+import time
+from collections import deque
+from collections.abc import Callable, Generator
+from typing import Any, Protocol
+
+from glencleat.kernel.timers import Timer, Timers, TimerWheel
+
+Arm = Callable[["Task"], Callable[[], None]]  # starts a wait, returns what ends it early
+Coroutine = Generator[Arm, Any, Any]
+READ, WRITE = select.EPOLLIN, select.EPOLLOUT
+
+
+class Cancelled(BaseException):
+    """Thrown into a task that is cancelled; a task may clean up but not go on waiting."""
+
+
+class Clock(Protocol):
+    def now(self) -> float:
+        """Monotonic milliseconds."""
+
+    def wall(self) -> float:
+        """Milliseconds since the epoch, for what leaves the process."""
+
+
+class SystemClock:
+    def now(self) -> float:
+        return time.monotonic() * 1000.0
+
+    def wall(self) -> float:
+        return time.time() * 1000.0
+
+
+class Poller(Protocol):
+    def watch(self, fd: int, interest: int, call: Callable[[int], None]) -> None: ...
+    def change(self, fd: int, interest: int) -> None: ...
+    def forget(self, fd: int) -> None: ...
+    def poll(self, timeout_ms: float | None) -> int: ...
+
+
+class EpollPoller:
+    """Level-triggered epoll with a callback for each descriptor."""
+
+    def __init__(self) -> None:
+        self.epoll = select.epoll()
+        self.calls: dict[int, Callable[[int], None]] = {}
+
+    def watch(self, fd: int, interest: int, call: Callable[[int], None]) -> None:
+        self.epoll.register(fd, interest)
+        self.calls[fd] = call
+
+    def change(self, fd: int, interest: int) -> None:
+        self.epoll.modify(fd, interest)
+
+    def forget(self, fd: int) -> None:
+        if self.calls.pop(fd, None) is not None:
+            self.epoll.unregister(fd)
+
+    def poll(self, timeout_ms: float | None) -> int:
+        wait = None if timeout_ms is None else max(0.0, timeout_ms) / 1000.0
+        events = self.epoll.poll(wait, 512)
+        for fd, mask in events:
+            call = self.calls.get(fd)  # an earlier callback of this round may have closed it
+            if call is not None:
+                call(mask)
+        return len(events)
+
+
+class Task:
+    """A running generator. Its children are cancelled when it ends."""
+
+    __slots__ = ("gen", "name", "children", "parent", "done", "result", "error", "disarm", "joiners")
+
+    def __init__(self, gen: Coroutine, name: str, parent: Task | None) -> None:
+        self.gen, self.name, self.parent = gen, name, parent
+        self.children: set[Task] = set()
+        self.done, self.result = False, None
+        self.error: BaseException | None = None
+        self.disarm: Callable[[], None] | None = None
+        self.joiners: list[Task] = []
+
+
+class Loop:
+    """Runs tasks, timers and descriptors until stopped.
+
+    >>> loop = Loop()
+    >>> def work():
+    ...     yield from loop.sleep(1.0)
+    ...     return 7
+    >>> loop.run_until(loop.spawn(work(), "work"))
+    7
+    """
+
+    def __init__(
+        self, clock: Clock | None = None, poller: Poller | None = None, timers: Timers | None = None
+    ) -> None:
+        self.clock = clock or SystemClock()
+        self.poller = poller or EpollPoller()
+        self.timers: Timers = timers or TimerWheel(self.clock.now())
+        self.ready: deque[tuple[Task, Any, BaseException | None]] = deque()
+        self.running = False
+        self.current: Task | None = None
+        self.on_error: Callable[[Task, BaseException], None] = self._raise
+
+    @staticmethod
+    def _raise(task: Task, error: BaseException) -> None:
+        raise error
+
+    def now(self) -> float:
+        return self.clock.now()
+
+    def call_at(self, when: float, call: Callable[[], None]) -> Timer:
+        return self.timers.add(when, call)
+
+    def call_in(self, in_ms: float, call: Callable[[], None]) -> Timer:
+        return self.timers.add(self.clock.now() + in_ms, call)
+
+    def spawn(self, gen: Coroutine, name: str, parent: Task | None = None) -> Task:
+        task = Task(gen, name, parent)
+        if parent is not None:
+            parent.children.add(task)
+        self.ready.append((task, None, None))
+        return task
+
+    def wake(self, task: Task, value: Any = None) -> None:
+        """Ends the task's present wait; it goes on in this round of the loop."""
+        task.disarm = None
+        self.ready.append((task, value, None))
+
+    def cancel(self, task: Task) -> None:
+        if task.done:
+            return
+        if task.disarm is not None:
+            task.disarm()
+            task.disarm = None
+        self.ready.append((task, None, Cancelled()))
+
+    def sleep(self, ms: float) -> Coroutine:
+        def arm(task: Task) -> Callable[[], None]:
+            return self.call_in(ms, lambda: self.wake(task)).cancel
+
+        yield arm
+
+    def join(self, other: Task) -> Coroutine:
+        """Waits for the end of another task; gives its result or raises its error."""
+        if not other.done:
+
+            def arm(task: Task) -> Callable[[], None]:
+                other.joiners.append(task)
+                return lambda: other.joiners.remove(task)
+
+            yield arm
+        if other.error is not None:
+            raise other.error
+        return other.result
+
+    def _step(self, task: Task, value: Any, error: BaseException | None) -> None:
+        if task.done:
+            return
+        self.current = task
+        try:
+            arm = task.gen.send(value) if error is None else task.gen.throw(error)
+        except StopIteration as stop:
+            self._end(task, stop.value, None)
+        except Cancelled:
+            self._end(task, None, None)
+        except Exception as fault:
+            self._end(task, None, fault)
+        else:
+            task.disarm = arm(task)
+        finally:
+            self.current = None
+
+    def _end(self, task: Task, result: Any, error: BaseException | None) -> None:
+        task.done, task.result, task.error = True, result, error
+        if task.parent is not None:
+            task.parent.children.discard(task)
+        for child in list(task.children):
+            self.cancel(child)
+        for joiner in task.joiners:
+            self.wake(joiner)
+        if error is not None and not task.joiners:
+            self.on_error(task, error)
+        task.joiners = []
+
+    def round(self, wait: bool = True) -> None:
+        """One turn: what is ready, what the poller tells, what is due."""
+        for _ in range(len(self.ready)):
+            self._step(*self.ready.popleft())
+        if self.ready or not wait:
+            timeout: float | None = 0.0
+        else:
+            due = self.timers.next_due()
+            timeout = None if due is None else due - self.clock.now()
+        self.poller.poll(timeout)
+        for timer in self.timers.pop_due(self.clock.now()):
+            if timer.call is not None:  # an earlier one of this round may have cancelled it
+                timer.call()
+
+    def run(self) -> None:
+        self.running = True
+        while self.running:
+            self.round()
+
+    def run_until(self, task: Task) -> Any:
+        """Runs until the task has ended; gives its result or raises its error."""
+        while not task.done:
+            self.round()
+        if task.error is not None:
+            raise task.error
+        return task.result
+
+    def stop(self) -> None:
+        self.running = False
--- /dev/null
+++ b/glencleat/kernel/streams.py
@@ -0,0 +1,248 @@
+"""Bounded streams over non-blocking sockets, and a listener that survives running out of descriptors.
+
+Imports the loop. A peer that stops reading is cut off when its unsent bytes pass the stream's limit: a slow
+reader may never hold up a decision or fill memory."""
+
+from __future__ import annotations
+
+import contextlib
+import errno
+import os
+import socket
+from collections.abc import Callable
+from typing import Any
+
+from glencleat.kernel.loop import READ, WRITE, Coroutine, Loop, Task
+
+CHUNK = 65_536
+
+
+class StreamClosed(Exception):
+    """The peer or we closed the stream; the text says which and why."""
+
+
+class Overflow(StreamClosed):
+    """The peer reads too slowly: more than the limit waits unsent."""
+
+
+class Stream:
+    """One connection. `queued` and `written` count bytes since its start, so that what left is known."""
+
+    def __init__(self, loop: Loop, sock: Any, limit: int = 1 << 20) -> None:
+        sock.setblocking(False)
+        self.loop, self.sock, self.limit, self.fd = loop, sock, limit, sock.fileno()
+        self.out = bytearray()
+        self.queued = self.written = 0
+        self.closed: str | None = None
+        self.on_close: list[Callable[[str], None]] = []
+        self.reader: Task | None = None
+        self.flusher: Task | None = None
+        self.interest = 0
+        loop.poller.watch(self.fd, 0, self._told)
+
+    def _want(self, interest: int) -> None:
+        if interest != self.interest and self.closed is None:
+            self.interest = interest
+            self.loop.poller.change(self.fd, interest)
+
+    def _told(self, mask: int) -> None:
+        if mask & WRITE and self.out:
+            self._write()
+        if self.closed is None and mask & ~WRITE:
+            if self.reader is not None:
+                self._want(self.interest & ~READ)
+                reader, self.reader = self.reader, None
+                self.loop.wake(reader)
+            elif mask & ~(READ | WRITE):  # hang-up or error, and nobody reads
+                self.close("connection lost")
+
+    def read(self, size: int = CHUNK) -> Coroutine:
+        """The next bytes, b"" at the peer's end; raises StreamClosed once it is closed."""
+        while True:
+            if self.closed is not None:
+                raise StreamClosed(self.closed)
+            try:
+                return self.sock.recv(size)
+            except (BlockingIOError, InterruptedError):
+                yield self._arm_read
+            except OSError as error:
+                self.close(f"connection lost: {error.strerror}")
+
+    def _arm_read(self, task: Task) -> Callable[[], None]:
+        self.reader = task
+        self._want(self.interest | READ)
+
+        def disarm() -> None:
+            self.reader = None
+            self._want(self.interest & ~READ)
+
+        return disarm
+
+    def send(self, data: bytes) -> int:
+        """Queues bytes and writes what the socket takes; gives the position of their end.
+
+        Raises StreamClosed, or Overflow when the peer reads too slowly (the stream is then closed)."""
+        if self.closed is not None:
+            raise StreamClosed(self.closed)
+        self.queued += len(data)
+        if self.out:
+            self.out += data
+        else:
+            self.out += data
+            self._write()
+        if len(self.out) > self.limit:
+            self.close(f"slow reader: {len(self.out)} bytes unsent")
+            raise Overflow(self.closed or "")
+        return self.queued
+
+    def _write(self) -> None:
+        try:
+            sent = self.sock.send(self.out)
+        except (BlockingIOError, InterruptedError):
+            sent = 0
+        except OSError as error:
+            self.close(f"connection lost: {error.strerror}")
+            return
+        self.written += sent
+        del self.out[:sent]
+        self._want(self.interest | WRITE if self.out else self.interest & ~WRITE)
+        if not self.out and self.flusher is not None:
+            flusher, self.flusher = self.flusher, None
+            self.loop.wake(flusher)
+
+    def flush(self) -> Coroutine:
+        """Waits until all that is queued has been handed to the socket, or the stream is closed."""
+        while self.out and self.closed is None:
+
+            def arm(task: Task) -> Callable[[], None]:
+                self.flusher = task
+
+                def disarm() -> None:
+                    self.flusher = None
+
+                return disarm
+
+            yield arm
+
+    def close(self, why: str = "closed") -> None:
+        if self.closed is not None:
+            return
+        self.closed = why
+        self.loop.poller.forget(self.fd)
+        with contextlib.suppress(OSError):
+            self.sock.close()
+        for task in (self.reader, self.flusher):
+            if task is not None:
+                self.loop.wake(task)
+        self.reader = self.flusher = None
+        for call in self.on_close:
+            call(why)
+
+
+def connect(loop: Loop, address: tuple[str, int], timeout_ms: float, limit: int = 1 << 20) -> Coroutine:
+    """A Stream to the address; raises StreamClosed when it can't be made in time."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setblocking(False)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    code = sock.connect_ex(address)
+    if code not in (0, errno.EINPROGRESS):
+        sock.close()
+        raise StreamClosed(f"can't connect to {address[0]}:{address[1]}: {os.strerror(code)}")
+
+    def arm(task: Task) -> Callable[[], None]:
+        timer = loop.call_in(timeout_ms, lambda: told(-1))
+
+        def told(mask: int) -> None:
+            disarm()
+            loop.wake(task, mask)
+
+        def disarm() -> None:
+            timer.cancel()
+            loop.poller.forget(sock.fileno())
+
+        loop.poller.watch(sock.fileno(), WRITE, told)
+        return disarm
+
+    try:
+        mask = yield arm
+    except BaseException:
+        sock.close()
+        raise
+    code = errno.ETIMEDOUT if mask == -1 else sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    if code:
+        sock.close()
+        raise StreamClosed(f"can't connect to {address[0]}:{address[1]}: {os.strerror(code)}")
+    return Stream(loop, sock, limit)
+
+
+class Listener:
+    """Accepts connections, never more than `most` at once.
+
+    When descriptors run out it gives up its spare one to take and drop the newcomer: otherwise the queue
+    stays full and a level-triggered loop spins."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        address: tuple[str, int],
+        accept: Callable[[Stream], None],
+        most: int = 10_000,
+        limit: int = 1 << 20,
+        dropped: Callable[[str], None] = lambda why: None,
+    ) -> None:
+        self.loop, self.accept, self.most, self.limit, self.dropped = loop, accept, most, limit, dropped
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            self.sock.bind(address)
+        except OSError:
+            self.sock.close()
+            raise
+        self.sock.listen(1024)
+        self.sock.setblocking(False)
+        self.address: tuple[str, int] = self.sock.getsockname()
+        self.open: set[Stream] = set()
+        self.spare: int | None = os.open(os.devnull, os.O_RDONLY)
+        loop.poller.watch(self.sock.fileno(), READ, self._told)
+
+    def _told(self, _: int) -> None:
+        for _ in range(64):  # a bounded share of one round; the rest is told again
+            try:
+                sock, _ = self.sock.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return
+            except OSError as error:
+                if error.errno not in (errno.EMFILE, errno.ENFILE):
+                    raise
+                if not self._shed():
+                    return
+                continue
+            if len(self.open) >= self.most:
+                sock.close()
+                self.dropped(f"{self.most} connections are open")
+                continue
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            stream = Stream(self.loop, sock, self.limit)
+            self.open.add(stream)
+            stream.on_close.append(lambda _, stream=stream: self.open.discard(stream))  # type: ignore[misc]
+            self.accept(stream)
+
+    def _shed(self) -> bool:
+        self.dropped("out of file descriptors")
+        if self.spare is None:
+            return False
+        os.close(self.spare)
+        self.spare = None
+        with contextlib.suppress(OSError):
+            self.sock.accept()[0].close()
+        with contextlib.suppress(OSError):
+            self.spare = os.open(os.devnull, os.O_RDONLY)
+        return True
+
+    def close(self) -> None:
+        if self.sock.fileno() >= 0:
+            self.loop.poller.forget(self.sock.fileno())
+            self.sock.close()
+        if self.spare is not None:
+            os.close(self.spare)
+            self.spare = None
--- /dev/null
+++ b/glencleat/mesos/http.py
@@ -0,0 +1,189 @@
+"""HTTP/1.1 of both ends by h11, as objects fed bytes that give events; limits on heads and bodies.
+
+No sockets: `fronts` and `standins` carry the bytes. Errors are the peer's (`HttpError`, with the status that
+a server answers) or ours (h11.LocalProtocolError, a bug)."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+import h11
+
+HEAD_MOST = 16_384  # bytes of request line and headers
+BODY_MOST = 1 << 20
+
+
+class HttpError(Exception):
+    """The peer's fault; `status` is the response that tells it."""
+
+    def __init__(self, status: int, text: str) -> None:
+        super().__init__(text)
+        self.status, self.text = status, text
+
+
+@dataclass(slots=True)
+class Request:
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+    close: bool = False
+
+
+@dataclass(slots=True)
+class Response:
+    status: int
+    body: bytes = b""
+    content_type: str = "text/plain; charset=utf-8"
+    headers: dict[str, str] = field(default_factory=dict)
+
+
+class ServerConnection:
+    """The server's end of one connection: feed it bytes, take requests, answer each before the next.
+
+    Pipelined requests wait within their bytes until the one before is answered."""
+
+    def __init__(self, body_most: int = BODY_MOST) -> None:
+        self.h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=HEAD_MOST)
+        self.body_most = body_most
+        self.head: h11.Request | None = None
+        self.body = bytearray()
+        self.pending = 0  # requests given and not yet answered
+
+    def feed(self, data: bytes) -> list[Request]:
+        """Whole requests; raises HttpError. b"" is the peer's end."""
+        try:
+            self.h11.receive_data(data)
+            return self._events()
+        except h11.RemoteProtocolError as error:
+            raise HttpError(error.error_status_hint, str(error)) from None
+
+    def _events(self) -> list[Request]:
+        requests = list[Request]()
+        while True:
+            event = self.h11.next_event()
+            if event is h11.NEED_DATA or event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
+                return requests
+            if isinstance(event, h11.Request):
+                self.head = event
+                self.body.clear()
+                self._check_length(event)
+            elif isinstance(event, h11.Data):
+                self.body += event.data
+                if len(self.body) > self.body_most:
+                    raise HttpError(413, f"body over {self.body_most} bytes")
+            elif isinstance(event, h11.EndOfMessage) and self.head is not None:
+                requests.append(self._request(self.head))
+                self.head = None
+
+    def _check_length(self, head: h11.Request) -> None:
+        for name, value in head.headers:
+            if name == b"content-length" and int(value) > self.body_most:
+                raise HttpError(413, f"a body of {int(value)} bytes; expected at most {self.body_most}")
+
+    def _request(self, head: h11.Request) -> Request:
+        headers = {name.decode("latin-1"): value.decode("latin-1") for name, value in head.headers}
+        self.pending += 1
+        close = headers.get("connection", "").lower() == "close" or head.http_version == b"1.0"
+        target = head.target.decode("latin-1")
+        return Request(head.method.decode("latin-1"), target, headers, bytes(self.body), close)
+
+    def waits(self) -> bool:
+        """Whether a request has begun to arrive and is not whole: what a slow sender's time limit is for."""
+        return self.head is not None or bool(self.h11.trailing_data[0])
+
+    def answer(self, response: Response) -> bytes:
+        """The bytes of a whole response."""
+        headers = [("content-length", str(len(response.body))), ("content-type", response.content_type)]
+        if not response.body:
+            headers.pop()
+        headers += list(response.headers.items())
+        data = self._send(h11.Response(status_code=response.status, headers=headers))
+        if response.body:
+            data += self._send(h11.Data(data=response.body))
+        data += self._send(h11.EndOfMessage())
+        self.pending -= 1
+        if self.h11.our_state is h11.DONE and self.h11.their_state is h11.DONE:
+            self.h11.start_next_cycle()
+        return data
+
+    def more(self) -> list[Request]:
+        """Requests that had come behind the one just answered."""
+        try:
+            return self._events()
+        except h11.RemoteProtocolError as error:
+            raise HttpError(error.error_status_hint, str(error)) from None
+
+    def open_stream(self, headers: dict[str, str]) -> bytes:
+        """Head of a chunked response that never ends by itself."""
+        told = [("content-type", "application/json"), ("transfer-encoding", "chunked"), *headers.items()]
+        return self._send(h11.Response(status_code=200, headers=told))
+
+    def chunk(self, data: bytes) -> bytes:
+        return self._send(h11.Data(data=data))
+
+    def end_stream(self) -> bytes:
+        return self._send(h11.EndOfMessage())
+
+    def refuse(self, error: HttpError) -> bytes:
+        """A last response to a peer at fault, if one can still be sent; the connection is then closed."""
+        if self.h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return b""
+        body = (error.text + "\n").encode()
+        head = [("content-length", str(len(body))), ("content-type", "text/plain"), ("connection", "close")]
+        try:
+            data = self._send(h11.Response(status_code=error.status, headers=head))
+            return data + self._send(h11.Data(data=body)) + self._send(h11.EndOfMessage())
+        except h11.LocalProtocolError:
+            return b""
+
+    def ended(self) -> bool:
+        return self.h11.our_state in (h11.MUST_CLOSE, h11.CLOSED, h11.ERROR)
+
+    def _send(self, event: h11.Event) -> bytes:
+        return self.h11.send(event) or b""
+
+
+@dataclass(slots=True)
+class Head:
+    status: int
+    headers: dict[str, str]
+
+
+class End:
+    """End of a response's body."""
+
+
+class ClientConnection:
+    """The client's end: one request after the other, bodies given as they come."""
+
+    def __init__(self) -> None:
+        self.h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD_MOST)
+
+    def request(self, method: str, target: str, host: str, headers: dict[str, str], body: bytes) -> bytes:
+        told = [("host", host), ("content-length", str(len(body))), *headers.items()]
+        data = self.h11.send(h11.Request(method=method, target=target, headers=told)) or b""
+        if body:
+            data += self.h11.send(h11.Data(data=body)) or b""
+        return data + (self.h11.send(h11.EndOfMessage()) or b"")
+
+    def feed(self, data: bytes) -> list[Head | bytes | End]:
+        """Head, then bytes of the body, then End, for each response; raises HttpError."""
+        events: list[Head | bytes | End] = []
+        try:
+            self.h11.receive_data(data)
+            while True:
+                event = self.h11.next_event()
+                if event is h11.NEED_DATA or event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
+                    return events
+                if isinstance(event, h11.Response):
+                    headers = {n.decode("latin-1"): v.decode("latin-1") for n, v in event.headers}
+                    events.append(Head(event.status_code, headers))
+                elif isinstance(event, h11.Data):
+                    events.append(bytes(event.data))
+                elif isinstance(event, h11.EndOfMessage):
+                    events.append(End())
+                    if self.h11.our_state is h11.DONE and self.h11.their_state is h11.DONE:
+                        self.h11.start_next_cycle()
+        except h11.RemoteProtocolError as error:
+            raise HttpError(error.error_status_hint, str(error)) from None
--- /dev/null
+++ b/glencleat/standins/client.py
@@ -0,0 +1,160 @@
+"""A client of the v1 API for stand-ins: one connection that subscribes, one that makes calls in turn."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+
+from glencleat.kernel import Loop, Stream, StreamClosed, Task, connect
+from glencleat.kernel.loop import Coroutine
+from glencleat.mesos.http import ClientConnection, End, Head, HttpError
+from glencleat.mesos.recordio import Decoder
+
+JSON = {"content-type": "application/json", "accept": "application/json"}
+CONNECT_MS = 2_000.0
+Address = tuple[str, int]
+
+
+class Rejected(Exception):
+    """A call was answered with another status than expected."""
+
+    def __init__(self, status: int, text: str) -> None:
+        super().__init__(f"{status}: {text}")
+        self.status = status
+
+
+class Subscription:
+    """A stream of records; `open` subscribes, `records` gives what has come, [] at its end."""
+
+    def __init__(self, loop: Loop, address: Address, target: str) -> None:
+        self.loop, self.address, self.target = loop, address, target
+        self.http, self.decoder = ClientConnection(), Decoder(64 << 20)
+        self.stream: Stream | None = None
+        self.headers: dict[str, str] = {}
+        self.early: list[bytes] = []
+
+    def open(self, body: bytes) -> Coroutine:
+        """Raises StreamClosed or Rejected."""
+        self.stream = yield from connect(self.loop, self.address, CONNECT_MS)
+        self.stream.send(self.http.request("POST", self.target, "allocator", JSON, body))
+        status, text = 0, b""
+        while True:
+            data = yield from self.stream.read()
+            for event in self.http.feed(data):
+                if isinstance(event, Head):
+                    status, self.headers = event.status, event.headers
+                elif isinstance(event, bytes):
+                    if status == 200:
+                        self.early += self.decoder.feed(event)
+                    text += event
+                elif status != 200:
+                    raise Rejected(status, text.decode(errors="replace"))
+            if status == 200:
+                return
+            if data == b"":
+                raise StreamClosed("the allocator closed the connection")
+
+    def records(self) -> Coroutine:
+        if self.early:
+            early, self.early = self.early, []
+            return early
+        found: list[bytes] = []
+        while not found:
+            if self.stream is None:
+                return []
+            try:
+                data = yield from self.stream.read()
+            except StreamClosed:
+                return []
+            try:
+                for event in self.http.feed(data):
+                    if isinstance(event, bytes):
+                        found += self.decoder.feed(event)
+                    elif isinstance(event, End):
+                        return found
+            except HttpError:
+                return found  # cut off in the middle of a chunk
+            if data == b"":
+                return found
+        return found
+
+    def close(self) -> None:
+        if self.stream is not None:
+            self.stream.close("closed")
+
+
+class Calls:
+    """Calls made one after the other on a kept connection, from a queue; each is sent once.
+
+    A call whose answer did not come is not repeated: what it said is kept by its sender until
+    acknowledged."""
+
+    def __init__(self, loop: Loop, address: Address, target: str, rejected: Callable[[int], None]) -> None:
+        self.loop, self.address, self.target, self.rejected = loop, address, target, rejected
+        self.queue: deque[tuple[bytes, dict[str, str], Callable[[], None] | None]] = deque()
+        self.stream: Stream | None = None
+        self.http = ClientConnection()
+        self.waiting: Task | None = None
+        self.closed = False
+        self.task = loop.spawn(self._run(), "calls")
+
+    def send(
+        self, body: bytes, headers: dict[str, str] | None = None, wrote: Callable[[], None] | None = None
+    ) -> None:
+        """Queues a call; `wrote` is called when its bytes are handed to the socket."""
+        self.queue.append((body, JSON | (headers or {}), wrote))
+        if self.waiting is not None:
+            task, self.waiting = self.waiting, None
+            self.loop.wake(task)
+
+    def _arm(self, task: Task) -> Callable[[], None]:
+        self.waiting = task
+
+        def disarm() -> None:
+            self.waiting = None
+
+        return disarm
+
+    def _run(self) -> Coroutine:
+        while not self.closed:
+            if not self.queue:
+                yield self._arm
+                continue
+            body, headers, wrote = self.queue.popleft()
+            try:
+                yield from self._one(body, headers, wrote)
+            except (StreamClosed, HttpError):
+                self._drop()
+
+    def _one(self, body: bytes, headers: dict[str, str], wrote: Callable[[], None] | None) -> Coroutine:
+        if self.stream is None or self.stream.closed is not None:
+            self.http = ClientConnection()
+            self.stream = yield from connect(self.loop, self.address, CONNECT_MS)
+        if self.closed:
+            return
+        self.stream.send(self.http.request("POST", self.target, "allocator", headers, body))
+        if wrote is not None:
+            wrote()
+        status = 0
+        while True:
+            data = yield from self.stream.read()
+            for event in self.http.feed(data):
+                if isinstance(event, Head):
+                    status = event.status
+                elif isinstance(event, End):
+                    if status >= 300:
+                        self.rejected(status)
+                    return
+            if data == b"":
+                raise StreamClosed("the allocator closed the connection")
+
+    def _drop(self) -> None:
+        if self.stream is not None:
+            self.stream.close("dropped")
+            self.stream = None
+
+    def close(self) -> None:
+        self.closed = True
+        self.queue.clear()
+        self.loop.cancel(self.task)
+        self._drop()
--- /dev/null
+++ b/glencleat/standins/directory.py
@@ -0,0 +1,208 @@
+"""The directory stand-in: the machine list by the Operator API, seconds late, and failing when told to."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from glencleat.check.record import Recorder
+from glencleat.kernel import Listener, Loop, Stream, StreamClosed
+from glencleat.kernel.loop import Coroutine
+from glencleat.mesos import messages as m
+from glencleat.mesos.http import HttpError, Response, ServerConnection
+from glencleat.mesos.recordio import encode
+
+TARGET = "/api/v1"
+HEARTBEAT_MS = 1_000.0
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """What the directory knows of a host."""
+
+    name: str
+    kind: str
+    zone: str
+    cell: int
+    cores: float
+    memory: float
+    draining: bool = False
+    up_wall_ms: float = 0.0
+    asked: tuple[float, float] = (0.0, 0.0)
+
+    def agent(self) -> m.Agent:
+        domain = m.DomainInfo(m.FaultDomain(m.NamedPart("campus"), m.NamedPart(self.zone)))
+        attributes = [
+            m.Attribute("kind", text=m.Text(self.kind)),
+            m.Attribute("cell", "SCALAR", scalar=m.Scalar(self.cell)),
+        ]
+        total = m.resources(self.cores, self.memory)
+        info = m.AgentInfo(self.name, m.Value(self.name), total, attributes, domain)
+        return m.Agent(
+            info,
+            registered_time=m.TimeInfo(int(self.up_wall_ms * 1e6)) if self.up_wall_ms else None,
+            total_resources=total,
+            allocated_resources=m.resources(*self.asked),
+            drain_info=m.DrainInfo("DRAINING") if self.draining else None,
+        )
+
+
+class Watcher:
+    """One subscription; `allocator` is who asked, told by the port that its connection comes from or not at
+    all."""
+
+    def __init__(self, stream: Stream, connection: ServerConnection, allocator: str) -> None:
+        self.stream, self.connection, self.allocator = stream, connection, allocator
+
+    def send(self, event: m.OperatorEvent) -> bool:
+        try:
+            self.stream.send(self.connection.chunk(encode(m.encode(event))))
+        except StreamClosed:
+            return False
+        return True
+
+
+class Directory:
+    """`look` gives the hosts as they are; watchers are told what changed, `late_ms` later."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        recorder: Recorder,
+        look: Callable[[], list[Entry]],
+        late_ms: float,
+        every_ms: float = 500.0,
+    ) -> None:
+        self.loop, self.recorder, self.look, self.late_ms = loop, recorder, look, late_ms
+        self.every_ms = every_ms
+        self.failing = False
+        self.empty = False  # tells that there are no hosts at all
+        self.shown: dict[str, Entry] = {}
+        self.ever: dict[str, None] = {}  # names that were shown at any time
+        self.watchers: list[Watcher] = []
+        self.listeners: dict[str, Listener] = {}
+
+    def start(self) -> None:
+        """The hosts are up: shows them, and looks after them from here on."""
+        self.shown = {entry.name: entry for entry in self.look()}
+        self.ever.update(dict.fromkeys(self.shown))
+        self.loop.call_in(self.every_ms, self._look)
+        self.loop.call_in(HEARTBEAT_MS, self._beat)
+
+    def listen(self, allocator: str) -> tuple[str, int]:
+        """An address of its own for each allocator, so that the record can say who was told."""
+        listener = Listener(
+            self.loop, ("127.0.0.1", 0), lambda stream: self._accept(stream, allocator), limit=16 << 20
+        )
+        self.listeners[allocator] = listener
+        return listener.address
+
+    def _accept(self, stream: Stream, allocator: str) -> None:
+        self.loop.spawn(self._serve(stream, allocator), "directory connection")
+
+    def _serve(self, stream: Stream, allocator: str) -> Coroutine:
+        connection, watcher = ServerConnection(), None
+        try:
+            while True:
+                data = yield from stream.read()
+                for request in connection.feed(data):
+                    watcher = (
+                        self._request(stream, connection, request.target, request.body, allocator) or watcher
+                    )
+                if data == b"":
+                    return
+        except (StreamClosed, HttpError):
+            return
+        finally:
+            if watcher in self.watchers:
+                self.watchers.remove(watcher)
+            stream.close("done")
+
+    def _request(
+        self, stream: Stream, connection: ServerConnection, target: str, body: bytes, allocator: str
+    ) -> Watcher | None:
+        if self.failing:
+            stream.send(connection.answer(Response(503, b"the directory fails\n")))
+            return None
+        if target != TARGET:
+            stream.send(connection.answer(Response(404)))
+            return None
+        try:
+            call = m.decode(m.OperatorCall, body)
+        except m.BadMessage as error:
+            stream.send(connection.answer(Response(400, str(error).encode())))
+            return None
+        agents = m.GetAgents([entry.agent() for entry in self.entries().values()])
+        if call.type == "GET_AGENTS":
+            told = m.encode(m.OperatorEvent("GET_AGENTS", get_agents=agents))
+            stream.send(connection.answer(Response(200, told, "application/json")))
+            return None
+        watcher = Watcher(stream, connection, allocator)
+        stream.send(connection.open_stream({}))
+        state = m.SubscribedOperator(m.GetState(agents), HEARTBEAT_MS / 1000.0)
+        watcher.send(m.OperatorEvent("SUBSCRIBED", subscribed=state))
+        for entry in self.entries().values():
+            self._told(watcher, entry)
+        for name in self.ever:
+            if name not in self.entries():  # a whole list tells what is not there, too
+                self.recorder.add("told", who=name, allocator=allocator, state="gone")
+        self.watchers.append(watcher)
+        return watcher
+
+    def entries(self) -> dict[str, Entry]:
+        return {} if self.empty else self.shown
+
+    def _told(self, watcher: Watcher, entry: Entry) -> None:
+        state = "draining" if entry.draining else "serving"
+        self.recorder.add("told", who=entry.name, allocator=watcher.allocator, state=state)
+
+    def _look(self) -> None:
+        self.loop.call_in(self.every_ms, self._look)
+        seen = {entry.name: entry for entry in self.look()}
+        self.loop.call_in(self.late_ms, lambda: self._show(seen))
+
+    def _show(self, seen: dict[str, Entry]) -> None:
+        before, self.shown = self.shown, seen
+        self.ever.update(dict.fromkeys(seen))
+        if self.empty:
+            return
+        changed = [entry for name, entry in seen.items() if before.get(name) != entry]
+        gone = [name for name in before if name not in seen]
+        for watcher in list(self.watchers):
+            for entry in changed:
+                if watcher.send(m.OperatorEvent("AGENT_ADDED", agent_added=m.AgentAdded(entry.agent()))):
+                    self._told(watcher, entry)
+            for name in gone:
+                removed = m.AgentRemoved(m.Value(name))
+                if watcher.send(m.OperatorEvent("AGENT_REMOVED", agent_removed=removed)):
+                    self.recorder.add("told", who=name, allocator=watcher.allocator, state="gone")
+
+    def _beat(self) -> None:
+        self.loop.call_in(HEARTBEAT_MS, self._beat)
+        for watcher in list(self.watchers):
+            watcher.send(m.OperatorEvent("HEARTBEAT"))
+
+    def fail(self) -> None:
+        """Cuts all subscriptions and answers 503 until `mend`."""
+        self.failing = True
+        for watcher in list(self.watchers):
+            watcher.stream.close("failing")
+
+    def mend(self) -> None:
+        self.failing = False
+
+    def shrink(self) -> None:
+        """Tells every watcher that there is no host at all, as a wrong filter in a directory once did."""
+        self.empty = True
+        for watcher in list(self.watchers):
+            for name in self.shown:
+                removed = m.AgentRemoved(m.Value(name))
+                if watcher.send(m.OperatorEvent("AGENT_REMOVED", agent_removed=removed)):
+                    self.recorder.add("told", who=name, allocator=watcher.allocator, state="gone")
+
+    def regrow(self) -> None:
+        self.empty = False
+        for watcher in list(self.watchers):
+            for entry in self.shown.values():
+                if watcher.send(m.OperatorEvent("AGENT_ADDED", agent_added=m.AgentAdded(entry.agent()))):
+                    self._told(watcher, entry)
--- /dev/null
+++ b/glencleat/standins/hosts.py
@@ -0,0 +1,329 @@
+"""Stand-in hosts: a machine each, with an agent that keeps a session to every allocator (Executor API)."""
+
+from __future__ import annotations
+
+import uuid
+from base64 import b64encode
+from collections import OrderedDict
+from collections.abc import Callable
+from random import Random
+
+from glencleat.check.record import Recorder
+from glencleat.kernel import Loop, StreamClosed, Task
+from glencleat.kernel.loop import Coroutine
+from glencleat.mesos import messages as m
+from glencleat.mesos.http import HttpError
+from glencleat.mesos.recordio import RecordError
+from glencleat.standins.client import Address, Calls, Rejected, Subscription
+from glencleat.standins.machine import Held, Machine, Nature, Offer
+
+TARGET = "/api/v1/executor"
+AGAIN_MS, AGAIN_MOST_MS = 100.0, 1_000.0  # between two tries to subscribe
+PAUSED_MS, BACKLOG_MS = 20.0, 200.0
+
+
+class Session:
+    """One host's agent towards one allocator, over reconnects. Updates are kept until acknowledged."""
+
+    def __init__(self, host: Host, allocator: str, address: Address) -> None:
+        self.host, self.allocator, self.address = host, allocator, address
+        self.unacked: OrderedDict[str, m.TaskStatus] = OrderedDict()
+        self.infos: dict[str, m.TaskInfo] = {}
+        self.recorded: set[str | None] = set()
+        self.stream: Subscription | None = None
+        self.calls: Calls | None = None
+        self.subscribed = False
+        self.paused = False  # heartbeats stop, nothing is sent: a network that swallows
+        self.paused_at, self.resumed_at = 0.0, -1e18
+        self.task: Task = host.loop.spawn(self._run(), f"{host.name} to {allocator}")
+
+    def _run(self) -> Coroutine:
+        wait = AGAIN_MS
+        while True:
+            self.stream = Subscription(self.host.loop, self.address, TARGET)
+            try:
+                hello = self._hello()
+                self._list(hello)
+                yield from self.stream.open(m.encode(hello))
+                for update in hello.subscribe.unacknowledged_updates if hello.subscribe is not None else ():
+                    self._said(update.status)
+                wait = AGAIN_MS
+                yield from self._events(self.stream)
+            except (StreamClosed, Rejected, HttpError, RecordError, m.BadMessage):
+                pass
+            finally:
+                self._gone()
+            yield from self.host.loop.sleep(wait * self.host.random.uniform(0.8, 1.2))
+            wait = min(AGAIN_MOST_MS, 2.0 * wait)
+
+    def _hello(self) -> m.ExecutorCall:
+        """All living tasks of this allocator's: it may be a new incarnation that knows none of them."""
+        living = set(self.host.machine.held) | {o.id for o in self.host.machine.line}
+        tasks = [info for name, info in self.infos.items() if name in living]
+        updates = [m.UpdateCall(status) for status in self.unacked.values()]
+        return self._call("SUBSCRIBE", subscribe=m.SubscribeExecutor(tasks, updates))
+
+    def _list(self, hello: m.ExecutorCall) -> None:
+        told = hello.subscribe or m.SubscribeExecutor()
+        ids = [task.task_id.value for task in told.unacknowledged_tasks]
+        ids += [update.status.task_id.value for update in told.unacknowledged_updates]
+        host = self.host
+        host.recorder.add("listed", who=host.name, allocator=self.allocator, text=host.run_name, ids=ids)
+
+    def _call(self, kind: str, **parts: object) -> m.ExecutorCall:
+        ids = m.Value(self.host.executor_id()), m.Value("glencleat")
+        return m.ExecutorCall(kind, *ids, **parts)  # type: ignore[arg-type]
+
+    def _events(self, stream: Subscription) -> Coroutine:
+        while True:
+            records = yield from stream.records()
+            if not records:
+                return
+            for record in records:
+                while self.paused:  # what came lies unread, and is read in order later
+                    yield from self.host.loop.sleep(PAUSED_MS)
+                event = m.decode(m.ExecutorEvent, record)
+                if event.type == "ERROR":
+                    return
+                self._event(event)
+
+    def _event(self, event: m.ExecutorEvent) -> None:
+        host = self.host
+        if event.type == "SUBSCRIBED":
+            self.subscribed = True
+            self.calls = Calls(host.loop, self.address, TARGET, self._rejected)
+        elif event.type == "LAUNCH" and event.launch is not None:
+            host.launched(self, event.launch.task)
+        elif event.type == "KILL" and event.kill is not None:
+            host.recorder.add(
+                "kill", who=host.name, allocator=self.allocator, attempt=event.kill.task_id.value
+            )
+            if not host.machine.faults.silent:
+                host.machine.kill(event.kill.task_id.value)
+        elif event.type == "ACKNOWLEDGED" and event.acknowledged is not None:
+            self.unacked.pop(event.acknowledged.uuid, None)
+        elif event.type == "MESSAGE" and event.message is not None:
+            payload = m.unpack(event.message.data)
+            if payload.kind == "probe" and not host.machine.faults.silent:
+                self.report(payload.probe)
+
+    def _rejected(self, status: int) -> None:
+        if status == 403 and self.stream is not None:
+            self.stream.close()  # not subscribed any more: begin again
+
+    def _gone(self) -> None:
+        self.subscribed = False
+        if self.stream is not None:
+            self.stream.close()
+        if self.calls is not None:
+            self.calls.close()
+            self.calls = None
+
+    def post(self, call: m.ExecutorCall, wrote: Callable[[], None] | None = None) -> None:
+        if self.calls is not None and not self.paused:
+            self.calls.send(m.encode(call), None, wrote)
+
+    def update(self, task: str, state: str, reason: str | None, cause: str | None) -> None:
+        host = self.host
+        token = b64encode(uuid.UUID(int=host.random.getrandbits(128), version=4).bytes).decode()
+        status = m.TaskStatus(
+            m.Value(task),
+            state,
+            "SOURCE_EXECUTOR",
+            reason,
+            timestamp=host.loop.clock.wall() / 1000.0,
+            uuid=token,
+            data=m.pack(host.load()),
+            labels=m.Labels([m.Label("cause", cause)]) if cause is not None else None,
+        )
+        self.unacked[token] = status
+        if state not in ("TASK_STARTING", "TASK_RUNNING"):
+            self.infos.pop(task, None)
+        self.post(self._call("UPDATE", update=m.UpdateCall(status)), lambda: self._said(status))
+
+    def _said(self, status: m.TaskStatus) -> None:
+        """Records an update when it is first written, by a call or in a subscription."""
+        if status.uuid not in self.recorded:
+            self.recorded.add(status.uuid)
+            self.host.recorder.add(
+                "said",
+                who=self.host.name,
+                allocator=self.allocator,
+                attempt=status.task_id.value,
+                state=status.state,
+                reason=status.reason or "",
+            )
+
+    def report(self, probe: int | None) -> None:
+        payload = self.host.load()
+        payload.probe = probe
+        payload.tasks = [
+            m.TaskUse(h.id, *h.uses, served=self.host.served())
+            for h in self.host.machine.held.values()
+            if h.running and h.allocator == self.allocator
+        ]
+        self.post(self._call("MESSAGE", message=m.Message(m.pack(payload))))
+
+    def beat(self) -> None:
+        self.post(self._call("HEARTBEAT"))
+
+    def pause(self) -> None:
+        self.paused, self.paused_at = True, self.host.loop.now()
+
+    def resume(self) -> None:
+        """Speaks again; what it held back is told by a new subscription."""
+        self.paused, self.resumed_at = False, self.host.loop.now()
+        if self.stream is not None and self.unacked:
+            self.stream.close()
+
+    def unread_since(self) -> float:
+        """Since when a record that is read now may have lain unread; 0 if it has not."""
+        return self.paused_at if self.host.loop.now() - self.resumed_at < BACKLOG_MS else 0.0
+
+    def end(self) -> None:
+        self.host.loop.cancel(self.task)
+        self._gone()
+
+
+class Host:
+    """A host: machine, agent and sessions. `stop` takes it all down without a word."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        recorder: Recorder,
+        name: str,
+        kind: str,
+        size: tuple[float, float],
+        zone: str,
+        cell: int,
+        nature: Nature,
+        seed: int,
+        heartbeat_ms: float = 1_000.0,
+        report_ms: float = 500.0,
+    ) -> None:
+        self.loop, self.recorder, self.name, self.zone, self.cell = loop, recorder, name, zone, cell
+        self.random = Random(seed)
+        self.heartbeat_ms, self.report_ms = heartbeat_ms, report_ms
+        self.machine = Machine(
+            loop,
+            self.random,
+            name,
+            kind,
+            *size,
+            nature,
+            self._say,
+            self._started,
+            lambda: self.stop("fell over"),
+        )
+        self.sessions: dict[str, Session] = {}
+        self.allocators: dict[str, Address] = {}
+        self.up = False
+        self.up_wall = 0.0
+        self.run_name = ""
+        self.fallen = 0
+
+    def executor_id(self) -> str:
+        return f"{self.name}.{self.run_name}"
+
+    def start(self, cold: bool) -> None:
+        self.up, self.run_name = True, f"{self.random.getrandbits(32):08x}"
+        self.up_wall = self.loop.clock.wall() if cold else 0.0
+        self.machine.start(cold)
+        self.recorder.add("up", who=self.name, zone=self.zone, cell=self.cell, cold=cold)
+        for allocator, address in self.allocators.items():
+            self.sessions[allocator] = Session(self, allocator, address)
+        run = self.run_name
+        self.loop.call_in(self.heartbeat_ms * self.random.random(), lambda: self._beat(run))
+        self.loop.call_in(self.report_ms * self.random.random(), lambda: self._report(run))
+
+    def stop(self, why: str) -> None:
+        if not self.up:
+            return
+        self.up = False
+        self.fallen += why == "fell over"
+        self.recorder.add("down", who=self.name, text=why)
+        self.machine.stop()
+        for session in self.sessions.values():
+            session.end()
+        self.sessions.clear()
+
+    def _beat(self, run: str) -> None:
+        if run == self.run_name and self.up:
+            for session in self.sessions.values():
+                session.beat()
+            self.loop.call_in(self.heartbeat_ms, lambda: self._beat(run))
+
+    def _report(self, run: str) -> None:
+        if run == self.run_name and self.up:
+            for session in self.sessions.values() if not self.machine.faults.silent else ():
+                session.report(None)
+            self.loop.call_in(self.report_ms, lambda: self._report(run))
+
+    def launched(self, session: Session, info: m.TaskInfo) -> None:
+        labels = (
+            {item.key: item.value or "" for item in info.labels.labels} if info.labels is not None else {}
+        )
+        within = float(labels.get("answer_within_ms", "0"))
+        self.recorder.add(
+            "offered",
+            who=self.name,
+            allocator=session.allocator,
+            attempt=info.task_id.value,
+            task=f"{labels.get('framework')}/{labels.get('task')}",
+            cls=labels.get("class", ""),
+            effect=labels.get("effect", ""),
+            service=labels.get("service", ""),
+            zone=self.zone,
+            cell=self.cell,
+            within=within,
+            text=self.run_name,
+            since=session.unread_since(),
+        )
+        session.infos[info.task_id.value] = info
+        if self.machine.faults.silent:
+            return
+        life = labels.get("life_ms")
+        self.machine.offer(
+            Offer(
+                info.task_id.value,
+                session.allocator,
+                labels.get("service", ""),
+                labels.get("key", ""),
+                labels.get("effect", ""),
+                int(labels.get("priority", "0")),
+                m.scalar(info.resources, "cpus") or 0.0,
+                m.scalar(info.resources, "mem") or 0.0,
+                float(life) if life else None,
+                self.loop.now(),
+                within,
+            )
+        )
+
+    def _say(self, allocator: str, task: str, state: str, reason: str | None, cause: str | None) -> None:
+        session = self.sessions.get(allocator)
+        if session is not None:
+            session.update(task, state, reason, cause)
+
+    def _started(self, held: Held) -> None:
+        self.recorder.add(
+            "started", who=self.name, allocator=held.allocator, attempt=held.id, service=held.service
+        )
+
+    def load(self) -> m.Payload:
+        machine = self.machine
+        busy = min(1.0, machine.cores_used() / machine.cores)
+        used = machine.memory_used()
+        return m.Payload(
+            "report",
+            None,
+            max(0.0, machine.cores - machine.cores_used()),
+            machine.memory * max(0.0, 1.0 - used),
+            busy,
+            float(len(machine.line) + len(machine.due)),
+            used,
+        )
+
+    def served(self) -> float:
+        busy = self.machine.cores_used() / self.machine.cores
+        return min(1.0, 1.0 / busy) if busy > 0.0 else 1.0
