--- /dev/null
+++ b/glencleat/standins/play.py
@@ -0,0 +1,384 @@
+"""Plays a day: directory, hosts and owners in this process, allocators in processes of their own.
+
+Everything listens on loopback, at ports that the system picks. The record and the allocators' logs go to a
+folder; the verdict comes from the record alone (check.rules)."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import subprocess
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from random import Random
+
+from glencleat.check.record import Recorder
+from glencleat.config import Config
+from glencleat.kernel import Loop
+from glencleat.kernel.loop import READ, Coroutine, Task
+from glencleat.standins.client import Address
+from glencleat.standins.directory import Directory, Entry
+from glencleat.standins.hosts import Host
+from glencleat.standins.machine import Nature
+from glencleat.standins.owners import Job, Owner, Want
+from glencleat.standins.script import At, Script
+
+START_MS = 20_000.0  # for a process to say where it listens
+END_MS = 15_000.0  # for one to end after SIGTERM
+
+
+class PlayError(Exception):
+    """The play could not be set up; says what failed."""
+
+
+class Process:
+    """One allocator: `glencleat serve` on a file written for it, at the same addresses over restarts."""
+
+    def __init__(self, loop: Loop, recorder: Recorder, name: str, folder: Path, lines: list[str]) -> None:
+        self.loop, self.recorder, self.name, self.folder, self.lines = loop, recorder, name, folder, lines
+        self.owners: Address = ("127.0.0.1", 0)
+        self.agents: Address = ("127.0.0.1", 0)
+        self.metrics: Address = ("127.0.0.1", 0)
+        self.child: subprocess.Popen[bytes] | None = None
+
+    def start(self) -> Coroutine:
+        """Starts it and waits for its addresses."""
+        conf = self.folder / f"{self.name}.conf"
+        listens = [
+            f"listen {k} {a[0]}:{a[1]}"
+            for k, a in (("owners", self.owners), ("agents", self.agents), ("metrics", self.metrics))
+        ]
+        conf.write_text("\n".join([*self.lines, *listens]) + "\n")
+        with (self.folder / f"{self.name}.log").open("ab") as log:
+            self.child = subprocess.Popen(
+                [sys.executable, "-m", "glencleat", "serve", str(conf), "--ready", "-"],
+                stdout=subprocess.PIPE,
+                stderr=log,
+                stdin=subprocess.DEVNULL,
+            )
+        line = yield from self._line()
+        if not line:
+            raise PlayError(f"allocator {self.name} did not start; see {self.folder / self.name}.log")
+        bound = json.loads(line)
+        for kind in ("owners", "agents", "metrics"):
+            host, _, port = bound[kind].rpartition(":")
+            setattr(self, kind, (host, int(port)))
+        self.recorder.add("allocator", allocator=self.name, state="up")
+
+    def _line(self) -> Coroutine:
+        pipe = self.child.stdout if self.child is not None else None
+        if pipe is None:
+            return b""
+        fd, data = pipe.fileno(), b""
+        while not data.endswith(b"\n"):
+
+            def arm(task: Task) -> Callable[[], None]:
+                timer = self.loop.call_in(START_MS, lambda: told(0))
+
+                def disarm() -> None:
+                    timer.cancel()
+                    self.loop.poller.forget(fd)
+
+                def told(events: int) -> None:
+                    disarm()
+                    self.loop.wake(task, events)
+
+                self.loop.poller.watch(fd, READ, told)
+                return disarm
+
+            mask = yield arm
+            more = os.read(fd, 4096) if mask else b""
+            if not more:
+                return b""
+            data += more
+        return data
+
+    def signal(self, number: int, state: str) -> None:
+        if self.child is not None and self.child.poll() is None:
+            self.child.send_signal(number)
+            self.recorder.add("allocator", allocator=self.name, state=state)
+
+    def kill(self) -> None:
+        self.signal(signal.SIGKILL, "killed")
+        if self.child is not None:
+            self.child.wait()
+            if self.child.stdout is not None:
+                self.child.stdout.close()
+
+    def stop(self) -> Coroutine:
+        """SIGTERM, then a bounded wait; gives its exit code, or None if it had to be killed."""
+        if self.child is None:
+            return None
+        self.signal(signal.SIGTERM, "stopped")
+        until = self.loop.now() + END_MS
+        while self.child.poll() is None and self.loop.now() < until:
+            yield from self.loop.sleep(20.0)
+        code = self.child.poll()
+        if code is None:
+            self.kill()
+        elif self.child.stdout is not None:
+            self.child.stdout.close()
+        return code
+
+
+class Play:
+    def __init__(
+        self, script: Script, campus_file: Path, campus: Config, folder: Path, loop: Loop | None = None
+    ):
+        self.script, self.campus, self.folder = script, campus, folder
+        self.loop = loop or Loop()
+        self.random = Random(script.play.seed)
+        self.sink = (folder / "record.jsonl").open("w")
+        self.recorder = Recorder(self.loop.now, self.sink)
+        self.hosts = self._hosts()
+        self.draining: set[str] = set()
+        self.directory = Directory(
+            self.loop, self.recorder, self._entries, script.directory.late, script.directory.every
+        )
+        self.processes = [self._process(i, campus_file) for i in range(script.allocators.count)]
+        self.owners: list[Owner] = []
+        self.exits: dict[str, int | None] = {}
+        self.jobs = 0
+
+    # ---- making ----
+
+    def _hosts(self) -> list[Host]:
+        told, script = self.campus, self.script.hosts
+        nature = Nature(
+            accept_cores=told.accept.cores,
+            accept_memory=told.accept.memory,
+            decide_ms=script.decide,
+            line=script.line,
+            start_ms=script.start,
+            warm_ms=told.cold.warm or 1.0,
+            tip_offers=script.tip_offers,
+        )
+        hosts = []
+        for i in range(script.count):
+            kind, hall = told.kinds[i % len(told.kinds)], script.halls[i % len(script.halls)]
+            hosts.append(
+                Host(
+                    self.loop,
+                    self.recorder,
+                    f"h{i:02d}",
+                    kind.name,
+                    (kind.cores, kind.memory),
+                    hall,
+                    i // len(script.halls) % 4,
+                    nature,
+                    self.random.getrandbits(32),
+                    script.heartbeat,
+                    script.report,
+                )
+            )
+        return hosts
+
+    def _process(self, number: int, campus_file: Path) -> Process:
+        halls = self.script.hosts.halls
+        name = f"a{number}"
+        host, port = self.directory.listen(name)
+        lines = [
+            f"allocator {name} number {number} of {self.script.allocators.count} "
+            f"zone {halls[number % len(halls)]} seed {self.script.play.seed}",
+            f"directory {host}:{port}",
+            f"include {campus_file.resolve()}",
+        ]
+        return Process(self.loop, self.recorder, name, self.folder, lines)
+
+    def _entries(self) -> list[Entry]:
+        return [
+            Entry(
+                h.name,
+                h.machine.kind,
+                h.zone,
+                h.cell,
+                h.machine.cores,
+                h.machine.memory,
+                h.name in self.draining,
+                h.up_wall,
+                h.machine.asked(),
+            )
+            for h in self.hosts
+            if h.up
+        ]
+
+    def _owners(self) -> None:
+        for i in range(self.script.owners.count):
+            process = self.processes[i % len(self.processes)]
+            self.owners.append(
+                Owner(
+                    self.loop,
+                    self.recorder,
+                    f"o{i:03d}",
+                    f"firm-{i % 5}",
+                    process.name,
+                    process.owners,
+                    self.random.getrandbits(32),
+                )
+            )
+
+    # ---- the day ----
+
+    def run(self) -> None:
+        """Plays it to its end; raises PlayError."""
+        day = self.loop.spawn(self._day(), "day")
+        try:
+            self.loop.run_until(day)
+        finally:
+            for process in self.processes:
+                process.kill()
+            self.sink.close()
+
+    def _day(self) -> Coroutine:
+        starts = [self.loop.spawn(p.start(), p.name) for p in self.processes]
+        for start in starts:
+            yield from self.loop.join(start)
+        for host in self.hosts:
+            host.allocators = {p.name: p.agents for p in self.processes}
+            host.start(cold=False)
+        self.directory.start()
+        self._owners()
+        for at in self.script.at:
+            self.loop.call_in(at.time, lambda at=at: self._fault(at))  # type: ignore[misc]
+        asking = self.loop.spawn(self._ask(), "asking")
+        yield from self.loop.join(asking)
+        yield from self.loop.sleep(self.script.play.settle)
+        for process in self.processes:
+            self.exits[process.name] = yield from process.stop()
+
+    def _ask(self) -> Coroutine:
+        """New tasks at random instants, of random owners: a Poisson stream."""
+        until = self.loop.now() + self.script.play.length
+        due = self.loop.now()
+        while due < until:
+            due += self.random.expovariate(self.script.owners.rate) * 1_000.0
+            yield from self.loop.sleep(max(0.0, due - self.loop.now()))
+            self.random.choice(self.owners).ask(self._job())
+
+    def _job(self) -> Job:
+        self.jobs += 1
+        part = self.random.choices(self.script.wants, [w.share for w in self.script.wants])[0]
+        cls = next(c for c in self.campus.classes if c.name == part.cls)
+        sizes = tuple(zip(part.cores, part.memory, strict=True))
+        want = Want(cls.name, cls.effect, cls.deadline, sizes, (part.life_from, part.life_to))
+        cores, memory = self.random.choice(sizes)
+        service = f"{part.cls}-{self.random.randrange(part.services)}"
+        life = self.random.uniform(part.life_from, part.life_to)
+        return Job(f"t{self.jobs:05d}", want, service, cores, memory, life)
+
+    # ---- faults ----
+
+    def _fault(self, at: At) -> None:
+        self.recorder.add("fault", state="begins", text=str(at))
+        undo = getattr(self, "_fault_" + at.fault.replace("-", "_"))(at)
+
+        def end() -> None:
+            self.recorder.add("fault", state="ends", text=str(at))
+            undo()
+
+        self.loop.call_in(at.duration, end)
+
+    def _some(self, share: float) -> list[Host]:
+        up = [h for h in self.hosts if h.up and h.name not in self.draining]
+        return self.random.sample(up, min(len(up), max(1, round(share * len(self.hosts)))))
+
+    def _down(self, hosts: list[Host], why: str) -> Callable[[], None]:
+        for host in hosts:
+            host.stop(why)
+
+        def back() -> None:
+            for host in hosts:
+                if not host.up and not host.fallen:
+                    host.start(cold=True)
+
+        return back
+
+    def _fault_hall(self, at: At) -> Callable[[], None]:
+        return self._down([h for h in self.hosts if h.zone == at.what and h.up], "hall lost")
+
+    def _fault_crash(self, at: At) -> Callable[[], None]:
+        return self._down(self._some(at.share()), "crash")
+
+    def _marked(self, hosts: list[Host], name: str) -> Callable[[], None]:
+        def mark(on: bool) -> None:
+            for host in hosts:
+                setattr(host.machine.faults, name, on)
+
+        mark(True)
+        return lambda: mark(False)
+
+    def _fault_false_full(self, at: At) -> Callable[[], None]:
+        return self._marked(self._some(at.share()), "false_full")
+
+    def _fault_silent(self, at: At) -> Callable[[], None]:
+        return self._marked(self._some(at.share()), "silent")
+
+    def _fault_quiet(self, at: At) -> Callable[[], None]:
+        sessions = []
+        for host in self._some(at.share()):
+            self.recorder.add("quiet", who=host.name)
+            sessions += list(host.sessions.values())
+        for session in sessions:
+            session.pause()
+
+        def back() -> None:
+            for session in sessions:
+                session.resume()
+
+        return back
+
+    def _fault_drain(self, at: At) -> Callable[[], None]:
+        hosts = self._some(int(at.what) / len(self.hosts))
+        for host in hosts:
+            self.draining.add(host.name)
+            host.machine.drain()
+
+        def leave() -> None:
+            for host in hosts:
+                host.machine.leave()
+                self.loop.call_in(500.0, lambda host=host: host.stop("drained"))  # type: ignore[misc]
+
+        return leave
+
+    def _process_named(self, name: str) -> Process:
+        return next(p for p in self.processes if p.name == name)
+
+    def _fault_stall(self, at: At) -> Callable[[], None]:
+        process = self._process_named(at.what)
+        process.signal(signal.SIGSTOP, "stalled")
+        return lambda: process.signal(signal.SIGCONT, "resumed")
+
+    def _fault_kill(self, at: At) -> Callable[[], None]:
+        process = self._process_named(at.what)
+        process.kill()
+
+        def back() -> None:
+            self.loop.spawn(process.start(), process.name)
+
+        return back
+
+    def _fault_directory(self, at: At) -> Callable[[], None]:
+        self.directory.fail()
+        return self.directory.mend
+
+    def _fault_list(self, at: At) -> Callable[[], None]:
+        self.directory.shrink()
+        return self.directory.regrow
+
+    def _fault_cut(self, at: At) -> Callable[[], None]:
+        for owner in self.random.sample(self.owners, max(1, round(at.share() * len(self.owners)))):
+            owner.cut()
+        return lambda: None
+
+    def _fault_slow(self, at: At) -> Callable[[], None]:
+        owners = self.random.sample(self.owners, max(1, round(at.share() * len(self.owners))))
+        for owner in owners:
+            owner.slow = True
+
+        def back() -> None:
+            for owner in owners:
+                owner.slow = False
+
+        return back
