--- a/glencleat/allocator/agent_side.py
+++ b/glencleat/allocator/agent_side.py
@@ -119,7 +119,7 @@
         except BadAsk as error:
             core.log("task not adopted", agent=agent, task=task.task_id.value, why=str(error))
             return
-        before = core.ledger.tasks.get((framework, name))
+        before = core.ledger.task(framework, name)
         elsewhere = before is not None and (before.given is None or before.placed())
         effect = core.classes[ask.task_class].effect
         call = Call(0, framework, name, task, ask, effect, m.label(task.labels, "tenant"), core.now())
@@ -223,7 +223,7 @@
     def _late_yes(self, attempt: Attempt, was_placed: bool) -> None:
         """An agent holds a task of which the module was told that the attempt came to nothing."""
         core, call = self.core, attempt.call
-        latest = core.ledger.tasks.get((call.framework, call.task_id), call)
+        latest = core.ledger.task(call.framework, call.task_id) or call
         placed = latest.placed()
         answered = latest.given.value if latest.given is not None else None
         gone = call.left or core.framework_of(call) is None
--- a/glencleat/allocator/ledger.py
+++ b/glencleat/allocator/ledger.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Iterator
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -119,7 +118,7 @@
     def __init__(self, remembered: int = 50_000) -> None:
         self.remembered = remembered
         self.calls: dict[int, Call] = {}  # those of which the module still expects something
-        self.tasks: dict[tuple[str, str], Call] = {}  # the latest call of each owner's task
+        self.tasks: dict[str, dict[str, Call]] = {}  # framework -> task id -> its latest call
         self.attempts: dict[str, Attempt] = {}
         self.machines: dict[str, dict[str, Attempt]] = {}
         self.answered: OrderedDict[int, Call] = OrderedDict()
@@ -127,7 +126,7 @@
 
     def take(self, call: Call) -> None:
         self.calls[call.number] = call
-        self.tasks[call.framework, call.task_id] = call
+        self.tasks.setdefault(call.framework, {})[call.task_id] = call
         self.open += call.given is None
 
     def bind(self, attempt: Attempt) -> None:
@@ -154,19 +153,17 @@
 
     def forget(self, call: Call) -> None:
         self.answered.pop(call.number, None)
-        if self.tasks.get((call.framework, call.task_id)) is call:
-            del self.tasks[call.framework, call.task_id]
+        if self.task(call.framework, call.task_id) is call:
+            del self.tasks[call.framework][call.task_id]
+            if not self.tasks[call.framework]:
+                del self.tasks[call.framework]
         for attempt in call.attempts:
             self.drop(attempt)
 
     def drop(self, attempt: Attempt) -> None:
         """Forgets an attempt of which no more can be heard."""
         self.attempts.pop(attempt.id, None)
-        there = self.machines.get(attempt.machine)
-        if there is not None:
-            there.pop(attempt.id, None)
-            if not there:
-                del self.machines[attempt.machine]
+        self.settle(attempt)
 
     def settle(self, attempt: Attempt) -> None:
         """The last word about an attempt came: it no longer counts at its machine."""
@@ -180,5 +177,8 @@
         """Attempts at a machine of which more may be heard."""
         return list(self.machines.get(machine, {}).values())
 
-    def of(self, framework: str) -> Iterator[Call]:
-        return (call for call in list(self.tasks.values()) if call.framework == framework)
+    def task(self, framework: str, task_id: str) -> Call | None:
+        return self.tasks.get(framework, {}).get(task_id)
+
+    def of(self, framework: str) -> list[Call]:
+        return list(self.tasks.get(framework, {}).values())
--- a/glencleat/allocator/owner_side.py
+++ b/glencleat/allocator/owner_side.py
@@ -122,7 +122,7 @@
 
     def _launch(self, framework: Framework, info: m.TaskInfo) -> None:
         core = self.core
-        before = core.ledger.tasks.get((framework.id, info.task_id.value))
+        before = core.ledger.task(framework.id, info.task_id.value)
         repeat = admission.repeats(before)
         if repeat == "same" and before is not None:
             core.figures.events["launch repeated"] += 1
@@ -171,7 +171,7 @@
         self._status(framework, info.task_id.value, answer, None, text)
 
     def kill(self, framework: Framework, task_id: str) -> None:
-        call = self.core.ledger.tasks.get((framework.id, task_id))
+        call = self.core.ledger.task(framework.id, task_id)
         if call is None:
             answer = Answer(tables.UNKNOWN, Retry.RECONCILE, tables.RECONCILIATION)
             self._status(framework, task_id, answer, None, "no such task here", acked=False)
@@ -237,7 +237,7 @@
                 self._reconciled(framework, call.task_id, call)
         for task in tasks:
             self._reconciled(
-                framework, task.task_id.value, core.ledger.tasks.get((framework.id, task.task_id.value))
+                framework, task.task_id.value, core.ledger.task(framework.id, task.task_id.value)
             )
 
     def _reconciled(self, framework: Framework, task_id: str, call: Call | None) -> None:
--- a/glencleat/daemon.py
+++ b/glencleat/daemon.py
@@ -14,6 +14,7 @@
 from random import SystemRandom
 from typing import Any
 
+from glencleat import interface as api
 from glencleat.allocator.admission import Limits as Admission
 from glencleat.allocator.core import Core, Options
 from glencleat.config import Config, ConfigError, load
@@ -27,6 +28,7 @@
 from glencleat.logic import Scheduler
 
 MB = 1 << 20
+FLUSH_MS = 1_000.0
 LIVE = {"limit", "log", "shutdown", "answer_margin", "probe_timeout"}  # what SIGHUP can change
 
 
@@ -74,7 +76,7 @@
         ids = SystemRandom().getrandbits(64) if seed is None else seed
         self.core = Core(settings, module, options(config), self.loop, ids, self._log)
         self.servers: dict[str, Server] = {}
-        self.stopping = False
+        self.stopping = self.ending = False
         self.directory = DirectoryClient(
             self.loop, config.directory, self.core.list_told, 3.0 * config.heartbeat.every, log=self._log
         )
@@ -100,7 +102,8 @@
                 self.servers[name] = Server(self.loop, address, handler, limits, self._log)
             except OSError as error:
                 raise OSError(f"listen {name} {address[0]}:{address[1]}: {error.strerror}") from None
-        self.directory.watch()
+        # An empty change is news of nothing, at which the module asks for the list by itself.
+        self.core.tell(api.ListTold(api.ListKind.CHANGES))
         gc.freeze()  # what is there from the start need not be looked at by each collection
         return {name: f"{s.address[0]}:{s.address[1]}" for name, s in self.servers.items()}
 
@@ -141,10 +144,22 @@
         self._end_soon()
 
     def _end_soon(self) -> None:
-        """Leaves what was just answered one flush, bounded, on its way out."""
+        """The last answers leave, as far as their owners read them within `FLUSH_MS`."""
+        if self.ending:
+            return
+        self.ending = True
         for server in self.servers.values():
             server.close()
-        self.loop.call_in(100.0, self.loop.stop)
+        until = self.loop.now() + FLUSH_MS
+
+        def look() -> None:
+            unsent = any(stream.out for server in self.servers.values() for stream in server.listener.open)
+            if unsent and self.loop.now() < until:
+                self.loop.call_in(20.0, look)
+            else:
+                self.loop.stop()
+
+        self.loop.call_in(20.0, look)
 
     def reload(self) -> None:
         """Reads the file again: all of it counts, or nothing of it."""
--- a/glencleat/fronts/server.py
+++ b/glencleat/fronts/server.py
@@ -36,15 +36,13 @@
         self.beat: Timer | None = None
 
     def send(self, record: bytes) -> tuple[int, int]:
-        framed = self.connection.chunk(recordio.encode(record))
         begin = self.stream.queued
-        end = begin + len(framed) - 2  # the chunk's own line end comes after the record's last byte
-        if self.stream.closed is None:
-            try:
-                self.stream.send(framed)
-            except StreamClosed:
-                return begin, end
-        return begin, end
+        if self.stream.closed is not None:
+            return begin, begin + 1
+        framed = self.connection.chunk(recordio.encode(record))
+        with contextlib.suppress(StreamClosed):  # its on_close tells whom it concerns
+            self.stream.send(framed)
+        return begin, begin + len(framed) - 2  # the chunk's own line end comes after the record's last byte
 
     def written(self) -> int:
         return self.stream.written
--- a/glencleat/interface.py
+++ b/glencleat/interface.py
@@ -1,7 +1,32 @@
 """What the decision module is told and what it answers: settings, events and actions, in plain words.
 
-Times are milliseconds on the caller's monotonic clock; cores and memory are in the units of the machines.
+Times are milliseconds on the caller's monotonic clock, which never goes back between two calls of `handle`;
+cores and memory are in the units of the machines, the same in settings, list, asks, reports and notes.
 Everything is frozen; a field that the caller does not know is None.
+
+The contract. Whoever breaks it is not told by the module, which ignores what does not fit; it then takes an
+attempt to be out for ever, and after four of these a machine (its short line) sends nothing more there.
+`glencleat/allocator/contract.py` checks all of it at run time and raises ContractError.
+
+1. `Asked` begins a call. Its number is the caller's choice and not that of a call still known: one that has
+   had no answer, or whose last attempt has had no `Returned`.
+2. Each `Bind` is one attempt. The caller counts a call's attempts from 0 in the order of their `Bind`s and
+   gives that number back in `Accepted` and `Returned`, with the machine of the `Bind`. Only the last attempt
+   may be told about. A call that was `Asked` with `machine` has attempt 0 at that machine already, accepted;
+   it is not sent.
+3. Each `Bind` gets exactly one `Returned`, however it ended: also NOT_SENT if it could not be sent, TIMED_OUT
+   when `timeout_ms` is over without an answer. `Accepted` comes at most once, before it, when the machine
+   says yes; from then on no time-out runs, and `Returned` tells the placed task's end, with `over` true.
+4. `Returned` with `over` false leaves the call open: the module answers with another `Bind`, or `Refuse` or
+   `Fail` now or later, by a timer. These two are the final answer, the module's last word on the call.
+5. `Left` says that nobody waits for the answer any more; no answer follows. An attempt that is out still gets
+   its `Returned`, with `over` true.
+6. `SetTimer` comes back as one `TimerDue` with its token, no earlier than asked for. `Probe` comes back as
+   one `Probed`. `Watch` asks for the list's changes from now on and comes back as one `ListTold`: WHOLE or
+   FAILED, then CHANGES as they come.
+7. An attempt counts as known not to have run after REFUSED, UNREACHABLE and NOT_SENT, and only then. A caller
+   that is not sure tells TIMED_OUT, LOST or ERROR. The second rule (no effect twice) stands on this.
+8. Actions are carried out in their order, all of them, before the next event is told.
 """
 
 from __future__ import annotations
@@ -21,27 +46,27 @@
 class Outcome(Enum):
     """How an attempt ended."""
 
-    ERROR = "error"
-    ENDED = "ended"
-    REFUSED = "refused"
-    TIMED_OUT = "timed out"
-    UNREACHABLE = "unreachable"
-    LOST = "lost"
-    STOPPED = "stopped"
-    NOT_SENT = "not sent"
+    ERROR = "error"  # the machine answered with an error; the task may have run
+    ENDED = "ended"  # a placed task came to its end (or a probe was answered)
+    REFUSED = "refused"  # the machine said no; known not to have run
+    TIMED_OUT = "timed out"  # no answer within the attempt's time-out; may have run
+    UNREACHABLE = "unreachable"  # nothing could be sent, the machine is not there; known not to have run
+    LOST = "lost"  # the connection or the machine went after it was sent, or a placed task was lost
+    STOPPED = "stopped"  # a placed task was stopped: by its owner, a move, or a drain's end
+    NOT_SENT = "not sent"  # it never left; known not to have run
 
 
 class Why(Enum):
-    """The reason that came with an outcome."""
+    """The reason that came with an outcome: five with REFUSED, the others with a placed task's end."""
 
-    NONE = "none"
+    NONE = "none"  # not told; a refusal without a reason is taken as a limit on its class or tenant
     CORES = "cores"
     MEMORY = "memory"
-    LINE = "line"
-    NOT_HERE = "not here"
-    EVICTED = "evicted"
-    PUSHED_OUT = "pushed out"
-    SENT_AWAY = "sent away"
+    LINE = "line"  # too many offers wait there
+    NOT_HERE = "not here"  # wrong kind, draining, too late, or a copy stands
+    EVICTED = "evicted"  # memory ran out
+    PUSHED_OUT = "pushed out"  # for a task of higher priority
+    SENT_AWAY = "sent away"  # the machine stops
 
 
 class Phase(Enum):
@@ -51,17 +76,17 @@
 
 
 class ListKind(Enum):
-    CHANGES = "changes"
-    WHOLE = "whole"
-    FAILED = "failed"
+    CHANGES = "changes"  # the entries told replace those of the same name, the others stay
+    WHOLE = "whole"  # a machine that is not told is gone
+    FAILED = "failed"  # no news; what was known stays, and the module asks again by a timer
 
 
 class NoteKind(Enum):
-    RUNS = "runs"
-    CORES = "cores"
-    MEMORY = "memory"
-    SERVED = "served"
-    MACHINE_MEMORY = "machine memory"
+    RUNS = "runs"  # the start is over (where the acceptance came before it); the value does not matter
+    CORES = "cores"  # in use by the task now
+    MEMORY = "memory"  # likewise
+    SERVED = "served"  # share of full service that the task gets, 0 to 1
+    MACHINE_MEMORY = "machine memory"  # share of the machine's memory in use, by all
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,15 +95,15 @@
     effect: Effect
     aim_ms: float
     deadline_ms: float
-    worth: float
-    late_worth: float = 0.0
+    worth: float  # of a second of full service, for a task of mean size
+    late_worth: float = 0.0  # part of a start's worth after the aim
     group: str = "all"  # keyed: repeats are dropped by "all" machines, those of one "zone" or one "cell"
-    window_ms: float = 0.0
-    start_s: float = 0.0
+    window_ms: float = 0.0  # keyed: how long machines drop repeats, from the first attempt that may have run
+    start_s: float = 0.0  # seconds of service that a start in time is worth
     spread: str = "off"  # "off", "machine", "cell" or "zone"
-    most: int = 0
-    kind: str | None = None
-    priority: int = 0
+    most: int = 0  # tasks of a service in one such place, of this scheduler
+    kind: str | None = None  # of machine that it needs
+    priority: int = 0  # higher ones keep cores and memory longer
     calm: float = 1.0  # served in full while this share of the cores is busy,
     fade: float = 1.0  # and not at all this much above it
 
@@ -91,9 +116,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Settings:
-    me: int
+    me: int  # this scheduler's number, 0 to peers - 1
     peers: int  # schedulers, this one included
-    zone: str
+    zone: str  # where this scheduler is
     classes: tuple[TaskClass, ...]
     kinds: dict[str, Size]
     accept_cores: float = 1.0  # a machine accepts asks up to this multiple of its cores
@@ -105,17 +130,17 @@
     probes: bool = False
     notes_pressure: bool = False
     yes_means_runs: bool = False  # the acceptance comes when the task runs
-    max_attempts: int = 1
-    max_retry_after_ms: float = 0.0
-    drain_ms: float = 0.0
+    max_attempts: int = 1  # of one call
+    max_retry_after_ms: float = 0.0  # longest advice that owners follow
+    drain_ms: float = 0.0  # grace from learning of a drain to the last send
     cold_ms: float = 0.0  # a fresh machine is warm by then
     cold_window_ms: float = 0.0
     cold_offers: float = 0.0  # borne by a cold machine in any such window, from all schedulers
-    settle_ms: float = 0.0
-    tick_ms: float = 1.0
-    fleet_price: float = 0.0
-    cross_zone_price: float = 0.0
-    over_share_worth: float = 1.0
+    settle_ms: float = 0.0  # an owner's wait before it asks again for what may run
+    tick_ms: float = 1.0  # resolution of the caller's clock and timers
+    fleet_price: float = 0.0  # points for each part of the fleet in use beyond need
+    cross_zone_price: float = 0.0  # points for tasks in another zone than this scheduler's
+    over_share_worth: float = 1.0  # of a task beyond its tenant's share
     tenant_cores: dict[str, float] | None = None  # cores asked within the tenant's share, at all schedulers
 
 
@@ -124,21 +149,21 @@
     name: str
     kind: str
     zone: str
-    cell: int
+    cell: int  # a few machines of a zone that share a fate, such as a rack
     phase: Phase
-    cores_left: float = 0.0
+    cores_left: float = 0.0  # not asked for by accepted tasks, below 0 where too much was (Settings.view)
     memory_left: float = 0.0
-    ready_at_ms: float | None = None
+    ready_at_ms: float | None = None  # its latest start, on the caller's clock; None: long ago
 
 
 @dataclass(frozen=True, slots=True)
 class Report:
     """A machine's load as it told it; what it does not tell is None."""
 
-    cores_free: float | None = None
+    cores_free: float | None = None  # not asked for, or not used (Settings.reports_used)
     memory_free: float | None = None
-    busy: float | None = None
-    queue: float | None = None
+    busy: float | None = None  # share of its cores that work, 0 to 1
+    queue: float | None = None  # offers and starts that wait there
 
 
 @dataclass(frozen=True, slots=True)
@@ -152,32 +177,36 @@
     """A task to be placed, or (with `machine`) one that runs already and is now ours."""
 
     call: int
-    task_class: str
+    task_class: str  # a name in Settings.classes; another raises KeyError
     service: str
-    cores: float
+    cores: float  # asked for
     memory: float
-    left_ms: float = 0.0
+    left_ms: float = 0.0  # until its owner gives up; not read for a task that runs already
     tenant: str | None = None
-    life_ms: float | None = None
+    life_ms: float | None = None  # expected, rough
     machine: str | None = None
-    again: bool = False
+    again: bool = False  # it comes again after a refusal, failure, move or loss
 
 
 @dataclass(frozen=True, slots=True)
 class Accepted:
+    """The machine said yes to the last attempt: the task is placed, and that is its answer."""
+
     call: int
-    attempt: int
+    attempt: int  # counted from 0 in the order of the call's Binds
     machine: str
-    spent_ms: float
+    spent_ms: float  # since its Bind
 
 
 @dataclass(frozen=True, slots=True)
 class Returned:
+    """The last attempt is back: it came to nothing, or the task that it placed has ended."""
+
     call: int
-    attempt: int
+    attempt: int  # counted from 0 in the order of the call's Binds
     machine: str
     outcome: Outcome
-    spent_ms: float
+    spent_ms: float  # since its Bind
     over: bool  # the task is over for us; else it still wants its final answer
     why: Why = Why.NONE
     report: Report | None = None
@@ -185,11 +214,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Left:
+    """Nobody waits for the call's answer any more; none is owed from here on."""
+
     call: int
 
 
 @dataclass(frozen=True, slots=True)
 class Noted:
+    """News of a task of ours while it runs."""
+
     call: int
     machine: str
     kind: NoteKind
@@ -198,6 +231,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Probed:
+    """The end of a probe: ENDED with a report, or the outcome for which there is none."""
+
     machine: str
     outcome: Outcome
     report: Report | None = None
@@ -213,34 +248,46 @@
 
 @dataclass(frozen=True, slots=True)
 class Bind:
+    """Offer the task to the machine: one attempt."""
+
     call: int
     machine: str
-    timeout_ms: float = 0.0
+    timeout_ms: float = 0.0  # for its answer, from now; never beyond what the owner waits
 
 
 @dataclass(frozen=True, slots=True)
 class Refuse:
+    """Final answer: not placed, and asking again does no harm."""
+
     call: int
     retry_after_ms: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
 class Fail:
+    """Final answer: an attempt may have run, and a second might do harm."""
+
     call: int
 
 
 @dataclass(frozen=True, slots=True)
 class Move:
+    """Stop the placed task; its owner asks again. Its attempt still gets its Returned."""
+
     call: int
 
 
 @dataclass(frozen=True, slots=True)
 class Probe:
+    """Ask the machine for its report."""
+
     machine: str
 
 
 @dataclass(frozen=True, slots=True)
 class SetTimer:
+    """Tell TimerDue with this token, once, in so many milliseconds or a little later."""
+
     in_ms: float
     token: int
 
@@ -252,6 +299,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Log:
+    """A line for whoever operates this scheduler."""
+
     text: str
 
 
--- a/glencleat/kernel/loop.py
+++ b/glencleat/kernel/loop.py
@@ -164,6 +164,9 @@
     def _step(self, task: Task, value: Any, error: BaseException | None) -> None:
         if task.done:
             return
+        if error is not None and task.disarm is not None:
+            task.disarm()  # it was woken and has begun another wait since it was cancelled
+        task.disarm = None
         self.current = task
         try:
             arm = task.gen.send(value) if error is None else task.gen.throw(error)
