--- a/glencleat/allocator/contract.py
+++ b/glencleat/allocator/contract.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import time
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -40,6 +41,7 @@
         self.now = float("-inf")
         self.calls: dict[int, Known] = {}
         self.timers = 0
+        self.module_s, self.events = 0.0, 0  # CPU time that the module itself took, and for how many events
         self.probes: dict[str, int] = {}
 
     def handle(self, now_ms: float, event: api.Event) -> list[api.Action]:
@@ -47,7 +49,10 @@
             raise ContractError(f"the clock went back from {self.now} to {now_ms}")
         self.now = now_ms
         self._event(event)
+        began = time.thread_time()
         actions = self.module.handle(now_ms, event)
+        self.module_s += time.thread_time() - began
+        self.events += 1
         if isinstance(event, api.Returned | api.Left):
             self._forget(event.call)
         for action in actions:
--- a/glencleat/allocator/core.py
+++ b/glencleat/allocator/core.py
@@ -8,7 +8,6 @@
 
 import base64
 import itertools
-import time
 import uuid
 from collections import deque
 from collections.abc import Callable
@@ -124,10 +123,7 @@
         self.telling = True
         try:
             while self.pending:
-                began = time.thread_time()
                 actions = self.module.handle(self.now(), self.pending.popleft())
-                self.figures.module_s += time.thread_time() - began
-                self.figures.module_events += 1
                 for action in actions:
                     self._act(action)
         finally:
--- a/glencleat/allocator/figures.py
+++ b/glencleat/allocator/figures.py
@@ -18,8 +18,6 @@
         self.adopted: Counter[str] = Counter()
         self.attempts: Counter[str] = Counter()  # by outcome
         self.events: Counter[str] = Counter()  # of any kind worth a count
-        self.module_s = 0.0  # CPU seconds inside the module
-        self.module_events = 0
 
     def take(self, task_class: str) -> None:
         self.taken[task_class] += 1
--- a/glencleat/fronts/metrics.py
+++ b/glencleat/fronts/metrics.py
@@ -64,7 +64,7 @@
             )
         yield frameworks
         module = CounterMetricFamily("glencleat_module_cpu_seconds", "CPU time inside the decision module")
-        module.add_metric([], figures.module_s)
+        module.add_metric([], core.module.module_s)
         yield module
 
 
--- a/glencleat/fronts/server.py
+++ b/glencleat/fronts/server.py
@@ -204,27 +204,38 @@
 
 
 class Patience:
-    """One timer a connection: how long a peer may take with a request, or stay idle.
+    """How long a peer may take with a request, or stay idle; one timer a connection, set anew only when due.
 
     Dripping a byte now and then does not help a slow sender: the limit runs from the request's first byte."""
 
     def __init__(self, loop: Loop, stream: Stream, limits: Limits) -> None:
         self.loop, self.stream, self.limits = loop, stream, limits
-        self.busy: bool | None = None
+        self.busy, self.since = False, loop.now()
         self.timer: Timer | None = None
-        self.waits(False)
+        self._arm(limits.idle_ms)
 
     def waits(self, busy: bool) -> None:
+        """Called as often as the peer is waited for; `busy`: it has begun something and not ended it."""
         if busy and self.busy:
             return
+        self.since = self.loop.now()
+        if busy != self.busy:
+            self.busy = busy
+            self._arm(self.limits.request_ms if busy else self.limits.idle_ms)
+
+    def _arm(self, in_ms: float) -> None:
         self.stop()
-        self.busy = busy
-        limit = self.limits.request_ms if busy else self.limits.idle_ms
-        why = "request too slow" if busy else "idle"
-        self.timer = self.loop.call_in(limit, lambda: self.stream.close(why))
+        self.timer = self.loop.call_in(in_ms, self._due)
+
+    def _due(self) -> None:
+        limit = self.limits.request_ms if self.busy else self.limits.idle_ms
+        left = self.since + limit - self.loop.now()
+        if left > 1.0:
+            self._arm(left)
+        else:
+            self.stream.close("request too slow" if self.busy else "idle")
 
     def stop(self) -> None:
-        self.busy = None
         if self.timer is not None:
             self.timer.cancel()
 
--- a/glencleat/kernel/streams.py
+++ b/glencleat/kernel/streams.py
@@ -38,6 +38,7 @@
         self.reader: Task | None = None
         self.flusher: Task | None = None
         self.interest = 0
+        self.readable = False
         loop.poller.watch(self.fd, 0, self._told)
 
     def _want(self, interest: int) -> None:
@@ -49,24 +50,32 @@
         if mask & WRITE and self.out:
             self._write()
         if self.closed is None and mask & ~WRITE:
+            self.readable = True
             if self.reader is not None:
-                self._want(self.interest & ~READ)
                 reader, self.reader = self.reader, None
                 self.loop.wake(reader)
             elif mask & ~(READ | WRITE):  # hang-up or error, and nobody reads
                 self.close("connection lost")
+            else:
+                self._want(self.interest & ~READ)  # or a level-triggered loop spins until somebody reads
 
     def read(self, size: int = CHUNK) -> Coroutine:
         """The next bytes, b"" at the peer's end; raises StreamClosed once it is closed."""
         while True:
             if self.closed is not None:
                 raise StreamClosed(self.closed)
+            if not self.readable:
+                yield self._arm_read
+                continue
             try:
-                return self.sock.recv(size)
+                data: bytes = self.sock.recv(size)
             except (BlockingIOError, InterruptedError):
-                yield self._arm_read
+                self.readable = False
             except OSError as error:
                 self.close(f"connection lost: {error.strerror}")
+            else:
+                self.readable = len(data) == size  # else it is empty now, and the poller tells of more
+                return data
 
     def _arm_read(self, task: Task) -> Callable[[], None]:
         self.reader = task
@@ -74,7 +83,6 @@
 
         def disarm() -> None:
             self.reader = None
-            self._want(self.interest & ~READ)
 
         return disarm
 
--- a/glencleat/mesos/http.py
+++ b/glencleat/mesos/http.py
@@ -11,6 +11,9 @@
 
 HEAD_MOST = 16_384  # bytes of request line and headers
 BODY_MOST = 1 << 20
+# Most responses are this one; building an event checks its headers anew each time.
+ACCEPTED = h11.Response(status_code=202, headers=[("content-length", "0")])
+END_OF_MESSAGE = h11.EndOfMessage()
 
 
 class HttpError(Exception):
@@ -94,14 +97,16 @@
 
     def answer(self, response: Response) -> bytes:
         """The bytes of a whole response."""
-        headers = [("content-length", str(len(response.body))), ("content-type", response.content_type)]
-        if not response.body:
-            headers.pop()
-        headers += list(response.headers.items())
-        data = self._send(h11.Response(status_code=response.status, headers=headers))
+        if response.status == 202 and not response.body and not response.headers:
+            data = self._send(ACCEPTED)
+        else:
+            headers = [("content-length", str(len(response.body))), *response.headers.items()]
+            if response.body:
+                headers.append(("content-type", response.content_type))
+            data = self._send(h11.Response(status_code=response.status, headers=headers))
         if response.body:
             data += self._send(h11.Data(data=response.body))
-        data += self._send(h11.EndOfMessage())
+        data += self._send(END_OF_MESSAGE)
         self.pending -= 1
         if self.h11.our_state is h11.DONE and self.h11.their_state is h11.DONE:
             self.h11.start_next_cycle()
@@ -119,8 +124,12 @@
         told = [("content-type", "application/json"), ("transfer-encoding", "chunked"), *headers.items()]
         return self._send(h11.Response(status_code=200, headers=told))
 
-    def chunk(self, data: bytes) -> bytes:
-        return self._send(h11.Data(data=data))
+    @staticmethod
+    def chunk(data: bytes) -> bytes:
+        """One chunk of the stream (RFC 9112, 7.1).
+
+        Framed here: h11 does the same at ten times the cost, and a session's state does not change by it."""
+        return b"%x\r\n%b\r\n" % (len(data), data)
 
     def end_stream(self) -> bytes:
         return self._send(h11.EndOfMessage())
--- a/glencleat/standins/directory.py
+++ b/glencleat/standins/directory.py
@@ -83,9 +83,8 @@
         self.listeners: dict[str, Listener] = {}
 
     def start(self) -> None:
-        """The hosts are up: shows them, and looks after them from here on."""
-        self.shown = {entry.name: entry for entry in self.look()}
-        self.ever.update(dict.fromkeys(self.shown))
+        """The hosts are up: shows them, also to those that subscribed before, and looks after them."""
+        self._show({entry.name: entry for entry in self.look()})
         self.loop.call_in(self.every_ms, self._look)
         self.loop.call_in(HEARTBEAT_MS, self._beat)
 
--- a/glencleat/standins/play.py
+++ b/glencleat/standins/play.py
@@ -141,6 +141,8 @@
         self.owners: list[Owner] = []
         self.exits: dict[str, int | None] = {}
         self.jobs = 0
+        self.on_ready: Callable[[], None] = lambda: None  # all are up, nothing was asked yet
+        self.on_settled: Callable[[], None] = lambda: None  # the day is over, the allocators still run
 
     # ---- making ----
 
@@ -240,11 +242,14 @@
             host.start(cold=False)
         self.directory.start()
         self._owners()
+        yield from self.loop.sleep(self.script.play.warm)
+        self.on_ready()
         for at in self.script.at:
             self.loop.call_in(at.time, lambda at=at: self._fault(at))  # type: ignore[misc]
         asking = self.loop.spawn(self._ask(), "asking")
         yield from self.loop.join(asking)
         yield from self.loop.sleep(self.script.play.settle)
+        self.on_settled()
         for process in self.processes:
             self.exits[process.name] = yield from process.stop()
 
--- a/glencleat/standins/script.py
+++ b/glencleat/standins/script.py
@@ -45,6 +45,7 @@
 
 class Play(Part):
     seed: Annotated[int, Field(ge=0)] = 1
+    warm: Milliseconds = 0.0  # from all being up to the first ask
     length: Milliseconds = 30_000.0
     settle: Milliseconds = 12_000.0  # after the last ask, for answers and ends
 
