--- a/glencleat/cli/main.py
+++ b/glencleat/cli/main.py
@@ -74,10 +74,12 @@
 @click.argument("script", type=CONF)
 @click.option("--folder", type=click.Path(file_okay=False, path_type=Path), help="Keep record and logs here.")
 @click.option("--seed", type=int, help="Instead of the script's.")
-def play(script: Path, folder: Path | None, seed: int | None) -> None:
+@click.option("--trouble", help="Faults of such a bench day instead of the script's, as in crash+hot_key.")
+def play(script: Path, folder: Path | None, seed: int | None, trouble: str | None) -> None:
     """Play a day from SCRIPT on loopback and check the five rules. Exits with 1 if one was broken."""
     from glencleat.standins.play import Play, PlayError
     from glencleat.standins.script import load_campus, load_script
+    from glencleat.standins.troubles import faults
 
     try:
         told = load_script(script)
@@ -87,6 +89,11 @@
         give_up("\n".join(f"glencleat: {fault}" for fault in error.faults), 2)
     if seed is not None:
         told = told.model_copy(update={"play": told.play.model_copy(update={"seed": seed})})
+    if trouble is not None:
+        try:
+            told = told.model_copy(update={"at": faults(told, trouble, told.play.seed)})
+        except ValueError as error:
+            give_up(f"glencleat: {error}", 2)
     with tempfile.TemporaryDirectory(prefix="glencleat-") as made:
         kept = folder or Path(made)
         kept.mkdir(parents=True, exist_ok=True)
--- a/glencleat/standins/hosts.py
+++ b/glencleat/standins/hosts.py
@@ -256,7 +256,8 @@
 
     def _report(self, run: str) -> None:
         if run == self.run_name and self.up:
-            for session in self.sessions.values() if not self.machine.faults.silent else ():
+            faults = self.machine.faults
+            for session in self.sessions.values() if not (faults.silent or faults.mute) else ():
                 session.report(None)
             self.loop.call_in(self.report_ms, lambda: self._report(run))
 
--- a/glencleat/standins/machine.py
+++ b/glencleat/standins/machine.py
@@ -76,6 +76,8 @@
     silent: bool = False  # reads and says nothing
     false_full: bool = False  # refuses although it has room
     draining: bool = False
+    crowded: bool = False  # another program takes half of it
+    mute: bool = False  # its reports don't come
 
 
 Say = Callable[[str, str, str, str | None, str | None], None]  # allocator, task, state, reason, cause
@@ -210,10 +212,11 @@
             self.started(held)
             self.say(held.allocator, held.id, "TASK_RUNNING", None, None)
             held.timer = self._later(held.life_ms, lambda: self.end(held, "TASK_FINISHED", None))
-            self._evict()
+            self.evict()
         self._start_next()
 
-    def _evict(self) -> None:
+    def evict(self) -> None:
+        """Ends tasks, lowest priority first, until memory suffices."""
         while self.memory_used() > 1.0 and any(h.running for h in self.held.values()):
             victim = min((h for h in self.held.values() if h.running), key=lambda h: (h.priority, -h.memory))
             self.end(victim, "TASK_FAILED", "REASON_CONTAINER_LIMITATION_MEMORY")
@@ -270,7 +273,8 @@
     # ---- reports ----
 
     def cores_used(self) -> float:
-        return sum(h.uses[0] for h in self.held.values() if h.running)
+        own = sum(h.uses[0] for h in self.held.values() if h.running)
+        return own + (0.5 * self.cores if self.faults.crowded else 0.0)
 
     def memory_used(self) -> float:
         return sum(h.uses[1] for h in self.held.values() if h.running) / self.memory
--- a/glencleat/standins/play.py
+++ b/glencleat/standins/play.py
@@ -27,6 +27,8 @@
 
 START_MS = 20_000.0  # for a process to say where it listens
 END_MS = 15_000.0  # for one to end after SIGTERM
+RESTART_MS = 300.0  # of a host in a deploy
+GROWN = 3.0  # times the usual use of a task that swells
 
 
 class PlayError(Exception):
@@ -141,6 +143,7 @@
         self.owners: list[Owner] = []
         self.exits: dict[str, int | None] = {}
         self.jobs = 0
+        self.more = 1.0  # times the usual rate of new tasks
         self.on_ready: Callable[[], None] = lambda: None  # all are up, nothing was asked yet
         self.on_settled: Callable[[], None] = lambda: None  # the day is over, the allocators still run
 
@@ -258,7 +261,7 @@
         until = self.loop.now() + self.script.play.length
         due = self.loop.now()
         while due < until:
-            due += self.random.expovariate(self.script.owners.rate) * 1_000.0
+            due += self.random.expovariate(self.script.owners.rate * self.more) * 1_000.0
             yield from self.loop.sleep(max(0.0, due - self.loop.now()))
             self.random.choice(self.owners).ask(self._job())
 
@@ -335,18 +338,65 @@
         return back
 
     def _fault_drain(self, at: At) -> Callable[[], None]:
+        return self._drained(at, back=False)
+
+    def _fault_deploy(self, at: At) -> Callable[[], None]:
+        return self._drained(at, back=True)
+
+    def _drained(self, at: At, back: bool) -> Callable[[], None]:
         hosts = self._some(int(at.what) / len(self.hosts))
         for host in hosts:
             self.draining.add(host.name)
             host.machine.drain()
 
+        def gone(host: Host) -> None:
+            host.stop("drained")
+            if back:
+                self.draining.discard(host.name)
+                host.machine.faults.draining = False
+                self.loop.call_in(RESTART_MS, lambda: host.start(cold=True))
+
         def leave() -> None:
             for host in hosts:
                 host.machine.leave()
-                self.loop.call_in(500.0, lambda host=host: host.stop("drained"))  # type: ignore[misc]
+                self.loop.call_in(500.0, lambda host=host: gone(host))  # type: ignore[misc]
 
         return leave
 
+    def _fault_flush(self, at: At) -> Callable[[], None]:
+        for host in self._some(at.share()):
+            host.machine.kept.clear()
+        return lambda: None
+
+    def _fault_neighbour(self, at: At) -> Callable[[], None]:
+        return self._marked(self._some(at.share()), "crowded")
+
+    def _fault_late_reports(self, at: At) -> Callable[[], None]:
+        return self._marked(self._some(at.share()), "mute")
+
+    def _fault_grow(self, at: At) -> Callable[[], None]:
+        running = [held for host in self.hosts for held in host.machine.held.values()]
+        some = self.random.sample(running, round(at.share() * len(running)))
+        usual = [held.uses for held in some]
+        for held in some:
+            held.uses = (GROWN * held.uses[0], GROWN * held.uses[1])
+
+        def back() -> None:
+            for held, uses in zip(some, usual, strict=True):
+                held.uses = uses
+
+        for host in self.hosts:
+            host.machine.evict()
+        return back
+
+    def _fault_burst(self, at: At) -> Callable[[], None]:
+        self.more = 1.0 + at.share()
+
+        def back() -> None:
+            self.more = 1.0
+
+        return back
+
     def _process_named(self, name: str) -> Process:
         return next(p for p in self.processes if p.name == name)
 
--- a/glencleat/standins/script.py
+++ b/glencleat/standins/script.py
@@ -4,7 +4,10 @@
 
 Faults: `hall NAME` (lost, comes back cold), `crash SHARE`, `false-full SHARE`, `silent SHARE` (takes asks,
 answers none), `quiet SHARE` (its network swallows all), `drain COUNT` (leaves after `for`), `stall NAME` and
-`kill NAME` (allocators), `directory fails`, `list empty`, `cut SHARE` and `slow SHARE` (owners' sessions)."""
+`kill NAME` (allocators), `directory fails`, `list empty`, `cut SHARE` and `slow SHARE` (owners' sessions),
+`deploy COUNT` (as drain, and they come back cold), `flush SHARE` (kept programs are lost), `neighbour SHARE`
+(other programs take half of the hosts), `late-reports SHARE`, `grow SHARE` (of tasks use thrice as much),
+`burst SHARE` (so much more is asked for)."""
 
 from __future__ import annotations
 
@@ -18,10 +21,11 @@
 from glencleat.config.load import Tables, load, load_as
 from glencleat.config.schema import SIZES, Count, Milliseconds, Name, Part, parse_unit
 
-HOST_FAULTS = ("crash", "false-full", "silent", "quiet")
+HOST_FAULTS = ("crash", "false-full", "silent", "quiet", "flush", "neighbour", "late-reports")
+TASK_FAULTS = ("grow", "burst")
 OWNER_FAULTS = ("cut", "slow")
 WORDS = {"directory": "fails", "list": "empty"}
-FAULTS = ("hall", "drain", "stall", "kill", *HOST_FAULTS, *OWNER_FAULTS, *WORDS)
+FAULTS = ("hall", "drain", "deploy", "stall", "kill", *HOST_FAULTS, *TASK_FAULTS, *OWNER_FAULTS, *WORDS)
 
 
 def _share(value: Any) -> Any:
@@ -103,10 +107,10 @@
     def _known(self) -> At:
         if self.fault not in FAULTS:
             raise ValueError(f"fault is {self.fault!r}; expected one of {', '.join(FAULTS)}")
-        if self.fault in HOST_FAULTS + OWNER_FAULTS:
+        if self.fault in HOST_FAULTS + OWNER_FAULTS + TASK_FAULTS:
             _share(self.what)
-        if self.fault == "drain" and not self.what.isdigit():
-            raise ValueError(f"drain {self.what!r}; expected a number of hosts")
+        if self.fault in ("drain", "deploy") and not self.what.isdigit():
+            raise ValueError(f"{self.fault} {self.what!r}; expected a number of hosts")
         if self.fault in WORDS and self.what != WORDS[self.fault]:
             raise ValueError(f"{self.fault} {self.what!r}; expected {self.fault} {WORDS[self.fault]}")
         return self
--- a/tests/test_play.py
+++ b/tests/test_play.py
@@ -8,7 +8,9 @@
 
 from glencleat.check import rules
 from glencleat.check.record import read
+from glencleat.standins.play import Play
 from glencleat.standins.script import figures, load_campus, load_script
+from glencleat.standins.troubles import TROUBLES, faults
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
 
@@ -70,6 +72,33 @@
     assert len(asked) > 150 and len(started) > 0.8 * len(asked)
 
 
+def test_every_bench_trouble_can_be_played():
+    script = load_script(EXAMPLES / "short-day.conf")
+    for name in TROUBLES:
+        for seed in range(5):
+            items = faults(script, name, seed)
+            assert items and items == faults(script, name, seed)
+            assert all(0 < item.time < script.play.length for item in items)
+            assert all(hasattr(Play, "_fault_" + item.fault.replace("-", "_")) for item in items)
+    assert {item.fault for item in faults(script, "crash+hot_key", 1)} == {"crash", "grow"}
+    with pytest.raises(ValueError, match="trouble 'odd': expected some of"):
+        faults(script, "crash+odd", 1)
+
+
+def test_a_bench_day_through_the_real_allocator(tmp_path):
+    """Rolling deploy, tasks that swell, a burst, neighbours and late reports, all in one."""
+    trouble = "deploy+grow+burst+neighbour+report_late+flush"
+    words = [sys.executable, "-m", "glencleat", "play", str(EXAMPLES / "short-day.conf"), "--folder", str(tmp_path)]
+    told = subprocess.run([*words, "--trouble", trouble], capture_output=True, text=True, timeout=90)
+    assert told.returncode == 0, told.stdout + told.stderr
+    entries = list(read(tmp_path / "record.jsonl"))
+    begun = {entry.text.split()[0] for entry in entries if entry.kind == "fault"}
+    assert begun == {"deploy", "grow", "burst", "neighbour", "late-reports", "flush"}
+    assert any(entry.kind == "up" and entry.cold for entry in entries)
+    told = subprocess.run([*words, "--trouble", "odd"], capture_output=True, text=True, timeout=30)
+    assert told.returncode == 2 and "expected some of" in told.stderr and "Traceback" not in told.stderr
+
+
 def test_the_same_record_with_a_rule_broken_is_told(day):
     """One more LAUNCH of an unsafe task that was placed, and the checker speaks."""
     _, _, entries = day
