--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -47,11 +47,13 @@
 
     def __init__(self, kind):
         self.kind, self.records, self.queued, self.sent = kind, [], 0, 0
-        self.hold = False
+        self.hold = self.fails = False
         self.ended, self.why = None, None
 
     def send(self, record):
         begin = self.queued
+        if self.fails:
+            self.close("connection lost")  # as a real one does, while it takes the record
         if self.why is None:
             self.records.append(m.decode(self.kind, record))
             self.queued += len(record)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -273,6 +273,31 @@
     cluster.check()
 
 
+def test_a_word_after_the_end_changes_nothing():
+    cluster, owner, agent, attempt = begin("unsafe")
+    for state in ("TASK_STARTING", "TASK_RUNNING", "TASK_FINISHED", "TASK_RUNNING", "TASK_STARTING"):
+        agent.say(attempt, state)
+    assert owner.states("t1") == ["TASK_STARTING", "TASK_RUNNING", "TASK_FINISHED"]
+    assert not agent.kills() and not cluster.core.figures.adopted
+    cluster.check()
+
+
+def test_a_session_that_fails_while_it_takes_the_launch():
+    """Its last byte was never handed over: known not to have run, so an unsafe task goes elsewhere."""
+    cluster = Cluster(2)
+    owner = Owner(cluster).subscribe()
+    owner.launch("probe", "unsafe")
+    ((likely, _),) = cluster.offered()
+    likely.say(likely.launches()[0].task_id.value, "TASK_FINISHED")
+    likely.link.fails = True
+    owner.launch("t1", "unsafe")
+    (agent, task) = cluster.offered()[-1]
+    assert agent is not likely and task.task_id.value.endswith(".1")
+    agent.say(task.task_id.value, "TASK_STARTING")
+    assert owner.states("t1") == ["TASK_STARTING"]
+    cluster.check()
+
+
 def test_an_end_that_overtook_everything():
     cluster, owner, agent, attempt = begin()
     agent.say(attempt, "TASK_FINISHED")
@@ -311,6 +336,19 @@
     cluster.check()
 
 
+def test_the_owner_gives_up_while_the_agent_is_away():
+    """No KILL could be sent; the yes that the agent brings along is stopped then."""
+    cluster, owner, agent, attempt = begin("unsafe")
+    held = agent.launches()
+    agent.link.close("cut")
+    cluster.core.owners.kill(owner.framework, "t1")
+    agent.subscribe(tasks=held)
+    assert agent.kills() == [attempt]
+    agent.say(attempt, "TASK_KILLED")
+    assert owner.states("t1") == ["TASK_STARTING", "TASK_KILLED"]
+    cluster.check()
+
+
 def test_the_owner_gives_up_and_the_machine_says_no():
     cluster, owner, agent, attempt = begin("unsafe")
     cluster.core.owners.kill(owner.framework, "t1")
@@ -586,6 +624,15 @@
     assert owner.reconcile("t1").state in ("TASK_STAGING", "TASK_DROPPED")
 
 
+def test_figures_that_do_not_add_up_are_told():
+    cluster, _, _, _ = begin("unsafe")
+    figures = cluster.core.figures
+    assert figures.mismatch() == {} and figures.open_by_class() == {"unsafe": 1}
+    figures.taken["unsafe"] += 1
+    figures.given["keyed", "served"] += 2
+    assert figures.mismatch() == {"unsafe": 1, "keyed": -2}
+
+
 def test_probes_come_back_once():
     cluster = Cluster(1, probe_timeout_ms=500.0)
     core, agent = cluster.core, cluster.agents["h0"]
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -104,6 +104,32 @@
     assert sum(e.kind == "started" for e in day.recorder.entries) == 1 and day.broken() == []
 
 
+def test_a_launch_that_an_agent_never_read_goes_elsewhere_even_if_unsafe(world):
+    """Its bytes still lie in our buffer at the time-out: the session is cut, so they can never arrive."""
+    day = world(hosts=2)
+    owner = day.owner()
+    stuck, other = day.hosts
+    other.stop("not yet")
+    day.until(lambda: day.core.listed == {stuck.name})
+    (session,) = stuck.sessions.values()
+    session.pause()
+    link = day.core.members.session(stuck.name)
+    link.stream.limit = 1 << 30
+    while not link.stream.out:
+        link.send(b'{"type":"HEARTBEAT"}' + b" " * 60_000)
+    owner.ask(day.job("t1", "store-compact", "unsafe"))
+    day.until(lambda: any(a.machine == stuck.name for a in day.core.ledger.attempts.values()))
+    for member in day.core.members.members.values():
+        member.heard_at = day.loop.now() + 60_000.0  # only the time-out may end it
+    other.start(cold=False)
+    day.until(lambda: "TASK_STARTING" in day.states(owner, "t1"), 6_000.0)
+    session.resume()
+    day.until(lambda: "TASK_FINISHED" in day.states(owner, "t1"))
+    offered = [e.who for e in day.recorder.entries if e.kind == "offered"]
+    assert offered == [other.name] and day.broken() == []
+    assert any(more.get("why") == "the agent does not read" for _, more in day.log.lines)
+
+
 def test_the_owners_connection_dies_as_the_machine_says_yes(world):
     day = world(hosts=1)
     owner = day.owner()
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -6,6 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from glencleat.fronts.server import RecordLink
 from glencleat.mesos import messages as m
 from glencleat.mesos import recordio
 from glencleat.mesos.http import ClientConnection, End, Head, HttpError, Response, ServerConnection
@@ -193,6 +194,26 @@
         server.refuse(error)
 
 
+def test_a_links_place_ends_with_the_records_last_byte():
+    """An agent can act as soon as it has that byte; the chunk's own line end does not matter."""
+
+    class Wire:
+        closed, queued, data = None, 0, b""
+
+        def send(self, data):
+            self.data += data
+            self.queued += len(data)
+
+    server, wire = ServerConnection(), Wire()
+    server.feed(post())
+    wire.send(server.open_stream({}))
+    link = RecordLink(server, wire)
+    for record in (b'{"type":"A"}', b'{"type":"LAUNCH"}'):
+        begin, end = link.send(record)
+        assert wire.data[:end].endswith(record) and wire.data[end:] == b"\r\n"
+        assert wire.data[:begin].endswith(b"\r\n")
+
+
 def test_a_stream_of_records_through_both_ends():
     server, client, decoder = ServerConnection(), ClientConnection(), recordio.Decoder()
     (request,) = server.feed(client.request("POST", "/api", "h", {"accept": "application/json"}, b"{}"))
