--- a/glencleat/check/record.py
+++ b/glencleat/check/record.py
@@ -19,6 +19,7 @@
 | quiet | host | its network swallows all, for a time |
 | told | directory | wrote an entry to `allocator`: `host` and its `phase` |
 | allocator | play | `allocator`'s process: `state` up, killed, stopped, stalled, resumed |
+| lag | play | the stand-ins' own process stood still for `left` ms, so that they read late |
 | fault | play | a line of the script began or ended: `text` |
 """
 
--- a/glencleat/check/report.py
+++ b/glencleat/check/report.py
@@ -84,6 +84,9 @@
         f"offers {told.offered}, turned down {told.refused_offers}, programs started {told.started}, "
         f"entries {len(entries)}"
     )
+    lags = [entry.left for entry in entries if entry.kind == "lag"]
+    if lags:
+        console.print(f"the stand-ins stood still for up to {max(lags):.0f} ms; the rules allow for that")
     for breach in breaches[:SHOWN]:
         console.print(f"broken: {breach}", style="red", highlight=False, soft_wrap=True)
         for line in breach.lines[:6]:
--- a/glencleat/standins/play.py
+++ b/glencleat/standins/play.py
@@ -28,6 +28,7 @@
 START_MS = 20_000.0  # for a process to say where it listens
 END_MS = 15_000.0  # for one to end after SIGTERM
 RESTART_MS = 300.0  # of a host in a deploy
+LAG_STEP_MS, LAG_MS = 20.0, 50.0
 GROWN = 3.0  # times the usual use of a task that swells
 
 
@@ -192,6 +193,7 @@
             self.sink.close()
 
     def _day(self) -> Coroutine:
+        self.loop.spawn(self._watch_lag(), "lag", self.loop.current)
         starts = [self.loop.spawn(p.start(), p.name) for p in self.processes]
         for start in starts:
             yield from self.loop.join(start)
@@ -211,6 +213,15 @@
         for process in self.processes:
             self.exits[process.name] = yield from process.stop()
 
+    def _watch_lag(self) -> Coroutine:
+        """Records when this process, with all stand-ins in it, stood still: it has read late then."""
+        while True:
+            due = self.loop.now() + LAG_STEP_MS
+            yield from self.loop.sleep(LAG_STEP_MS)
+            late = self.loop.now() - due
+            if late > LAG_MS:
+                self.recorder.add("lag", left=round(late, 1))
+
     def _ask(self) -> Coroutine:
         """New tasks at random instants, of random owners: a Poisson stream."""
         until = self.loop.now() + self.script.play.length
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -127,6 +127,8 @@
         (Tape().offered(0.0).offered(501.0, "g", "c.1"), []),
         (Tape().offered(0.0).add(100.0, "down", who="h").offered(200.0, "g", "c.1"), []),
         (Tape().offered(0.0).add(100.0, "down", who="x").offered(200.0, "g", "c.1"), [TWICE]),
+        (Tape().add(0.0, "lag", left=200.0).offered(0.0).offered(200.0, "g", "c.1"), []),  # it may have read late
+        (Tape().add(0.0, "lag", left=60.0).offered(0.0).offered(200.0, "g", "c.1"), [TWICE]),
         # keyed: within its window and its group
         (Tape().offered(0.0, effect="keyed", cls="k").offered(2_000.0, "g", "c.1", effect="keyed", cls="k"), []),
         (Tape().offered(0.0, effect="keyed", cls="k").offered(3_500.0, "g", "c.1", effect="keyed", cls="k"), [TWICE]),
