A HEAD request no longer ends the daemon; odd methods and versions are answered

Need: any peer could end an allocator with one HEAD request: its response had a body, which h11 refuses to send, and nothing caught that. A SUBSCRIBE by HTTP/1.0 would have got chunks that it can't read.

Change: a HEAD is told the length and sent nothing; a fault of ours against HTTP costs its connection and a line in the log, not the process; a stream needs HTTP/1.1 (505). Found by trying HEAD, CONNECT, OPTIONS, Upgrade and HTTP/2's preface on the real socket; a property now answers any mix of methods, versions and headers.

Measured: all tests pass; the property fails when the mend is taken out.

--- a/glencleat/mesos/http.py
+++ b/glencleat/mesos/http.py
@@ -52,6 +52,7 @@
         self.head: h11.Request | None = None
         self.body = bytearray()
         self.pending = 0  # requests given and not yet answered
+        self.method = ""  # of the one that is being answered
 
     def feed(self, data: bytes) -> list[Request]:
         """Whole requests; raises HttpError. b"" is the peer's end."""
@@ -87,9 +88,10 @@
     def _request(self, head: h11.Request) -> Request:
         headers = {name.decode("latin-1"): value.decode("latin-1") for name, value in head.headers}
         self.pending += 1
+        self.method = head.method.decode("latin-1")
         close = headers.get("connection", "").lower() == "close" or head.http_version == b"1.0"
         target = head.target.decode("latin-1")
-        return Request(head.method.decode("latin-1"), target, headers, bytes(self.body), close)
+        return Request(self.method, target, headers, bytes(self.body), close)
 
     def waits(self) -> bool:
         """Whether a request has begun to arrive and is not whole: what a slow sender's time limit is for."""
@@ -104,7 +106,7 @@
             if response.body:
                 headers.append(("content-type", response.content_type))
             data = self._send(h11.Response(status_code=response.status, headers=headers))
-        if response.body:
+        if response.body and self.method != "HEAD":  # which is told the length and sent nothing
             data += self._send(h11.Data(data=response.body))
         data += self._send(END_OF_MESSAGE)
         self.pending -= 1
@@ -120,7 +122,10 @@
             raise HttpError(error.error_status_hint, str(error)) from None
 
     def open_stream(self, headers: dict[str, str]) -> bytes:
-        """Head of a chunked response that never ends by itself."""
+        """Head of a chunked response that never ends by itself; raises HttpError for a peer that knows no
+        chunks."""
+        if (self.h11.their_http_version or b"") < b"1.1":
+            raise HttpError(505, "a stream of events needs HTTP/1.1")
         told = [("content-type", "application/json"), ("transfer-encoding", "chunked"), *headers.items()]
         return self._send(h11.Response(status_code=200, headers=told))
 
@@ -143,14 +148,18 @@
         try:
             data = self._send(h11.Response(status_code=error.status, headers=head))
             return data + self._send(h11.Data(data=body)) + self._send(h11.EndOfMessage())
-        except h11.LocalProtocolError:
+        except HttpError:
             return b""
 
     def ended(self) -> bool:
         return self.h11.our_state in (h11.MUST_CLOSE, h11.CLOSED, h11.ERROR)
 
     def _send(self, event: h11.Event) -> bytes:
-        return self.h11.send(event) or b""
+        """A fault of ours against HTTP costs this connection, with a word in the log, and not the process."""
+        try:
+            return self.h11.send(event) or b""
+        except h11.LocalProtocolError as error:
+            raise HttpError(500, f"our fault: {error}") from None
 
 
 @dataclass(slots=True)
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -289,6 +289,28 @@
     assert answer.startswith(b"HTTP/1.1 %d" % status) and named in answer
 
 
+SUBSCRIBE = b'{"type":"SUBSCRIBE","subscribe":{"framework_info":{"user":"u","name":"n"}}}'
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"HEAD /api/v1/scheduler HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n", 405),
+        (b"CONNECT a:1 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n", 404),
+        (b"OPTIONS * HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n", 404),
+        (b"GET / HTTP/1.1\r\nHost: a\r\nConnection: Upgrade, close\r\nUpgrade: h2c\r\n\r\n", 404),
+        (b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n", 404),
+        (post(SUBSCRIBE).replace(b"HTTP/1.1", b"HTTP/1.0"), 505),
+        (post(SUBSCRIBE, headers=b"Content-Type: application/json\r\nExpect: a miracle\r\n"), 200),
+    ],
+)
+def test_odd_methods_and_versions_get_an_answer(world, data, status):
+    day = world(hosts=0)
+    answer = talk(day, data, shut=True)
+    assert answer.startswith(b"HTTP/1.1 %d" % status), answer[:200]
+    assert talk(day, post(b"{}")).startswith(b"HTTP/1.1 400")  # and the daemon serves on
+
+
 def test_a_slow_loris_is_cut_off(world):
     """Its head drips in; the limit runs from its first byte, not from the last."""
     day = world(hosts=0, conf="limit request 200ms\n")
@@ -486,7 +508,8 @@
 
 
 def test_stand_ins_run_by_themselves(tmp_path):
-    """Directory, hosts and owners as processes of their own around one allocator, as docs/operating.md shows."""
+    """Directory, hosts and owners as processes of their own around one allocator, as docs/operating.md
+    shows."""
     script = tmp_path / "s.conf"
     (tmp_path / "campus.conf").write_text("\n".join(CONF.splitlines()[5:]) + "\n")
     script.write_text(
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -194,6 +194,43 @@
         server.refuse(error)
 
 
+HEADERS = st.lists(
+    st.sampled_from([
+        b"Host: a", b"Connection: close", b"Connection: keep-alive", b"Connection: Upgrade", b"Upgrade: websocket",
+        b"Expect: 100-continue", b"Transfer-Encoding: chunked", b"Content-Length: 2", b"Content-Length: 0", b"TE: trailers",
+    ]), max_size=5,
+)  # fmt: skip
+
+
+@given(
+    st.lists(st.tuples(
+        st.sampled_from([b"GET", b"HEAD", b"POST", b"CONNECT", b"OPTIONS", b"TRACE", b"X"]),
+        st.sampled_from([b"/x", b"*", b"a:1"]), st.sampled_from([b"1.0", b"1.1", b"2.0"]), HEADERS,
+        st.sampled_from([b"", b"{}", b"2\r\n{}\r\n0\r\n\r\n"]),
+    ), min_size=1, max_size=4),
+    st.sampled_from([Response(202), Response(404, b"no\n"), Response(200, b"x" * 500)]), st.booleans(),
+)  # fmt: skip
+def test_any_request_can_be_answered(requests, response, stream):
+    """Whatever was asked for, a response or a stream goes out or the peer is refused: h11 never complains of us."""
+    server = ServerConnection()
+    data = b"".join(
+        b"%b %b HTTP/%b\r\n%b\r\n%b" % (method, target, version, b"".join(h + b"\r\n" for h in headers), body)
+        for method, target, version, headers, body in requests
+    )
+    try:
+        found = server.feed(data)
+        while found:
+            if stream:
+                server.open_stream({})
+                server.end_stream()
+                return
+            server.answer(response)
+            found = server.more()
+    except HttpError as error:
+        assert error.status != 500, error
+        server.refuse(error)
+
+
 def test_a_links_place_ends_with_the_records_last_byte():
     """An agent can act as soon as it has that byte; the chunk's own line end does not matter."""
 
