--- a/glencleat/mesos/http.py
+++ b/glencleat/mesos/http.py
@@ -71,7 +71,7 @@
             if isinstance(event, h11.Request):
                 self.head = event
                 self.body.clear()
-                self._check_length(event)
+                self._check_head(event)
             elif isinstance(event, h11.Data):
                 self.body += event.data
                 if len(self.body) > self.body_most:
@@ -80,7 +80,9 @@
                 requests.append(self._request(self.head))
                 self.head = None
 
-    def _check_length(self, head: h11.Request) -> None:
+    def _check_head(self, head: h11.Request) -> None:
+        if head.method == b"CONNECT":  # a success would turn the connection into a tunnel
+            raise HttpError(501, "CONNECT: this is no proxy")
         for name, value in head.headers:
             if name == b"content-length" and int(value) > self.body_most:
                 raise HttpError(413, f"a body of {int(value)} bytes; expected at most {self.body_most}")
