A refused or failed task says why: what machines last said of it, and how often

Need: an owner was told that its task was not placed, and nothing of the reason; whoever asked had to read logs.

Change: `allocator/why.py` keeps, for each task, one reason per outcome and cause, with count, machine and time; answers carry it in `message`. It repeats what machines said, also when they said it wrongly.

Its cost is not measured; one dictionary entry an attempt that came to nothing.

--- a/glencleat/allocator/core.py
+++ b/glencleat/allocator/core.py
@@ -281,6 +281,8 @@
         self.stop_timer(attempt)
         self.figures.attempts[outcome.value] += 1
         spent = max(0.0, self.now() - attempt.sent_at)
+        if call.given is None:
+            call.why.note(outcome, why, attempt.machine, self.now())
         if over:
             self.ledger.close(call) if call.given is not None else None
         self.tell(
@@ -351,7 +353,8 @@
             framework.open -= 1
         if given is not Given.SERVED:
             self.ledger.close(call)
-        self.owners.status(call, answer)
+        text = None if given is Given.SERVED else call.why.text(len(self.listed or ()))
+        self.owners.status(call, answer, text)
         if self.ending and not self.ledger.open:
             self.on_idle()
 
--- a/glencleat/allocator/ledger.py
+++ b/glencleat/allocator/ledger.py
@@ -13,6 +13,7 @@
 from glencleat import interface as api
 from glencleat.allocator.late import merge
 from glencleat.allocator.tables import Fate, Step
+from glencleat.allocator.why import Record
 from glencleat.mesos.messages import TaskInfo
 
 UUIDS = 8  # of an attempt's updates; older ones are stale by their step anyhow
@@ -92,6 +93,7 @@
     left: bool = False  # its owner killed it or is gone
     over: bool = False  # nothing more is expected of the module
     told: bool = False  # the module has been asked
+    why: Record = field(default_factory=Record)
 
     def last(self) -> Attempt | None:
         return self.attempts[-1] if self.attempts else None
--- a/glencleat/allocator/owner_side.py
+++ b/glencleat/allocator/owner_side.py
@@ -198,13 +198,13 @@
 
     # ---- updates ----
 
-    def status(self, call: Call, answer: Answer) -> None:
+    def status(self, call: Call, answer: Answer, text: str | None = None) -> None:
         """A status of a call's task to its owner, if that is still known."""
         framework = self.core.frameworks.known.get(call.framework)
         if framework is not None:
             out = call.last()
             machine = out.machine if out is not None and call.given is Given.SERVED else None
-            self._status(framework, call.task_id, answer, machine)
+            self._status(framework, call.task_id, answer, machine, text)
 
     def _status(
         self,
--- /dev/null
+++ b/glencleat/allocator/why.py
@@ -0,0 +1,62 @@
+"""Why a task is not placed: what became of its attempts, as the machines last said it. Pure, bounded.
+
+It repeats what was told, also where that was wrong (a machine that refuses falsely): an owner can then see
+which machine said it. The core notes each attempt that is back; answers carry the text, and whoever asks gets
+the record."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from glencleat import interface as api
+
+SAID = {
+    api.Outcome.REFUSED: "refused",
+    api.Outcome.TIMED_OUT: "no answer in time",
+    api.Outcome.UNREACHABLE: "not reachable",
+    api.Outcome.NOT_SENT: "not sent",
+    api.Outcome.LOST: "lost on the way",
+    api.Outcome.ERROR: "answered with an error",
+}
+CAUSES = {
+    api.Why.CORES: "cores",
+    api.Why.MEMORY: "memory",
+    api.Why.LINE: "too many asks wait there",
+    api.Why.NOT_HERE: "not here",
+}
+
+
+@dataclass(slots=True)
+class Reason:
+    """One kind of end of an attempt: how often, and by which machine and when the last time."""
+
+    outcome: api.Outcome
+    why: api.Why
+    count: int
+    machine: str
+    at: float
+
+    def __str__(self) -> str:
+        cause = f" ({CAUSES[self.why]})" if self.why in CAUSES else ""
+        times = f" {self.count} times, last" if self.count > 1 else ""
+        return f"{SAID.get(self.outcome, self.outcome.value)}{cause}{times} by {self.machine}"
+
+
+@dataclass(slots=True)
+class Record:
+    """Reasons of one task, at most one for each outcome and cause."""
+
+    reasons: dict[tuple[api.Outcome, api.Why], Reason] = field(default_factory=dict)
+
+    def note(self, outcome: api.Outcome, why: api.Why, machine: str, at: float) -> None:
+        reason = self.reasons.pop((outcome, why), None)
+        count = reason.count + 1 if reason is not None else 1
+        self.reasons[outcome, why] = Reason(outcome, why, count, machine, at)
+
+    def text(self, machines: int) -> str:
+        """Newest first; without any attempt, whether a machine was known at all (`machines` serving)."""
+        if self.reasons:
+            return "; ".join(map(str, reversed(self.reasons.values())))
+        if not machines:
+            return "no machine is known"
+        return f"none of the {machines} machines known was offered it: none that fits showed room"
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,5 @@
-"""The same verdict each time: properties draw the same cases in every run. `--hypothesis-profile=default` draws anew."""
+"""The same verdict each time: properties draw the same cases in every run. `--hypothesis-profile=default`
+draws anew."""
 
 from hypothesis import settings
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -52,6 +52,30 @@
     assert owner.states("t1") == ["TASK_STARTING"]
 
 
+def test_a_refused_task_says_why():
+    """What each machine last said, its cause and how often: also when it was said wrongly."""
+    cluster, owner, agent, attempt = begin("safe", machines=1)
+    agent.say(attempt, "TASK_DROPPED", cause="memory")
+    for _ in range(16):
+        cluster.timing.advance(500.0)
+        agent.beat()
+        for task in agent.launches():
+            agent.say(task.task_id.value, "TASK_DROPPED", cause="cores")
+    (status,) = owner.statuses("t1")
+    assert status.state == "TASK_DROPPED"
+    newest, oldest = status.message.split("; ")
+    assert newest.startswith("refused (cores) ") and newest.endswith(" times, last by h0")
+    assert oldest == "refused (memory) by h0"
+
+
+def test_an_unplaced_task_says_that_no_machine_is_known():
+    cluster = Cluster(0)
+    owner = Owner(cluster).subscribe()
+    owner.launch("t1", left=1_000.0)
+    cluster.timing.advance(1_000.0)
+    assert owner.statuses("t1")[0].message == "no machine is known"
+
+
 # ---- the heartbeat goes quiet while a placement is half done ----
 
 
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -211,7 +211,8 @@
     st.sampled_from([Response(202), Response(404, b"no\n"), Response(200, b"x" * 500)]), st.booleans(),
 )  # fmt: skip
 def test_any_request_can_be_answered(requests, response, stream):
-    """Whatever was asked for, a response or a stream goes out or the peer is refused: h11 never complains of us."""
+    """Whatever was asked for, a response or a stream goes out or the peer is refused: h11 never complains of
+    us."""
     server = ServerConnection()
     data = b"".join(
         b"%b %b HTTP/%b\r\n%b\r\n%b" % (method, target, version, b"".join(h + b"\r\n" for h in headers), body)
