Core and fronts: twins joined, dead code out, one ledger scan a scrape

Need: the reread of the allocator showed the same check of an agent three times, Asked built in two places, the decoding of a call in both APIs, the limit on frameworks checked twice, and state that nothing reads.

Change: `heartbeat` is what every agent's call goes through; `tell_asked` builds Asked; `json_call` decodes, and its errors are made once; `check_room` is the one limit on frameworks; a link's own `ended` replaces two lists; a scrape counts open tasks once instead of twice. Out: Late.NOTE, call_at, a count of pending requests, a parameter and an attribute unread, imports inside a constructor that no cycle needs. The frameworks page said that a session is cut; it is not.

--- a/glencleat/allocator/admission.py
+++ b/glencleat/allocator/admission.py
@@ -45,9 +45,8 @@
 
 
 def repeats(before: Call | None) -> str | None:
-    """Whether a LAUNCH of a task that was here before is the same ask ("same"), a second start that must not
-    be
-    ("never"), or a new placing (None)."""
+    """What a LAUNCH of a task that was here before is: the same ask again ("same"), a second start that must
+    not be ("never"), or a new placing (None)."""
     if before is None:
         return None
     if before.given is None or not before.over:
--- a/glencleat/allocator/agent_side.py
+++ b/glencleat/allocator/agent_side.py
@@ -105,7 +105,7 @@
         attempt = core.ledger.attempts.get(task.task_id.value)
         if attempt is not None:
             if not attempt.back and attempt.step is Step.OUT:
-                self._accepted(attempt, None)
+                self._accepted(attempt)
             elif attempt.back and attempt.step in (Step.OUT, Step.ACCEPTED, Step.RUNS):
                 was_placed = attempt.step is not Step.OUT
                 attempt.step = attempt.step if was_placed else Step.ACCEPTED
@@ -131,37 +131,22 @@
 
     def _adopt(self, attempt: Attempt, call: Call) -> None:
         """Makes a task that runs already a call of its own, ours from here on."""
-        core, ask = self.core, call.ask
+        core = self.core
         call.number = next(core.numbers)
-        call.given, call.adopted, call.told = Given.SERVED, True, True
+        call.given, call.adopted = Given.SERVED, True
         call.attempts.clear()
         attempt.call, attempt.number, attempt.back, attempt.ran = call, 0, False, None
         core.ledger.take(call)
         core.ledger.bind(attempt)
-        core.figures.adopted[ask.task_class] += 1
-        core.tell(
-            api.Asked(
-                call.number,
-                ask.task_class,
-                ask.service,
-                ask.cores,
-                ask.memory,
-                0.0,
-                call.tenant,
-                ask.life_ms,
-                attempt.machine,
-            )
-        )
+        core.figures.adopted[call.ask.task_class] += 1
+        core.tell_asked(call, 0.0, attempt.machine)
         core.owners.status(call, tables.reconciled(attempt.fate(), attempt.step is Step.ACCEPTED))
 
     # ---- updates ----
 
     def update(self, executor_id: str, status: m.TaskStatus) -> None:
         """An UPDATE; acknowledged whatever it says, as its agent repeats it until then."""
-        core = self.core
-        agent, run = split_id(executor_id)
-        if not core.members.heard(agent, run, core.now()):
-            raise NotSubscribed(f"{executor_id} is not subscribed")
+        core, agent = self.core, self.heartbeat(executor_id)
         payload = m.unpack(status.data) if status.data else None
         attempt = core.ledger.attempts.get(status.task_id.value)
         if status.uuid is not None:
@@ -187,7 +172,7 @@
             self.core.returned(attempt, told.outcome, attempt.call.left, told.why, report)
             return
         if attempt.step is Step.OUT:
-            self._accepted(attempt, None if told.step is Step.ACCEPTED else told)
+            self._accepted(attempt)
         if told.step is Step.RUNS and not attempt.back:
             attempt.step = Step.RUNS
             self.core.tell(api.Noted(attempt.call.number, attempt.machine, api.NoteKind.RUNS, 1.0))
@@ -197,8 +182,7 @@
             self._over(attempt, told, report)
 
     def _apply_late(self, attempt: Attempt, told: Told) -> None:
-        """A status of an attempt that was given up: what it settles is told to an owner that was left in
-        doubt."""
+        """A status of an attempt that was given up; what it settles, an owner left in doubt is told."""
         call, was_placed = attempt.call, attempt.step is not Step.OUT
         attempt.step = told.step
         if told.step is not Step.OVER:
@@ -213,8 +197,8 @@
         elif call.given is Given.FAILED and call.fate() in (Fate.NEVER_RAN, Fate.ENDED):
             self.core.owners.status(call, tables.reconciled(call.fate()))
 
-    def _accepted(self, attempt: Attempt, then: Told | None) -> None:
-        """The agent's yes: the task is placed, which is its answer. `then`: what came along with it."""
+    def _accepted(self, attempt: Attempt) -> None:
+        """The agent's yes: the task is placed, which is its answer."""
         core, call = self.core, attempt.call
         core.stop_timer(attempt)
         attempt.step = Step.ACCEPTED
@@ -258,10 +242,7 @@
 
     def message(self, executor_id: str, payload: m.Payload) -> None:
         """A MESSAGE: a report, an answer to a probe, what our tasks use."""
-        core = self.core
-        agent, run = split_id(executor_id)
-        if not core.members.heard(agent, run, core.now()):
-            raise NotSubscribed(f"{executor_id} is not subscribed")
+        core, agent = self.core, self.heartbeat(executor_id)
         if payload.probe is not None:
             core.probe_back(agent, payload.probe, as_report(payload))
         for use in payload.tasks:
@@ -281,10 +262,12 @@
             if value is not None:
                 self.core.tell(api.Noted(attempt.call.number, agent, kind, value))
 
-    def heartbeat(self, executor_id: str) -> None:
+    def heartbeat(self, executor_id: str) -> str:
+        """A sign of life, which every call is; gives the agent's id, raises NotSubscribed."""
         agent, run = split_id(executor_id)
         if not self.core.members.heard(agent, run, self.core.now()):
             raise NotSubscribed(f"{executor_id} is not subscribed")
+        return agent
 
     # ---- absence ----
 
--- a/glencleat/allocator/core.py
+++ b/glencleat/allocator/core.py
@@ -18,11 +18,13 @@
 from glencleat import interface as api
 from glencleat.allocator import late, tables
 from glencleat.allocator.admission import Limits
+from glencleat.allocator.agent_side import AgentSide
 from glencleat.allocator.contract import Contract, Module
 from glencleat.allocator.figures import Figures
 from glencleat.allocator.frameworks import Framework, Frameworks
 from glencleat.allocator.ledger import Attempt, Call, Given, Ledger
 from glencleat.allocator.members import Members, State
+from glencleat.allocator.owner_side import OwnerSide
 from glencleat.allocator.recovery import Opening
 from glencleat.allocator.tables import Answer, Step
 from glencleat.mesos import messages as m
@@ -103,9 +105,6 @@
         self.opening = Opening(self.last_now, least, options.grace_ms)
         self.listed: set[str] | None = None  # machines that the list tells as serving
         self.early: deque[Call] = deque()  # taken before the opening
-        from glencleat.allocator.agent_side import AgentSide
-        from glencleat.allocator.owner_side import OwnerSide
-
         self.owners, self.agents = OwnerSide(self), AgentSide(self)
         timing.call_in(options.sweep_ms, self._sweep)
 
@@ -146,11 +145,15 @@
         if not self.opening.done:
             self.early.append(call)
             return
-        ask = call.ask
-        left = ask.left_ms - (self.now() - call.taken_at)
+        left = call.ask.left_ms - (self.now() - call.taken_at)
         if left <= 0.0:
             self.answer(call, Given.REFUSED, tables.refusal(False))
-            return
+        else:
+            self.tell_asked(call, left)
+
+    def tell_asked(self, call: Call, left_ms: float, machine: str | None = None) -> None:
+        """The call becomes the module's: to be placed, or with `machine` one that runs there already."""
+        ask = call.ask
         call.told = True
         self.tell(
             api.Asked(
@@ -159,10 +162,10 @@
                 ask.service,
                 ask.cores,
                 ask.memory,
-                left,
+                left_ms,
                 call.tenant,
                 ask.life_ms,
-                None,
+                machine,
                 ask.again,
             )
         )
@@ -283,8 +286,8 @@
         spent = max(0.0, self.now() - attempt.sent_at)
         if call.given is None:
             call.why.note(outcome, why, attempt.machine, self.now())
-        if over:
-            self.ledger.close(call) if call.given is not None else None
+        if over and call.given is not None:
+            self.ledger.close(call)
         self.tell(
             api.Returned(call.number, attempt.number, attempt.machine, outcome, spent, over, why, report)
         )
@@ -348,7 +351,7 @@
         """The one final answer of a call, to figures, ledger and owner."""
         self.ledger.give(call, given)
         self.figures.give(call.ask.task_class, given)
-        framework = self.frameworks.known.get(call.framework)
+        framework = self.framework_of(call)
         if framework is not None:
             framework.open -= 1
         if given is not Given.SERVED:
@@ -413,9 +416,7 @@
             out = call.out()
             if out is not None and self.handed(out) is not late.Handed.WHOLE:
                 session: Any = out.session
-                session.close(
-                    "shutting down"
-                )  # the LAUNCH can't arrive any more, and the session's end says so
+                session.close("shutting down")  # so the LAUNCH can't arrive, and the session's end says so
             elif out is not None:
                 self.kill(out)
             if call.given is None:
--- a/glencleat/allocator/figures.py
+++ b/glencleat/allocator/figures.py
@@ -29,9 +29,11 @@
         calls = self.ledger.calls.values()
         return Counter(c.ask.task_class for c in calls if c.given is None and not c.adopted)
 
-    def mismatch(self) -> dict[str, int]:
-        """Classes whose sums don't add up, with the difference: always empty, or there is a fault."""
-        open_now = self.open_by_class()
+    def mismatch(self, open_now: Counter[str] | None = None) -> dict[str, int]:
+        """Classes whose sums don't add up, with the difference: always empty, or there is a fault.
+
+        `open_now`: what `open_by_class` has just told, so that the ledger is gone through once."""
+        open_now = self.open_by_class() if open_now is None else open_now
         off = {}
         for name in set(self.taken) | {c for c, _ in self.given} | set(open_now):
             answered = sum(self.given[name, g.value] for g in Given)
--- a/glencleat/allocator/frameworks.py
+++ b/glencleat/allocator/frameworks.py
@@ -1,8 +1,8 @@
 """Owners' sessions: subscription, fail-over, offers, updates until they are acknowledged. Pure.
 
 A framework keeps its id over connections. While it is away its updates wait; when its failover_timeout has
-passed it is torn down. One that never acknowledges is bounded: `unacked_most` updates, then its session is
-cut, and its new tasks are refused until it has caught up."""
+passed it is torn down. One that never acknowledges is bounded: after `unacked_most` updates its
+new tasks are refused until it has caught up."""
 
 from __future__ import annotations
 
@@ -54,8 +54,7 @@
         wanted = info.id.value if info.id is not None and info.id.value else new_id
         framework = self.known.get(wanted)
         if framework is None:
-            if len(self.known) >= self.most:
-                raise Refused(f"{self.most} frameworks are subscribed; expected no more")
+            self.check_room(wanted)
             framework = self.known[wanted] = Framework(wanted, info)
         replaced, framework.session = framework.session, session
         framework.info, framework.stream_id, framework.since = info, stream_id, now
@@ -63,6 +62,11 @@
         framework.suppressed, framework.offer_at = False, now
         return framework, replaced
 
+    def check_room(self, framework_id: str | None) -> None:
+        """Raises Refused where a framework of that id, or a new one (None), can't be taken."""
+        if framework_id not in self.known and len(self.known) >= self.most:
+            raise Refused(f"{self.most} frameworks are subscribed; expected no more")
+
     def closed(self, framework: Framework, session: object, now: float) -> bool:
         """A session ended; False if it was not the one that counts."""
         if framework.session is not session:
--- a/glencleat/allocator/late.py
+++ b/glencleat/allocator/late.py
@@ -87,7 +87,6 @@
 
     ADOPT = "adopt"
     KILL = "kill"
-    NOTE = "note"  # it never ran or is over: only the fate changes
 
 
 def on_late_yes(
--- a/glencleat/allocator/owner_side.py
+++ b/glencleat/allocator/owner_side.py
@@ -179,8 +179,7 @@
             self._withdraw(call)
 
     def _withdraw(self, call: Call) -> None:
-        """The owner wants no more of the task. With an attempt out, the answer waits for what becomes of
-        it."""
+        """The owner wants no more of the task; with an attempt out, the answer waits for its end."""
         core = self.core
         if call.over or call.left:
             return
@@ -200,7 +199,7 @@
 
     def status(self, call: Call, answer: Answer, text: str | None = None) -> None:
         """A status of a call's task to its owner, if that is still known."""
-        framework = self.core.frameworks.known.get(call.framework)
+        framework = self.core.framework_of(call)
         if framework is not None:
             out = call.last()
             machine = out.machine if out is not None and call.given is Given.SERVED else None
--- a/glencleat/daemon.py
+++ b/glencleat/daemon.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 import gc
 import os
 import signal
@@ -177,7 +176,7 @@
             self.log.error("configuration refused", why=f"only a restart can change {', '.join(fixed)}")
             return
         self.config = config
-        self.core.options = dataclasses.replace(options(config), name=self.core.options.name)
+        self.core.options = options(config)
         self.core.frameworks.most, self.core.members.most = config.limit.frameworks, config.limit.agents
         self.core.frameworks.unacked_most = config.limit.unacknowledged
         for server in self.servers.values():
--- a/glencleat/fronts/directory.py
+++ b/glencleat/fronts/directory.py
@@ -35,7 +35,6 @@
         self.silence_ms, self.record_most = silence_ms, record_most
         self.listing = Listing()
         self.task: Task | None = None
-        self.stream: Stream | None = None
 
     def watch(self) -> None:
         """Subscribes, anew if it is subscribed already; exactly one ListTold follows, whole or failed."""
--- a/glencleat/fronts/executor_api.py
+++ b/glencleat/fronts/executor_api.py
@@ -10,8 +10,7 @@
 from glencleat.allocator.agent_side import NotSubscribed
 from glencleat.allocator.core import Core
 from glencleat.allocator.members import Refused
-from glencleat.fronts.scheduler_api import need
-from glencleat.fronts.server import RecordLink, Subscribe, json_call
+from glencleat.fronts.server import RecordLink, Subscribe, json_call, need, unreadable
 from glencleat.mesos import messages as m
 from glencleat.mesos.http import HttpError, Request, Response
 
@@ -26,16 +25,15 @@
         self.core = core
 
     def handle(self, request: Request) -> Response | Subscribe:
-        body = json_call(request, TARGET)
+        call = json_call(request, TARGET, m.ExecutorCall)
         try:
-            call = m.decode(m.ExecutorCall, body)
             if not call.executor_id.value or len(call.executor_id.value) > ID_MOST:
                 raise HttpError(400, f"executor_id: expected 1 to {ID_MOST} characters")
             if call.type == "SUBSCRIBE":
                 return self._subscribe(call)
             self._call(call)
         except m.BadMessage as error:
-            raise HttpError(400, f"Failed to parse body into Call: {error}") from None
+            raise unreadable(error) from None
         except NotSubscribed as error:
             raise HttpError(403, f"Executor is not subscribed: {error}") from None
         return Response(202)
--- a/glencleat/fronts/metrics.py
+++ b/glencleat/fronts/metrics.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterator
 
 from prometheus_client import CONTENT_TYPE_LATEST, CollectorRegistry, generate_latest
@@ -36,12 +37,12 @@
         for name in sorted(figures.taken):
             still.add_metric([name], open_now[name])
         yield still
-        yield from self._others()
+        yield from self._others(open_now)
 
-    def _others(self) -> Iterator[Metric]:
+    def _others(self, open_now: Counter[str]) -> Iterator[Metric]:
         figures, core = self.core.figures, self.core
         off = GaugeMetricFamily("glencleat_tasks_mismatch", "Taken less answered less open: 0, or a fault")
-        off.add_metric([], sum(abs(v) for v in figures.mismatch().values()))
+        off.add_metric([], sum(abs(v) for v in figures.mismatch(open_now).values()))
         yield off
         attempts = CounterMetricFamily("glencleat_attempts", "Attempts back, by outcome", labels=["outcome"])
         for name, value in sorted(figures.attempts.items()):
--- a/glencleat/fronts/scheduler_api.py
+++ b/glencleat/fronts/scheduler_api.py
@@ -9,7 +9,7 @@
 
 from glencleat.allocator.core import Core
 from glencleat.allocator.frameworks import Framework, Refused
-from glencleat.fronts.server import RecordLink, Subscribe, json_call
+from glencleat.fronts.server import RecordLink, Subscribe, json_call, need
 from glencleat.mesos import messages as m
 from glencleat.mesos.http import HttpError, Request, Response
 
@@ -33,11 +33,7 @@
         self.core = core
 
     def handle(self, request: Request) -> Response | Subscribe:
-        body = json_call(request, TARGET)
-        try:
-            call = m.decode(m.SchedulerCall, body)
-        except m.BadMessage as error:
-            raise HttpError(400, f"Failed to parse body into Call: {error}") from None
+        call = json_call(request, TARGET, m.SchedulerCall)
         if call.type == "SUBSCRIBE":
             return self._subscribe(call)
         if call.type not in TYPES:
@@ -70,17 +66,14 @@
             raise HttpError(400, "'framework_id' differs from 'subscribe.framework_info.id'")
         if named is not None:
             info.id = m.Value(named)
-        frameworks = self.core.frameworks
-        if (named is None or named not in frameworks.known) and len(frameworks.known) >= frameworks.most:
-            raise HttpError(503, f"{frameworks.most} frameworks are subscribed; expected no more")
+        try:
+            self.core.frameworks.check_room(named)  # while a status can still tell it
+        except Refused as error:
+            raise HttpError(503, str(error)) from None
         stream_id = f"{self.core.random.getrandbits(128):032x}"
 
         def begin(link: RecordLink) -> Callable[[str], None]:
-            try:
-                framework = self.core.owners.subscribe(info, stream_id, link)
-            except Refused as error:
-                link.close(str(error))
-                return lambda why: None
+            framework = self.core.owners.subscribe(info, stream_id, link)
             return lambda why: self.core.owners.closed(framework, link, why)
 
         return Subscribe({"Mesos-Stream-Id": stream_id}, begin, HEARTBEAT, self.core.options.heartbeat_ms)
@@ -103,9 +96,3 @@
             core.frameworks.revive(framework, core.now())
         elif call.type == "TEARDOWN":
             owners.teardown(framework, "teardown")
-
-
-def need(part: m.T | None, name: str) -> m.T:
-    if part is None:
-        raise HttpError(400, f"Expecting '{name}' to be present")
-    return part
--- a/glencleat/fronts/server.py
+++ b/glencleat/fronts/server.py
@@ -8,11 +8,11 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any
 
 from glencleat.kernel import Listener, Loop, Stream, StreamClosed
 from glencleat.kernel.loop import Coroutine
 from glencleat.kernel.timers import Timer
+from glencleat.mesos import messages as m
 from glencleat.mesos import recordio
 from glencleat.mesos.http import HttpError, Request, Response, ServerConnection
 import contextlib
@@ -83,7 +83,8 @@
         self.refused = 0
         self.unproven: dict[Stream, None] = {}  # connections that have not made a whole request, oldest first
         self.listener = Listener(
-            loop, address, self._accept, limits.connections, limits.unsent, self._dropped, self._make_room)
+            loop, address, self._accept, limits.connections, limits.unsent, self._dropped, self._make_room
+        )
 
     @property
     def address(self) -> tuple[str, int]:
@@ -172,21 +173,16 @@
                 link.beat = self.loop.call_in(told.every_ms, beat)
 
         link.beat = self.loop.call_in(told.every_ms, beat)
-        ended: list[Callable[[str], None]] = []
-        why_closed: list[str] = []
 
         def closed(why: str) -> None:
             if link.beat is not None:
                 link.beat.cancel()
-            why_closed.append(why)
-            for call in ended:
-                call(why)
+            link.ended(why)
 
         stream.on_close.append(closed)
-        end = told.begin(link)
-        ended.append(end)
-        if why_closed:  # it was cut off while it began
-            end(why_closed[0])
+        link.ended = told.begin(link)
+        if stream.closed is not None:  # it was cut off while it began
+            link.ended(stream.closed)
         return link
 
     @staticmethod
@@ -240,16 +236,29 @@
             self.timer.cancel()
 
 
-def json_call(request: Request, target: str) -> Any:
-    """Checks what all API calls share; raises HttpError with the published statuses."""
+def unreadable(error: m.BadMessage) -> HttpError:
+    return HttpError(400, f"Failed to parse body into Call: {error}")
+
+
+def json_call(request: Request, target: str, kind: type[m.T]) -> m.T:
+    """The call, after the checks that all APIs share; raises HttpError with the published statuses."""
     if request.target.split("?")[0] != target:
         raise HttpError(404, f"{request.target[:80]}: no such resource; expected {target}")
     if request.method != "POST":
         raise HttpError(405, f"{request.method[:20]}: expected POST")
-    kind = request.headers.get("content-type", "").split(";")[0].strip().lower()
-    if kind != "application/json":
-        raise HttpError(415, f"Content-Type is {kind[:40]!r}; expected application/json")
+    content = request.headers.get("content-type", "").split(";")[0].strip().lower()
+    if content != "application/json":
+        raise HttpError(415, f"Content-Type is {content[:40]!r}; expected application/json")
     accept = request.headers.get("accept", "*/*")
     if "application/json" not in accept and "*/*" not in accept and "application/*" not in accept:
         raise HttpError(406, f"Accept is {accept[:40]!r}; expected application/json")
-    return request.body
+    try:
+        return m.decode(kind, request.body)
+    except m.BadMessage as error:
+        raise unreadable(error) from None
+
+
+def need(part: m.T | None, name: str) -> m.T:
+    if part is None:
+        raise HttpError(400, f"Expecting '{name}' to be present")
+    return part
--- a/glencleat/kernel/loop.py
+++ b/glencleat/kernel/loop.py
@@ -116,9 +116,6 @@
     def now(self) -> float:
         return self.clock.now()
 
-    def call_at(self, when: float, call: Callable[[], None]) -> Timer:
-        return self.timers.add(when, call)
-
     def call_in(self, in_ms: float, call: Callable[[], None]) -> Timer:
         return self.timers.add(self.clock.now() + in_ms, call)
 
--- a/glencleat/kernel/streams.py
+++ b/glencleat/kernel/streams.py
@@ -93,10 +93,9 @@
         if self.closed is not None:
             raise StreamClosed(self.closed)
         self.queued += len(data)
-        if self.out:
-            self.out += data
-        else:
-            self.out += data
+        waiting = bool(self.out)
+        self.out += data
+        if not waiting:
             self._write()
         if len(self.out) > self.limit:
             self.close(f"slow reader: {len(self.out)} bytes unsent")
--- a/glencleat/mesos/http.py
+++ b/glencleat/mesos/http.py
@@ -51,7 +51,6 @@
         self.body_most = body_most
         self.head: h11.Request | None = None
         self.body = bytearray()
-        self.pending = 0  # requests given and not yet answered
         self.method = ""  # of the one that is being answered
 
     def feed(self, data: bytes) -> list[Request]:
@@ -89,7 +88,6 @@
 
     def _request(self, head: h11.Request) -> Request:
         headers = {name.decode("latin-1"): value.decode("latin-1") for name, value in head.headers}
-        self.pending += 1
         self.method = head.method.decode("latin-1")
         close = headers.get("connection", "").lower() == "close" or head.http_version == b"1.0"
         target = head.target.decode("latin-1")
@@ -111,7 +109,6 @@
         if response.body and self.method != "HEAD":  # which is told the length and sent nothing
             data += self._send(h11.Data(data=response.body))
         data += self._send(END_OF_MESSAGE)
-        self.pending -= 1
         if self.h11.our_state is h11.DONE and self.h11.their_state is h11.DONE:
             self.h11.start_next_cycle()
         return data
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -1,9 +1,5 @@
 """A core on a clock of its own, with links that show what was sent: no sockets, no real time."""
 
-from random import Random
-
-import msgspec
-
 from glencleat import Scheduler
 from glencleat import interface as api
 from glencleat.allocator.core import Core, Options
@@ -169,7 +165,6 @@
         options = Options(**({"heartbeat_ms": 1000.0, "return_ms": 4000.0} | options))
         module = module or Scheduler(settings, seed=1)
         self.core = Core(settings, module, options, self.timing, seed)
-        self.random = Random(seed)
         names = [f"h{i}" for i in range(machines)]
         self.agents = {name: Agent(self, name).subscribe() for name in names}
         self.list(names)
@@ -190,7 +185,3 @@
         """What must hold at any instant."""
         assert self.core.figures.mismatch() == {}
         assert self.core.ledger.open == sum(c.given is None for c in self.core.ledger.calls.values())
-
-
-def plain(message):
-    return msgspec.to_builtins(message)
