Stand-ins: one reconnecting session, owners made in one place, an index for what agents list

Need: hosts and owners had the same loop of subscribing, following and waiting ever longer; plays and `standin owners` built owners each for themselves; the checker went through all attempts at every subscription of an agent.

Change: `Reconnecting` in standins/client.py serves both; `alone.owners` builds them; attempts are indexed by host, allocator and run; one function refuses a file's faults. Fields that nothing read are out.

--- a/glencleat/check/rules.py
+++ b/glencleat/check/rules.py
@@ -89,6 +89,7 @@
         self.slack = SLACK_MS + max((e.left for e in entries if e.kind == "lag"), default=0.0)
         self.attempts: dict[str, Attempt] = {}
         self.by_task: dict[str, list[Attempt]] = defaultdict(list)
+        self.by_run: dict[tuple[str, str, str], list[Attempt]] = defaultdict(list)  # host, allocator, run
         self.down: dict[str, list[float]] = defaultdict(list)
         self.absent: dict[str, Times] = defaultdict(list)  # allocator -> when it did not run
         self.cuts: dict[tuple[str, str], list[float]] = defaultdict(list)
@@ -107,6 +108,7 @@
     def _offered(self, entry: Entry) -> None:
         attempt = self.attempts[entry.attempt] = Attempt(entry)
         self.by_task[entry.task].append(attempt)
+        self.by_run[entry.who, entry.allocator, entry.text].append(attempt)
 
     def _said(self, entry: Entry) -> None:
         if entry.attempt in self.attempts:
@@ -117,10 +119,8 @@
             self.attempts[entry.attempt].started.append(entry)
 
     def _listed(self, entry: Entry) -> None:
-        for attempt in self.attempts.values():
-            there = attempt.offered
-            same = (there.who, there.allocator, there.text) == (entry.who, entry.allocator, entry.text)
-            if same and there.attempt not in entry.ids:
+        for attempt in self.by_run[entry.who, entry.allocator, entry.text]:
+            if attempt.offered.attempt not in entry.ids:
                 attempt.unlisted_at = min(attempt.unlisted_at, entry.at)
 
     def _down(self, entry: Entry) -> None:
--- a/glencleat/cli/main.py
+++ b/glencleat/cli/main.py
@@ -30,11 +30,16 @@
     sys.exit(code)
 
 
+def refuse(error: ConfigError) -> NoReturn:
+    """Tells every fault of a file."""
+    give_up("\n".join(f"glencleat: {fault}" for fault in error.faults), 2)
+
+
 def read(path: Path) -> Config:
     try:
         return load(path)
     except ConfigError as error:
-        give_up("\n".join(f"glencleat: {fault}" for fault in error.faults), 2)
+        refuse(error)
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]}, epilog=__doc__)
@@ -136,7 +141,7 @@
         told = load_script(path)
         return told, load_campus(path.parent / told.campus)
     except ConfigError as error:
-        give_up("\n".join(f"glencleat: {fault}" for fault in error.faults), 2)
+        refuse(error)
 
 
 def work(loop: Loop, seconds: float | None) -> None:
@@ -207,7 +212,7 @@
     try:
         verdict(list(read_record(record)), load_campus(campus))
     except ConfigError as error:
-        give_up("\n".join(f"glencleat: {fault}" for fault in error.faults), 2)
+        refuse(error)
     except (BadRecord, OSError) as error:
         give_up(f"glencleat: {error}", 2)
 
--- a/glencleat/standins/alone.py
+++ b/glencleat/standins/alone.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Callable
 from random import Random
 
 from glencleat.check.record import Recorder
@@ -49,6 +50,23 @@
     return made
 
 
+def owners(
+    loop: Loop,
+    recorder: Recorder,
+    script: Script,
+    allocators: list[tuple[str, Address]],
+    random: Random,
+    done: Callable[[Job], None] = lambda job: None,
+) -> list[Owner]:
+    """The owners of a play, at the allocators in turn, of five firms."""
+    made = []
+    for i in range(script.owners.count):
+        name, address = allocators[i % len(allocators)]
+        seed = random.getrandbits(32)
+        made.append(Owner(loop, recorder, f"o{i:03d}", f"firm-{i % 5}", name, address, seed, done))
+    return made
+
+
 def entry(host: Host, draining: bool = False) -> Entry:
     machine = host.machine
     size = machine.cores, machine.memory
@@ -100,20 +118,16 @@
     def done(job: Job) -> None:
         ends[job.end or "not asked"] += 1
 
-    owners = []
-    for i in range(script.owners.count):
-        name, address = allocators[i % len(allocators)]
-        seed = random.getrandbits(32)
-        owners.append(Owner(loop, recorder, f"o{i:03d}", f"firm-{i % 5}", name, address, seed, done))
+    made = owners(loop, recorder, script, allocators, random, done)
 
     def asking() -> Coroutine:
         until, number = loop.now() + script.play.length, 0
         while loop.now() < until:
             yield from loop.sleep(random.expovariate(script.owners.rate) * 1_000.0)
             number += 1
-            random.choice(owners).ask(job(script, campus, random, number))
+            random.choice(made).ask(job(script, campus, random, number))
         yield from loop.sleep(script.play.settle)
-        ends["open"] = sum(len(owner.jobs) for owner in owners)
+        ends["open"] = sum(len(owner.jobs) for owner in made)
         return number
 
     return asking(), ends
--- a/glencleat/standins/client.py
+++ b/glencleat/standins/client.py
@@ -4,11 +4,13 @@
 
 from collections import deque
 from collections.abc import Callable
+from random import Random
 
 from glencleat.kernel import Loop, Stream, StreamClosed, Task, connect
 from glencleat.kernel.loop import Coroutine
 from glencleat.mesos.http import ClientConnection, End, Head, HttpError
-from glencleat.mesos.recordio import Decoder
+from glencleat.mesos.messages import BadMessage
+from glencleat.mesos.recordio import Decoder, RecordError
 
 JSON = {"content-type": "application/json", "accept": "application/json"}
 CONNECT_MS = 2_000.0
@@ -158,3 +160,62 @@
         self.queue.clear()
         self.loop.cancel(self.task)
         self._drop()
+
+
+class Reconnecting:
+    """A session over reconnects: subscribes, follows the stream to its end, waits ever longer, begins again.
+
+    A subclass says what it sends (`hello`), how it follows a stream (`follow`), what it forgets (`left`)."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        random: Random,
+        address: Address,
+        target: str,
+        name: str,
+        again_ms: tuple[float, float],
+    ) -> None:
+        self.loop, self.random, self.address, self.target = loop, random, address, target
+        self.again_ms = again_ms  # between two tries: the first wait, the longest
+        self.stream: Subscription | None = None
+        self.calls: Calls | None = None
+        self.task: Task = loop.spawn(self._run(), name)
+
+    def hello(self) -> bytes:
+        raise NotImplementedError
+
+    def follow(self, stream: Subscription) -> Coroutine:
+        """Reads the stream until it ends, or until this session shall."""
+        raise NotImplementedError
+
+    def left(self) -> None:
+        """The session ended."""
+
+    def _run(self) -> Coroutine:
+        shortest, longest = self.again_ms
+        wait = shortest
+        while True:
+            self.stream = Subscription(self.loop, self.address, self.target)
+            try:
+                yield from self.stream.open(self.hello())
+                wait = shortest
+                yield from self.follow(self.stream)
+            except (StreamClosed, Rejected, HttpError, RecordError, BadMessage):
+                pass
+            finally:
+                self._gone()
+            yield from self.loop.sleep(wait * self.random.uniform(0.8, 1.2))
+            wait = min(longest, 2.0 * wait)
+
+    def _gone(self) -> None:
+        self.left()
+        if self.stream is not None:
+            self.stream.close()
+        if self.calls is not None:
+            self.calls.close()
+            self.calls = None
+
+    def end(self) -> None:
+        self.loop.cancel(self.task)
+        self._gone()
--- a/glencleat/standins/hosts.py
+++ b/glencleat/standins/hosts.py
@@ -9,52 +9,35 @@
 from random import Random
 
 from glencleat.check.record import Recorder
-from glencleat.kernel import Loop, StreamClosed, Task
+from glencleat.kernel import Loop
 from glencleat.kernel.loop import Coroutine
 from glencleat.mesos import messages as m
-from glencleat.mesos.http import HttpError
-from glencleat.mesos.recordio import RecordError
-from glencleat.standins.client import Address, Calls, Rejected, Subscription
+from glencleat.standins.client import Address, Calls, Reconnecting, Subscription
 from glencleat.standins.machine import Held, Machine, Nature, Offer
 
 TARGET = "/api/v1/executor"
-AGAIN_MS, AGAIN_MOST_MS = 100.0, 1_000.0  # between two tries to subscribe
+AGAIN_MS = 100.0, 1_000.0  # between two tries to subscribe: the first, the longest
 PAUSED_MS, BACKLOG_MS = 20.0, 200.0
 
 
-class Session:
+class Session(Reconnecting):
     """One host's agent towards one allocator, over reconnects. Updates are kept until acknowledged."""
 
     def __init__(self, host: Host, allocator: str, address: Address) -> None:
-        self.host, self.allocator, self.address = host, allocator, address
+        self.host, self.allocator = host, allocator
         self.unacked: OrderedDict[str, m.TaskStatus] = OrderedDict()
         self.infos: dict[str, m.TaskInfo] = {}
         self.recorded: set[str | None] = set()
-        self.stream: Subscription | None = None
-        self.calls: Calls | None = None
-        self.subscribed = False
+        self.told = m.SubscribeExecutor()  # by the latest subscription
         self.paused = False  # heartbeats stop, nothing is sent: a network that swallows
         self.paused_at, self.resumed_at = 0.0, -1e18
-        self.task: Task = host.loop.spawn(self._run(), f"{host.name} to {allocator}")
+        super().__init__(host.loop, host.random, address, TARGET, f"{host.name} to {allocator}", AGAIN_MS)
 
-    def _run(self) -> Coroutine:
-        wait = AGAIN_MS
-        while True:
-            self.stream = Subscription(self.host.loop, self.address, TARGET)
-            try:
-                hello = self._hello()
-                self._list(hello)
-                yield from self.stream.open(m.encode(hello))
-                for update in hello.subscribe.unacknowledged_updates if hello.subscribe is not None else ():
-                    self._said(update.status)
-                wait = AGAIN_MS
-                yield from self._events(self.stream)
-            except (StreamClosed, Rejected, HttpError, RecordError, m.BadMessage):
-                pass
-            finally:
-                self._gone()
-            yield from self.host.loop.sleep(wait * self.host.random.uniform(0.8, 1.2))
-            wait = min(AGAIN_MOST_MS, 2.0 * wait)
+    def hello(self) -> bytes:
+        call = self._hello()
+        self.told = call.subscribe or m.SubscribeExecutor()
+        self._list(self.told)
+        return m.encode(call)
 
     def _hello(self) -> m.ExecutorCall:
         """All living tasks of this allocator's: it may be a new incarnation that knows none of them."""
@@ -63,8 +46,7 @@
         updates = [m.UpdateCall(status) for status in self.unacked.values()]
         return self._call("SUBSCRIBE", subscribe=m.SubscribeExecutor(tasks, updates))
 
-    def _list(self, hello: m.ExecutorCall) -> None:
-        told = hello.subscribe or m.SubscribeExecutor()
+    def _list(self, told: m.SubscribeExecutor) -> None:
         ids = [task.task_id.value for task in told.unacknowledged_tasks]
         ids += [update.status.task_id.value for update in told.unacknowledged_updates]
         host = self.host
@@ -74,7 +56,9 @@
         ids = m.Value(self.host.executor_id()), m.Value("glencleat")
         return m.ExecutorCall(kind, *ids, **parts)  # type: ignore[arg-type]
 
-    def _events(self, stream: Subscription) -> Coroutine:
+    def follow(self, stream: Subscription) -> Coroutine:
+        for update in self.told.unacknowledged_updates:
+            self._said(update.status)
         while True:
             records = yield from stream.records()
             if not records:
@@ -90,7 +74,6 @@
     def _event(self, event: m.ExecutorEvent) -> None:
         host = self.host
         if event.type == "SUBSCRIBED":
-            self.subscribed = True
             self.calls = Calls(host.loop, self.address, TARGET, self._rejected)
         elif event.type == "LAUNCH" and event.launch is not None:
             host.launched(self, event.launch.task)
@@ -111,14 +94,6 @@
         if status == 403 and self.stream is not None:
             self.stream.close()  # not subscribed any more: begin again
 
-    def _gone(self) -> None:
-        self.subscribed = False
-        if self.stream is not None:
-            self.stream.close()
-        if self.calls is not None:
-            self.calls.close()
-            self.calls = None
-
     def post(self, call: m.ExecutorCall, wrote: Callable[[], None] | None = None) -> None:
         if self.calls is not None and not self.paused:
             self.calls.send(m.encode(call), None, wrote)
@@ -180,10 +155,6 @@
         """Since when a record that is read now may have lain unread; 0 if it has not."""
         return self.paused_at if self.host.loop.now() - self.resumed_at < BACKLOG_MS else 0.0
 
-    def end(self) -> None:
-        self.host.loop.cancel(self.task)
-        self._gone()
-
 
 class Host:
     """A host: machine, agent and sessions. `stop` takes it all down without a word."""
--- a/glencleat/standins/machine.py
+++ b/glencleat/standins/machine.py
@@ -102,7 +102,6 @@
     due: deque[Held] = field(default_factory=deque)  # accepted, not yet starting
     starting: int = 0
     kept: dict[str, None] = field(default_factory=dict)
-    keys: dict[str, float] = field(default_factory=dict)  # keys of keyed tasks -> when they were taken
     offers_at: deque[float] = field(default_factory=deque)
     deciding: Timer | None = None
     run: int = 0  # counts starts of the machine; a timer of an older one does nothing
--- a/glencleat/standins/owners.py
+++ b/glencleat/standins/owners.py
@@ -11,16 +11,14 @@
 from random import Random
 
 from glencleat.check.record import Recorder
-from glencleat.kernel import Loop, StreamClosed, Task
+from glencleat.kernel import Loop
 from glencleat.kernel.loop import Coroutine
 from glencleat.kernel.timers import Timer
 from glencleat.mesos import messages as m
-from glencleat.mesos.http import HttpError
-from glencleat.mesos.recordio import RecordError
-from glencleat.standins.client import Address, Calls, Rejected, Subscription
+from glencleat.standins.client import Address, Calls, Reconnecting, Subscription
 
 TARGET = "/api/v1/scheduler"
-AGAIN_MS, AGAIN_MOST_MS = 200.0, 2_000.0
+AGAIN_MS = 200.0, 2_000.0  # between two tries to subscribe: the first, the longest
 PAUSE_MS = (1_100.0, 2_900.0)  # before a refused task is asked for again
 SETTLE_MS = 3_000.0  # before an owner reconciles a task that may have run
 ASKS_MOST = 6
@@ -51,12 +49,11 @@
     asks: int = 0
     asked_at: float = 0.0
     first_at: float = 0.0
-    placed_ms: float | None = None  # from the ACCEPT to the placement, at its last ask
     end: str = ""  # placed, refused, failed, unanswered: how the last ask ended
     timer: Timer | None = None
 
 
-class Owner:
+class Owner(Reconnecting):
     """One framework at one allocator."""
 
     def __init__(
@@ -70,42 +67,24 @@
         seed: int,
         done: Callable[[Job], None] = lambda job: None,
     ) -> None:
-        self.loop, self.recorder, self.name, self.role = loop, recorder, name, role
-        self.allocator, self.address, self.done = allocator, address, done
-        self.random = Random(seed)
+        self.recorder, self.name, self.role, self.allocator, self.done = recorder, name, role, allocator, done
         self.jobs: dict[str, Job] = {}
         self.offer: str | None = None
-        self.stream: Subscription | None = None
-        self.calls: Calls | None = None
         self.stream_id = ""
         self.framework: str = f"{name}-framework"
         self.ending = False
         self.slow = False  # does not read its updates
         self.unsent: list[Job] = []
-        self.task: Task = loop.spawn(self._run(), name)
+        super().__init__(loop, Random(seed), address, TARGET, name, AGAIN_MS)
 
     # ---- session ----
 
-    def _run(self) -> Coroutine:
-        wait = AGAIN_MS
-        while not self.ending:
-            self.stream = Subscription(self.loop, self.address, TARGET)
-            info = m.FrameworkInfo(
-                "owner", self.name, m.Value(self.framework), self.role, failover_timeout=30.0
-            )
-            call = m.SchedulerCall("SUBSCRIBE", m.Value(self.framework), m.SubscribeFramework(info))
-            try:
-                yield from self.stream.open(m.encode(call))
-                wait = AGAIN_MS
-                yield from self._events(self.stream)
-            except (StreamClosed, Rejected, HttpError, RecordError, m.BadMessage):
-                pass
-            finally:
-                self._gone()
-            yield from self.loop.sleep(wait * self.random.uniform(0.8, 1.2))
-            wait = min(AGAIN_MOST_MS, 2.0 * wait)
-
-    def _events(self, stream: Subscription) -> Coroutine:
+    def hello(self) -> bytes:
+        told = m.Value(self.framework)
+        info = m.FrameworkInfo("owner", self.name, told, self.role, failover_timeout=30.0)
+        return m.encode(m.SchedulerCall("SUBSCRIBE", told, m.SubscribeFramework(info)))
+
+    def follow(self, stream: Subscription) -> Coroutine:
         self.stream_id = stream.headers.get("mesos-stream-id", "")
         while True:
             while self.slow:
@@ -136,15 +115,10 @@
         elif event.type == "UPDATE" and event.update is not None:
             self._update(event.update.status)
 
-    def _gone(self) -> None:
+    def left(self) -> None:
         if self.offer is not None:
             self.recorder.add("cut", who=self.name, allocator=self.allocator)
         self.offer = None
-        if self.stream is not None:
-            self.stream.close()
-        if self.calls is not None:
-            self.calls.close()
-            self.calls = None
 
     def cut(self) -> None:
         """Its connections break."""
@@ -291,7 +265,7 @@
 
     def _placed(self, job: Job) -> None:
         if job.state == "asked":
-            job.placed_ms, job.end = self.loop.now() - job.asked_at, "placed"
+            job.end = "placed"
         job.state = "placed"
         if job.timer is not None:
             job.timer.cancel()
@@ -304,5 +278,4 @@
 
     def end(self) -> None:
         self.ending = True
-        self.loop.cancel(self.task)
-        self._gone()
+        super().end()
--- a/glencleat/standins/play.py
+++ b/glencleat/standins/play.py
@@ -165,21 +165,6 @@
     def _entries(self) -> list[Entry]:
         return [alone.entry(host, host.name in self.draining) for host in self.hosts if host.up]
 
-    def _owners(self) -> None:
-        for i in range(self.script.owners.count):
-            process = self.processes[i % len(self.processes)]
-            self.owners.append(
-                Owner(
-                    self.loop,
-                    self.recorder,
-                    f"o{i:03d}",
-                    f"firm-{i % 5}",
-                    process.name,
-                    process.owners,
-                    self.random.getrandbits(32),
-                )
-            )
-
     # ---- the day ----
 
     def run(self) -> None:
@@ -201,7 +186,8 @@
             host.allocators = {p.name: p.agents for p in self.processes}
             host.start(cold=False)
         self.directory.start()
-        self._owners()
+        places = [(p.name, p.owners) for p in self.processes]
+        self.owners = alone.owners(self.loop, self.recorder, self.script, places, self.random)
         yield from self.loop.sleep(self.script.play.warm)
         self.on_ready()
         for at in self.script.at:
