A seam between core and subsystems: what happened, deciders, owners within the process

A second front needs the core's events and an owner that is no Mesos framework. The core now tells hearers a typed list of what happened (taken, sent, back, answered, told, forgotten, machine and agent news), asks a chain of deciders with one verdict type before a task is taken, and knows insiders, owners in the process whose id prefix frameworks can't take. The two halves get the core as a protocol (middle.py) and no longer import it. First decider: a second task of the same tenant and key of a class that must not start twice is turned away, whichever framework or front asks.

--- a/glencleat/allocator/admission.py
+++ b/glencleat/allocator/admission.py
@@ -9,7 +9,9 @@
 from dataclasses import dataclass
 
 from glencleat import interface as api
-from glencleat.allocator.ledger import Call
+from glencleat.allocator import tables
+from glencleat.allocator.ledger import Call, Ledger
+from glencleat.allocator.seam import Asking, Verdict
 from glencleat.allocator.tables import Fate
 
 
@@ -54,3 +56,25 @@
     if before.effect is api.Effect.UNSAFE and before.fate() is not Fate.NEVER_RAN:
         return "never"
     return None
+
+
+class Twins:
+    """The same work asked for by two tasks: of two fronts, or of a framework under a new id.
+
+    A key that the owner gave names the work within its tenant. For a class that must not start twice, a
+    second task of that key is not taken while the first is open or may have run; machines drop repeats of
+    the others by themselves, or bear them."""
+
+    def __init__(self, ledger: Ledger) -> None:
+        self.ledger = ledger
+
+    def decide(self, asking: Asking) -> Verdict | None:
+        if asking.effect is not api.Effect.UNSAFE or not asking.tenant or not asking.ask.key_told:
+            return None
+        before = self.ledger.keys.get((asking.tenant, asking.ask.key))
+        if before is None or (before.framework, before.task_id) == (asking.owner, asking.task_id):
+            return None
+        if before.given is not None and before.over and before.fate() is Fate.NEVER_RAN:
+            return None
+        text = f"task {before.task_id} of {before.framework} has the same key and must not start twice"
+        return Verdict(tables.Answer(tables.ERROR, tables.Retry.NEVER, tables.TASK_INVALID), text)
--- a/glencleat/allocator/agent_side.py
+++ b/glencleat/allocator/agent_side.py
@@ -5,19 +5,18 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from glencleat import interface as api
 from glencleat.allocator import late, tables
 from glencleat.allocator.asks import BadAsk, read
 from glencleat.allocator.ledger import Attempt, Call, Given
-from glencleat.allocator.members import split_id
+from glencleat.allocator.members import State, split_id
+from glencleat.allocator.middle import Middle
+from glencleat.allocator.seam import AgentSeen, Taken
 from glencleat.allocator.tables import Fate, Step, Told
 from glencleat.mesos import messages as m
 
-if TYPE_CHECKING:
-    from glencleat.allocator.core import Core
-
 
 class NotSubscribed(Exception):
     """A call of an agent's run that has no session."""
@@ -28,7 +27,7 @@
 
 
 class AgentSide:
-    def __init__(self, core: Core) -> None:
+    def __init__(self, core: Middle) -> None:
         self.core = core
 
     # ---- sessions ----
@@ -39,6 +38,7 @@
         agent, run = split_id(call.executor_id.value)
         told = call.subscribe or m.SubscribeExecutor()
         joined = core.members.subscribe(agent, run, session, now)
+        core.happened(AgentSeen(agent, State.SUBSCRIBED.value))
         core.log("agent subscribed", agent=agent, run=run, tasks=len(told.unacknowledged_tasks))
         # An old stream that was still open may hold a LAUNCH which this run has yet to read.
         whole_truth = joined.same_run and joined.replaced is None
@@ -73,6 +73,7 @@
         """A session's connection ended."""
         core = self.core
         if core.members.closed(agent, session, core.now()):
+            core.happened(AgentSeen(agent, State.AWAY.value))
             core.log("agent away", agent=agent, why=why)
         self._doubt(agent, session)
 
@@ -139,8 +140,9 @@
         core.ledger.take(call)
         core.ledger.bind(attempt)
         core.figures.adopted[call.ask.task_class] += 1
+        core.happened(Taken(call))
         core.tell_asked(call, 0.0, attempt.machine)
-        core.owners.status(call, tables.reconciled(attempt.fate(), attempt.step is Step.ACCEPTED))
+        core.told.status(call, tables.reconciled(attempt.fate(), attempt.step is Step.ACCEPTED))
 
     # ---- updates ----
 
@@ -177,7 +179,7 @@
             attempt.step = Step.RUNS
             self.core.tell(api.Noted(attempt.call.number, attempt.machine, api.NoteKind.RUNS, 1.0))
             if attempt.call.given is not None:
-                self.core.owners.status(attempt.call, tables.Answer(tables.RUNNING, tables.Retry.NEVER))
+                self.core.told.status(attempt.call, tables.Answer(tables.RUNNING, tables.Retry.NEVER))
         elif told.step is Step.OVER:
             self._over(attempt, told, report)
 
@@ -193,9 +195,9 @@
         if self.core.ledger.task(call.framework, call.task_id) is not call:
             return  # it was asked for again since
         if was_placed and call.given is Given.SERVED and attempt is call.last():
-            self.core.owners.status(call, tables.ended(told.outcome, told.why))
+            self.core.told.status(call, tables.ended(told.outcome, told.why))
         elif call.given is Given.FAILED and call.fate() in (Fate.NEVER_RAN, Fate.ENDED):
-            self.core.owners.status(call, tables.reconciled(call.fate()))
+            self.core.told.status(call, tables.reconciled(call.fate()))
 
     def _accepted(self, attempt: Attempt) -> None:
         """The agent's yes: the task is placed, which is its answer."""
@@ -214,7 +216,7 @@
         attempt.step = Step.OVER
         core.ledger.settle(attempt)
         core.returned(attempt, told.outcome, True, told.why, report)
-        core.owners.status(call, tables.ended(told.outcome, told.why))
+        core.told.status(call, tables.ended(told.outcome, told.why))
 
     def _late_yes(self, attempt: Attempt, was_placed: bool) -> None:
         """An agent holds a task of which the module was told that the attempt came to nothing."""
@@ -222,7 +224,7 @@
         latest = core.ledger.task(call.framework, call.task_id) or call
         placed = latest.placed()
         answered = latest.given.value if latest.given is not None else None
-        gone = call.left or core.framework_of(call) is None
+        gone = call.left or not core.wanted(call)
         core.figures.events["late yes"] += 1
         verdict = late.on_late_yes(
             answered, was_placed, latest.out() is not None and not placed, placed, gone
@@ -281,4 +283,4 @@
             safe = call.effect is api.Effect.SAFE
             retry = tables.Retry.HARMLESS if safe else tables.Retry.RECONCILE
             answer = tables.Answer(tables.UNREACHABLE, retry, tables.AGENT_REMOVED)
-            self.core.owners.status(call, answer)
+            self.core.told.status(call, answer)
--- a/glencleat/allocator/asks.py
+++ b/glencleat/allocator/asks.py
@@ -71,4 +71,5 @@
         left_ms=left - margin_ms,
         life_ms=number(info, "life_ms"),
         again=label(info.labels, "again") == "true",
+        key_told=bool(label(info.labels, "key")),
     )
--- a/glencleat/allocator/core.py
+++ b/glencleat/allocator/core.py
@@ -11,21 +11,36 @@
 import uuid
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
 from random import Random
 from typing import Any, Protocol
 
 from glencleat import interface as api
 from glencleat.allocator import late, tables
-from glencleat.allocator.admission import Limits
+from glencleat.allocator.admission import Twins
 from glencleat.allocator.agent_side import AgentSide
 from glencleat.allocator.contract import Contract, Module
 from glencleat.allocator.figures import Figures
 from glencleat.allocator.frameworks import Framework, Frameworks
 from glencleat.allocator.ledger import Attempt, Call, Given, Ledger
 from glencleat.allocator.members import Members, State
+from glencleat.allocator.options import Options
 from glencleat.allocator.owner_side import OwnerSide
 from glencleat.allocator.recovery import Opening
+from glencleat.allocator.seam import (
+    AgentSeen,
+    Answered,
+    Asking,
+    Back,
+    Decider,
+    Forgotten,
+    Happened,
+    Hear,
+    Insider,
+    MachinesTold,
+    Opened,
+    Sent,
+    Verdict,
+)
 from glencleat.allocator.tables import Answer, Step
 from glencleat.mesos import messages as m
 
@@ -49,29 +64,6 @@
     def call_in(self, in_ms: float, call: Callable[[], None]) -> Any: ...
 
 
-@dataclass(frozen=True, slots=True)
-class Options:
-    """What the program is told beside the module's settings. Times in milliseconds."""
-
-    name: str = "a0"  # of this allocator; part of its attempts' ids
-    pool: str = "pool"
-    default_class: str | None = None
-    answer_margin_ms: float = 50.0
-    heartbeat_ms: float = 15_000.0  # towards owners and agents
-    missed: int = 3
-    return_ms: float = 10_000.0
-    probe_timeout_ms: float = 1_000.0
-    offer_again_ms: float = 1_000.0
-    sweep_ms: float = 250.0
-    unacked_most: int = 20_000
-    remembered: int = 50_000
-    frameworks_most: int = 20_000
-    agents_most: int = 20_000
-    update_retry_ms: float = 10_000.0
-    grace_ms: float = 2_000.0  # after the start, for agents to tell what they hold
-    limits: Limits = Limits()
-
-
 class Core:
     def __init__(
         self,
@@ -105,9 +97,41 @@
         self.opening = Opening(self.last_now, least, options.grace_ms)
         self.listed: set[str] | None = None  # machines that the list tells as serving
         self.early: deque[Call] = deque()  # taken before the opening
-        self.owners, self.agents = OwnerSide(self), AgentSide(self)
+        self.hearers: list[Hear] = []
+        self.deciders: list[Decider] = [Twins(self.ledger).decide]
+        self.insiders: dict[str, Insider] = {}
+        self.ledger.forgot = lambda call: self.happened(Forgotten(call))
+        self.owners = self.told = OwnerSide(self)
+        self.agents = AgentSide(self)
         timing.call_in(options.sweep_ms, self._sweep)
 
+    # ---- the seam ----
+
+    def hear(self, hearer: Hear) -> None:
+        """Subscribes to what happens; see seam.py for what a hearer may do."""
+        self.hearers.append(hearer)
+
+    def happened(self, what: Happened) -> None:
+        for hearer in self.hearers:
+            hearer(what)
+
+    def decide(self, asking: Asking) -> Verdict | None:
+        """The first verdict of the chain; None: the task is taken."""
+        for decider in self.deciders:
+            verdict = decider(asking)
+            if verdict is not None:
+                return verdict
+        return None
+
+    def admit(self, insider: Insider) -> None:
+        """Makes an owner within the process known; frameworks can't subscribe under its prefix."""
+        self.insiders[insider.prefix] = insider
+
+    def wanted(self, call: Call) -> bool:
+        """Whether a task's owner is known here."""
+        insider = self.insiders.get(call.framework.partition(":")[0])
+        return insider.wants(call) if insider is not None else self.framework_of(call) is not None
+
     # ---- to the module and back ----
 
     def now(self) -> float:
@@ -137,6 +161,7 @@
             else:
                 self.listed -= {machine.name for machine in event.machines}
                 self.listed |= serving
+        self.happened(MachinesTold(event))
         self.tell(event)
         self.open_up()
 
@@ -176,6 +201,7 @@
         here = (x.id for x in self.members.members.values() if x.state is State.SUBSCRIBED)
         if self.opening.opens(self.now(), self.listed, here):
             self.log("open", held=len(self.early))
+            self.happened(Opened())
             while self.early:
                 call = self.early.popleft()
                 if call.given is None:
@@ -209,6 +235,7 @@
         name = f"{self.options.name}-{self.incarnation}-{call.number}.{number}"
         attempt = Attempt(call, number, action.machine, name, now)
         self.ledger.bind(attempt)
+        self.happened(Sent(attempt))
         link: Any = self.members.session(action.machine)
         if link is None:
             self.give_up(attempt, api.Outcome.UNREACHABLE, may_have_run=False)
@@ -288,6 +315,7 @@
             call.why.note(outcome, why, attempt.machine, self.now())
         if over and call.given is not None:
             self.ledger.close(call)
+        self.happened(Back(attempt, outcome, why))
         self.tell(
             api.Returned(call.number, attempt.number, attempt.machine, outcome, spent, over, why, report)
         )
@@ -356,6 +384,7 @@
             framework.open -= 1
         if given is not Given.SERVED:
             self.ledger.close(call)
+        self.happened(Answered(call, given))
         text = None if given is Given.SERVED else call.why.text(len(self.listed or ()))
         self.owners.status(call, answer, text)
         if self.ending and not self.ledger.open:
@@ -396,6 +425,7 @@
             session.close("no heartbeat")
         for member in self.members.lost(now):
             self.log("agent lost", agent=member.id)
+            self.happened(AgentSeen(member.id, State.LOST.value))
             self.agents.lost(member.id)
         self.owners.sweep(now)
 
--- a/glencleat/allocator/ledger.py
+++ b/glencleat/allocator/ledger.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -39,6 +40,7 @@
     left_ms: float
     life_ms: float | None = None
     again: bool = False
+    key_told: bool = False  # the owner gave the key: it names the work, whatever the task id or front
 
 
 @dataclass(slots=True, eq=False)
@@ -124,11 +126,15 @@
         self.attempts: dict[str, Attempt] = {}
         self.machines: dict[str, dict[str, Attempt]] = {}
         self.answered: OrderedDict[int, Call] = OrderedDict()
+        self.keys: dict[tuple[str, str], Call] = {}  # tenant, key told -> unsafe call
         self.open = 0  # taken and without an answer
+        self.forgot: Callable[[Call], None] = lambda call: None
 
     def take(self, call: Call) -> None:
         self.calls[call.number] = call
         self.tasks.setdefault(call.framework, {})[call.task_id] = call
+        if call.effect is api.Effect.UNSAFE and call.tenant and call.ask.key_told:
+            self.keys[call.tenant, call.ask.key] = call
         self.open += call.given is None
 
     def bind(self, attempt: Attempt) -> None:
@@ -155,12 +161,15 @@
 
     def forget(self, call: Call) -> None:
         self.answered.pop(call.number, None)
+        if self.keys.get((call.tenant or "", call.ask.key)) is call:
+            del self.keys[call.tenant or "", call.ask.key]
         if self.task(call.framework, call.task_id) is call:
             del self.tasks[call.framework][call.task_id]
             if not self.tasks[call.framework]:
                 del self.tasks[call.framework]
         for attempt in call.attempts:
             self.drop(attempt)
+        self.forgot(call)
 
     def drop(self, attempt: Attempt) -> None:
         """Forgets an attempt of which no more can be heard."""
--- /dev/null
+++ b/glencleat/allocator/middle.py
@@ -0,0 +1,77 @@
+"""What the two halves of the core (owner_side, agent_side) need of it, as a protocol: they don't import it.
+
+The core implements it; tests may stand in for it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from itertools import count
+from random import Random
+from typing import Protocol
+
+from glencleat import interface as api
+from glencleat.allocator import late
+from glencleat.allocator.figures import Figures
+from glencleat.allocator.frameworks import Framework, Frameworks
+from glencleat.allocator.ledger import Attempt, Call, Given, Ledger
+from glencleat.allocator.members import Members
+from glencleat.allocator.options import Options
+from glencleat.allocator.seam import Asking, Happened, Verdict
+from glencleat.allocator.tables import Answer
+from glencleat.mesos import messages as m
+
+
+class Owners(Protocol):
+    """What the agents' half tells the owners'."""
+
+    def status(self, call: Call, answer: Answer, text: str | None = None) -> None: ...
+
+
+class Middle(Protocol):
+    settings: api.Settings
+    classes: dict[str, api.TaskClass]
+    options: Options
+    random: Random
+    ledger: Ledger
+    figures: Figures
+    members: Members
+    frameworks: Frameworks
+    incarnation: str
+    numbers: count[int]
+    ending: bool
+    log: Callable[..., None]
+
+    @property
+    def told(self) -> Owners: ...
+    def now(self) -> float: ...
+    def tell(self, event: api.Event) -> None: ...
+    def happened(self, what: Happened) -> None: ...
+    def decide(self, asking: Asking) -> Verdict | None: ...
+    def wanted(self, call: Call) -> bool: ...
+    def framework_of(self, call: Call) -> Framework | None: ...
+    def ask(self, call: Call) -> None: ...
+    def tell_asked(self, call: Call, left_ms: float, machine: str | None = None) -> None: ...
+    def answer(self, call: Call, given: Given, answer: Answer) -> None: ...
+    def kill(self, attempt: Attempt) -> None: ...
+    def give_up(self, attempt: Attempt, outcome: api.Outcome, may_have_run: bool) -> None: ...
+    def handed(self, attempt: Attempt) -> late.Handed: ...
+    def stop_timer(self, attempt: Attempt) -> None: ...
+    def probe_back(self, machine: str, number: int, report: api.Report | None) -> None: ...
+    def open_up(self) -> None: ...
+    def returned(
+        self,
+        attempt: Attempt,
+        outcome: api.Outcome,
+        over: bool,
+        why: api.Why = api.Why.NONE,
+        report: api.Report | None = None,
+    ) -> None: ...
+    def status(
+        self,
+        task_id: str,
+        answer: Answer,
+        machine: str | None,
+        message: str | None = None,
+        acked: bool = True,
+    ) -> m.TaskStatus: ...
+
--- /dev/null
+++ b/glencleat/allocator/options.py
@@ -0,0 +1,28 @@
+"""What the program is told beside the module's settings. Times in milliseconds."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from glencleat.allocator.admission import Limits
+
+
+@dataclass(frozen=True, slots=True)
+class Options:
+    name: str = "a0"  # of this allocator; part of its attempts' ids
+    pool: str = "pool"
+    default_class: str | None = None
+    answer_margin_ms: float = 50.0
+    heartbeat_ms: float = 15_000.0  # towards owners and agents
+    missed: int = 3
+    return_ms: float = 10_000.0
+    probe_timeout_ms: float = 1_000.0
+    offer_again_ms: float = 1_000.0
+    sweep_ms: float = 250.0
+    unacked_most: int = 20_000
+    remembered: int = 50_000
+    frameworks_most: int = 20_000
+    agents_most: int = 20_000
+    update_retry_ms: float = 10_000.0
+    grace_ms: float = 2_000.0  # after the start, for agents to tell what they hold
+    limits: Limits = Limits()
--- a/glencleat/allocator/owner_side.py
+++ b/glencleat/allocator/owner_side.py
@@ -4,24 +4,24 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from glencleat import interface as api
 from glencleat.allocator import admission, tables
 from glencleat.allocator.asks import BadAsk, read
 from glencleat.allocator.frameworks import Framework
 from glencleat.allocator.ledger import Ask, Call, Given
+from glencleat.allocator.middle import Middle
+from glencleat.allocator.seam import Asking, Taken, Told, Verdict
 from glencleat.allocator.tables import Answer, Retry
+from glencleat.allocator.why import Record
 from glencleat.mesos import messages as m
 
-if TYPE_CHECKING:
-    from glencleat.allocator.core import Core
-
 RECONCILED_MOST = 10_000  # statuses that one RECONCILE without tasks may bring
 
 
 class OwnerSide:
-    def __init__(self, core: Core) -> None:
+    def __init__(self, core: Middle) -> None:
         self.core = core
         self.offer_number = 0
 
@@ -53,7 +53,7 @@
         """The framework is gone: its tasks are stopped, and nobody waits for their updates."""
         core = self.core
         for call in core.ledger.of(framework.id):
-            self._withdraw(call)
+            self.withdraw(call)
         core.frameworks.remove(framework)
         session: Any = framework.session
         framework.session = None
@@ -149,17 +149,50 @@
             answer = Answer(tables.ERROR, Retry.NEVER, tables.TASK_INVALID)
             self._turn_away(framework, info, answer, str(error))
             return
-        self._take(framework, info, ask)
+        taken = self._take(framework.id, framework.role(), info, ask)
+        if isinstance(taken, Verdict):
+            self._turn_away(framework, info, taken.answer, taken.text)
+            return
+        framework.open += 1
+        core.ask(taken)
 
-    def _take(self, framework: Framework, info: m.TaskInfo, ask: Ask) -> None:
+    def _take(self, owner: str, tenant: str | None, info: m.TaskInfo, ask: Ask) -> Call | Verdict:
         core = self.core
         effect = core.classes[ask.task_class].effect
-        role = framework.role()
-        call = Call(next(core.numbers), framework.id, info.task_id.value, info, ask, effect, role, core.now())
+        verdict = core.decide(Asking(owner, tenant, info.task_id.value, effect, ask))
+        if verdict is not None:
+            return verdict
+        call = Call(next(core.numbers), owner, info.task_id.value, info, ask, effect, tenant, core.now())
         core.ledger.take(call)
         core.figures.take(ask.task_class)
-        framework.open += 1
-        core.ask(call)
+        core.happened(Taken(call))
+        return call
+
+    def take_inside(
+        self, owner: str, tenant: str, info: m.TaskInfo, ask: Ask, record: Record | None = None
+    ) -> Call | Verdict:
+        """A task of an insider, as a LAUNCH of a framework; a Verdict where it was not taken.
+
+        `record`: the reasons of its earlier rounds, to which this one's are added. A task that is open or
+        placed already is given as it is: the same ask again, or adopted from a former incarnation."""
+        core = self.core
+        before = core.ledger.task(owner, info.task_id.value)
+        repeat = admission.repeats(before)
+        if repeat == "same" and before is not None:
+            core.figures.events["launch repeated"] += 1
+            return before
+        if repeat == "never" and before is not None:
+            return Verdict(tables.reconciled(before.fate()), "it may have run before")
+        load = admission.Load(core.ledger.open, 0, len(core.ledger.calls), False, core.ending)
+        why = admission.refuses(load, core.options.limits)
+        if why is not None:
+            return Verdict(tables.refusal(False), why)
+        taken = self._take(owner, tenant, info, ask)
+        if isinstance(taken, Call):
+            if record is not None:
+                taken.why = record
+            core.ask(taken)
+        return taken
 
     def _turn_away(self, framework: Framework, info: m.TaskInfo, answer: Answer, text: str) -> None:
         """An answer without a call: the module was never asked. Counted as taken and refused or failed."""
@@ -176,9 +209,9 @@
             answer = Answer(tables.UNKNOWN, Retry.RECONCILE, tables.RECONCILIATION)
             self._status(framework, task_id, answer, None, "no such task here", acked=False)
         else:
-            self._withdraw(call)
+            self.withdraw(call)
 
-    def _withdraw(self, call: Call) -> None:
+    def withdraw(self, call: Call) -> None:
         """The owner wants no more of the task; with an attempt out, the answer waits for its end."""
         core = self.core
         if call.over or call.left:
@@ -199,6 +232,7 @@
 
     def status(self, call: Call, answer: Answer, text: str | None = None) -> None:
         """A status of a call's task to its owner, if that is still known."""
+        self.core.happened(Told(call, answer, text))
         framework = self.core.framework_of(call)
         if framework is not None:
             out = call.last()
--- /dev/null
+++ b/glencleat/allocator/seam.py
@@ -0,0 +1,118 @@
+"""The seam between the core and its subsystems, one way each. Pure types; it imports no half of the core.
+
+Out: `Happened`, a typed list of what happened, to whoever subscribed (`Core.hear`). A subscriber is called in
+the middle of the core's work: it notes what it needs and returns; it never calls the core from there.
+
+In: deciders, asked in their order before a task is told to the module (`Core.deciders`). The first that gives
+a Verdict turns the task away; the module is then never asked. And `Insider`, an owner that lives in this
+process, such as the REST front: its tasks pass through the same ledger, figures and answers."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from glencleat import interface as api
+from glencleat.allocator.ledger import Ask, Attempt, Call, Given
+from glencleat.allocator.tables import Answer
+
+
+@dataclass(frozen=True, slots=True)
+class Taken:
+    """A task was taken (or, `call.adopted`, found to run already)."""
+
+    call: Call
+
+
+@dataclass(frozen=True, slots=True)
+class Sent:
+    """An attempt is out."""
+
+    attempt: Attempt
+
+
+@dataclass(frozen=True, slots=True)
+class Back:
+    """An attempt is back: it came to nothing, or the task that it placed has ended."""
+
+    attempt: Attempt
+    outcome: api.Outcome
+    why: api.Why
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """The one final answer of a call."""
+
+    call: Call
+    given: Given
+
+
+@dataclass(frozen=True, slots=True)
+class Told:
+    """What its owner is told of a task: its answer, and later that it runs, has ended or is out of sight."""
+
+    call: Call
+    answer: Answer
+    text: str | None
+
+
+@dataclass(frozen=True, slots=True)
+class Forgotten:
+    """The ledger no longer knows the call."""
+
+    call: Call
+
+
+@dataclass(frozen=True, slots=True)
+class MachinesTold:
+    news: api.ListTold
+
+
+@dataclass(frozen=True, slots=True)
+class AgentSeen:
+    """An agent subscribed, went away or was given up; `state` is members.State's value."""
+
+    agent: str
+    state: str
+
+
+@dataclass(frozen=True, slots=True)
+class Opened:
+    """Asks are told to the module from here on."""
+
+
+Happened = Taken | Sent | Back | Answered | Told | Forgotten | MachinesTold | AgentSeen | Opened
+Hear = Callable[[Happened], None]
+
+
+@dataclass(frozen=True, slots=True)
+class Asking:
+    """A task that is about to be taken."""
+
+    owner: str  # framework id, or an insider's
+    tenant: str | None
+    task_id: str
+    effect: api.Effect
+    ask: Ask
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """The task is not taken; `answer` is what its owner is told, `text` why."""
+
+    answer: Answer
+    text: str
+
+
+Decider = Callable[[Asking], Verdict | None]
+
+
+class Insider(Protocol):
+    """Owners within the process whose ids begin with its prefix and a colon."""
+
+    prefix: str
+
+    def wants(self, call: Call) -> bool:
+        """Whether somebody still stands behind the task."""
--- a/glencleat/daemon.py
+++ b/glencleat/daemon.py
@@ -15,7 +15,8 @@
 
 from glencleat import interface as api
 from glencleat.allocator.admission import Limits as Admission
-from glencleat.allocator.core import Core, Options
+from glencleat.allocator.core import Core
+from glencleat.allocator.options import Options
 from glencleat.config import Config, ConfigError, load
 from glencleat.fronts.directory import DirectoryClient
 from glencleat.fronts.executor_api import ExecutorApi
--- a/glencleat/fronts/scheduler_api.py
+++ b/glencleat/fronts/scheduler_api.py
@@ -64,6 +64,8 @@
         named = call.framework_id.value if call.framework_id is not None else told
         if told != named and told is not None:
             raise HttpError(400, "'framework_id' differs from 'subscribe.framework_info.id'")
+        if named is not None and named.partition(":")[0] in self.core.insiders and ":" in named:
+            raise HttpError(403, f"framework_id is {named[:80]!r}; expected none of the allocator's own")
         if named is not None:
             info.id = m.Value(named)
         try:
