--- a/glencleat/allocator/middle.py
+++ b/glencleat/allocator/middle.py
@@ -74,4 +74,3 @@
         message: str | None = None,
         acked: bool = True,
     ) -> m.TaskStatus: ...
-
--- a/glencleat/config/load.py
+++ b/glencleat/config/load.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from dataclasses import dataclass
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any, TypeVar
 
@@ -31,6 +31,7 @@
     "cold": ((), "cold", False),
     "heartbeat": ((), "heartbeat", False),
     "limit": ((), "limit", False),
+    "rest": ((), "rest", False),
     "log": ((), "log", False),
 }
 SINGLE = {
@@ -44,7 +45,7 @@
     "grace": "grace",
     "probe-timeout": "probe_timeout",
 }
-LISTEN = ("owners", "agents", "metrics")
+LISTEN = {"owners": "owners", "agents": "agents", "metrics": "metrics", "rest": "rest_listen"}  # its setting
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,7 +54,7 @@
 
     pairs: dict[str, tuple[tuple[str, ...], str, bool]]
     single: dict[str, str]
-    listen: tuple[str, ...] = ()
+    listen: Mapping[str, str] = field(default_factory=dict)
 
     def keywords(self) -> list[str]:
         return sorted([*self.pairs, *self.single, *(["listen"] if self.listen else []), "include"])
@@ -79,7 +80,7 @@
             if len(rest) != 2 or rest[0] not in self.tables.listen:
                 self.fault(line, "listen", f"expected one of {', '.join(self.tables.listen)} and HOST:PORT")
             else:
-                self._one(line, f"listen {rest[0]}", rest[0], rest[1])
+                self._one(line, f"listen {rest[0]}", self.tables.listen[rest[0]], rest[1])
         elif word in self.tables.single:
             if len(rest) != 1:
                 self.fault(line, word, f"{len(rest)} values; expected one")
@@ -130,7 +131,7 @@
         """A place in the schema as the file writes it."""
         names = {key: word for word, (_, key, _) in self.tables.pairs.items()}
         names |= {key: word for word, key in self.tables.single.items()}
-        names |= {name: f"listen {name}" for name in self.tables.listen}
+        names |= {key: f"listen {name}" for name, key in self.tables.listen.items()}
         words = [names.get(part, part.replace("_", "-")) for part in loc if isinstance(part, str)]
         return " ".join(words) or "file"
 
--- a/glencleat/config/schema.py
+++ b/glencleat/config/schema.py
@@ -143,6 +143,26 @@
     remembered: Count = 50_000
 
 
+class Rest(Part):
+    """Bounds of the REST front; rates are a second."""
+
+    requests: Annotated[float, Field(gt=0)] = 500.0  # of one connection
+    tenant_rate: Annotated[float, Field(gt=0)] = 1_000.0  # tasks created
+    tenant_burst: Annotated[float, Field(gt=0)] = 5_000.0
+    waiting: Count = 50_000  # tasks
+    waiting_each: Count = 10_000  # of one tenant
+    jobs: Count = 20_000
+    jobs_kept: Milliseconds = 600_000.0  # after their end
+    first_round: Annotated[Milliseconds, Field(ge=1)] = 1_000.0  # a new task must get its first round by then
+    keys: Count = 50_000  # idempotency keys
+    events: Count = 20_000  # of each kind, to resume watches
+    ended: Count = 10_000  # tasks of frameworks shown after their end
+    watches: Count = 5_000
+    watches_each: Count = 1_000  # of one tenant
+    watch_lines: Count = 20_000  # that a watcher may be behind
+    watch_stall: Annotated[Milliseconds, Field(ge=1)] = 5_000.0
+
+
 class Log(Part):
     form: Literal["console", "json"] = "console"
     level: Literal["debug", "info", "warning", "error"] = "info"
@@ -153,6 +173,7 @@
     owners: Address
     agents: Address
     metrics: Address | None = None
+    rest_listen: Address | None = None
     directory: Address
     classes: Annotated[tuple[Class, ...], Field(min_length=1)]
     kinds: Annotated[tuple[Kind, ...], Field(min_length=1)]
@@ -169,6 +190,7 @@
     cold: Cold = Cold()
     heartbeat: Heartbeat = Heartbeat()
     limit: Limit = Limit()
+    rest: Rest = Rest()
     log: Log = Log()
 
     @model_validator(mode="after")
--- a/glencleat/daemon.py
+++ b/glencleat/daemon.py
@@ -21,15 +21,19 @@
 from glencleat.fronts.directory import DirectoryClient
 from glencleat.fronts.executor_api import ExecutorApi
 from glencleat.fronts.metrics import MetricsApi
+from glencleat.fronts.rest_api import RestApi, problem
 from glencleat.fronts.scheduler_api import SchedulerApi
-from glencleat.fronts.server import Limits, Server
+from glencleat.fronts.server import Handler, Limits, Server, plain
 from glencleat.kernel import Loop
 from glencleat.kernel.loop import READ
 from glencleat.logic import Scheduler
+from glencleat.rest import plane as rest
+from glencleat.rest.channels import Limits as WatchLimits
+from glencleat.rest.overload import Limits as GateLimits
 
 MB = 1 << 20
 FLUSH_MS = 1_000.0
-LIVE = {"limit", "log", "shutdown", "answer_margin", "probe_timeout"}  # what SIGHUP can change
+LIVE = {"limit", "rest", "log", "shutdown", "answer_margin", "probe_timeout"}  # what SIGHUP can change
 
 
 def options(config: Config) -> Options:
@@ -57,6 +61,22 @@
     return Limits(limit.connections, int(limit.body * MB), int(limit.unsent * MB), limit.request, limit.idle)
 
 
+def rest_limits(config: Config) -> rest.Limits:
+    told = config.rest
+    gate = GateLimits(
+        connection_rate=told.requests,
+        connection_burst=2.0 * told.requests,
+        tenant_rate=told.tenant_rate,
+        tenant_burst=told.tenant_burst,
+        waiting_each=told.waiting_each,
+        waiting=told.waiting,
+        jobs=told.jobs,
+        first_round_ms=told.first_round,
+    )
+    watch = WatchLimits(told.watches, told.watches_each, told.watch_lines, stall_ms=told.watch_stall)
+    return rest.Limits(gate, watch, told.events, told.ended, told.jobs_kept, told.keys)
+
+
 class Daemon:
     """`start` binds and subscribes; `loop.run` then serves until `stop` has done its work."""
 
@@ -76,6 +96,9 @@
         ids = SystemRandom().getrandbits(64) if seed is None else seed
         self.core = Core(settings, module, options(config), self.loop, ids, self._log)
         self.servers: dict[str, Server] = {}
+        self.plane: rest.Plane | None = None
+        if config.rest_listen is not None:
+            self.plane = rest.Plane(self.core, rest_limits(config), ids ^ 0x5EED)
         self.stopping = self.ending = False
         self.directory = DirectoryClient(
             self.loop, config.directory, self.core.list_told, 3.0 * config.heartbeat.every, log=self._log
@@ -89,17 +112,22 @@
     def start(self) -> dict[str, str]:
         """Binds the listeners; gives their addresses. Raises OSError naming the address."""
         limits = server_limits(self.config)
-        handlers = {
+        handlers: dict[str, Handler] = {
             "owners": SchedulerApi(self.core).handle,
             "agents": ExecutorApi(self.core).handle,
             "metrics": MetricsApi(self.core).handle,
         }
+        addresses = {name: getattr(self.config, name) for name in handlers}
+        if self.plane is not None:
+            self.rest = RestApi(self.plane)
+            handlers["rest"], addresses["rest"] = self.rest.handle, self.config.rest_listen
         for name, handler in handlers.items():
-            address = getattr(self.config, name)
+            address = addresses[name]
             if address is None:
                 continue
+            told = problem if name == "rest" else plain
             try:
-                self.servers[name] = Server(self.loop, address, handler, limits, self._log)
+                self.servers[name] = Server(self.loop, address, handler, limits, self._log, told)
             except OSError as error:
                 raise OSError(f"listen {name} {address[0]}:{address[1]}: {error.strerror}") from None
         # An empty change is news of nothing, at which the module asks for the list by itself.
@@ -137,6 +165,8 @@
         self.stopping = True
         self.log.info("stopping", open=self.core.ledger.open)
         self.loop.call_in(self.config.shutdown, self._finish)
+        if self.plane is not None:
+            self.plane.end()
         self.core.end()
 
     def _finish(self) -> None:
@@ -183,4 +213,8 @@
         for server in self.servers.values():
             server.limits = server_limits(config)
             server.listener.most, server.listener.limit = config.limit.connections, server.limits.unsent
+        if self.plane is not None:
+            told = rest_limits(config)
+            self.plane.limits, self.plane.gate.limits = told, told.gate
+            self.plane.channels.limits, self.plane.keys.most = told.watch, told.keys
         self.log.info("configuration read again")
--- /dev/null
+++ b/glencleat/fronts/rest_api.py
@@ -0,0 +1,438 @@
+"""The REST front at /v1: jobs, tasks, machines, services; lists, watches, creations; errors as RFC 9457.
+
+Parses, asks the plane, writes JSON; the routes of `ROUTES` are also what the OpenAPI document is made from
+(`rest.openapi`). A watch is a stream of lines that the plane's channels fill at the reader's pace."""
+
+from __future__ import annotations
+
+import base64
+import math
+import re
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+from urllib.parse import parse_qsl, quote, unquote, urlsplit
+
+import msgspec
+
+from glencleat.fronts.server import Pour, Sink
+from glencleat.kernel import StreamClosed
+from glencleat.kernel.loop import Coroutine, Task
+from glencleat.mesos.http import HttpError, Request, Response
+from glencleat.rest import channels, openapi, overload
+from glencleat.rest import schema as s
+from glencleat.rest.jobs import Bucket
+from glencleat.rest.plane import Conflict, Plane, TooMuch
+from glencleat.rest.routes import ROUTES, Route
+from glencleat.rest.selector import BadSelector, Selector, parse
+from glencleat.rest.versions import Gone, Key, Record
+
+JSON, PROBLEM, LINES = "application/json", "application/problem+json", "application/x-ndjson"
+TARGET_MOST = 4_096  # characters
+KEY_MOST = 128  # of an Idempotency-Key
+FIRST_MOST = 20_000  # resources that a watch without a version may begin with
+BOOKMARK_MS = 5_000.0
+LAST_MS = 2_000.0  # for a watcher that is cut off to read why
+QUERY_FIELDS = {field.encode_name for field in msgspec.structs.fields(s.Query)}
+TITLES = {
+    400: "Bad request",
+    404: "Not found",
+    405: "Method not allowed",
+    409: "Conflict",
+    410: "Gone",
+    412: "Precondition failed",
+    413: "Body too large",
+    414: "Target too long",
+    415: "Media type not supported",
+    422: "Not acceptable as it stands",
+    429: "Too many requests",
+    503: "Not now",
+}
+
+
+def problem(error: HttpError) -> Response:
+    """An error as RFC 9457 has it."""
+    told = s.Problem(title=TITLES.get(error.status, "Error"), status=error.status, detail=error.text)
+    return Response(error.status, s.encode(told), PROBLEM, error.headers)
+
+
+def turned(told: overload.Turned) -> Response:
+    body = s.Problem(
+        title=TITLES[told.status], status=told.status, detail=told.text, retry_after_ms=round(told.retry_ms)
+    )
+    seconds = max(1, math.ceil(told.retry_ms / 1_000.0))
+    return Response(told.status, s.encode(body), PROBLEM, {"retry-after": str(seconds)})
+
+
+@dataclass(slots=True, eq=False)
+class Peer:
+    """What is kept of one connection."""
+
+    bucket: Bucket
+    refused: int = 0  # in a row
+
+
+@dataclass(slots=True)
+class Asked:
+    """A request, matched to its route."""
+
+    route: Route
+    request: Request
+    path: dict[str, str]
+    query: str
+
+
+class RestApi:
+    def __init__(self, plane: Plane) -> None:
+        self.plane, self.core = plane, plane.core
+        self.peers: dict[object, Peer] = {}
+        self.watchers: dict[channels.Watcher, Sink] = {}
+        self.requests: dict[int, int] = {}  # by status
+        self.document: bytes | None = None
+        plane.cut = self._cut
+        self.handlers: dict[str, Callable[[Asked], Response | Pour]] = {
+            "openapi": self._openapi,
+            "list": self._list,
+            "get": self._get,
+            "createJob": self._create,
+            "deleteJob": self._delete_job,
+            "patchJob": self._patch_job,
+            "deleteTask": self._delete_task,
+        }
+
+    # ---- requests ----
+
+    def handle(self, request: Request) -> Response | Pour:
+        peer = self._peer(request)
+        told: Response | Pour
+        try:
+            told = self._admitted(request, peer)
+        except HttpError as error:
+            told = problem(error)
+        except Conflict as error:
+            told = problem(HttpError(error.status, error.text))
+        except Gone as error:
+            told = problem(HttpError(410, str(error)))
+        except TooMuch as error:
+            told = turned(error.turned)
+        if isinstance(told, Response):
+            self._count(told, peer)
+        return told
+
+    def _count(self, told: Response, peer: Peer) -> None:
+        self.requests[told.status] = self.requests.get(told.status, 0) + 1
+        if told.status not in (429, 503):
+            peer.refused = 0
+            return
+        peer.refused += 1
+        told.pause_ms = self.plane.gate.pause_ms(peer.refused, 1_000.0 * float(told.headers["retry-after"]))
+
+    def _peer(self, request: Request) -> Peer:
+        origin: Any = request.origin
+        peer = self.peers.get(origin)
+        if peer is None:
+            peer = Peer(self.plane.gate.connection(self.core.now()))
+            if origin is not None:
+                self.peers[origin] = peer
+                origin.on_close.append(lambda _: self.peers.pop(origin, None))
+        return peer
+
+    def _admitted(self, request: Request, peer: Peer) -> Response | Pour:
+        refusal = self.plane.gate.request(peer.bucket, 1.0, self.core.now())
+        if refusal is not None:
+            return turned(refusal)
+        asked = self._route(request)
+        told = self.handlers[asked.route.handler](asked)
+        if isinstance(told, Response) and asked.route.handler == "list":
+            peer.bucket.pay(len(told.body) / 50_000.0)  # a long list costs more than a short one
+        return told
+
+    def _route(self, request: Request) -> Asked:
+        if len(request.target) > TARGET_MOST:
+            raise HttpError(
+                414, f"a target of {len(request.target)} characters; expected at most {TARGET_MOST}"
+            )
+        try:
+            parts = urlsplit(request.target)
+            path = [unquote(part, errors="strict") for part in parts.path.split("/")[1:]]
+        except ValueError as error:
+            raise HttpError(400, f"target: {error}") from None
+        method = "GET" if request.method == "HEAD" else request.method
+        allowed = list[str]()
+        for route in ROUTES:
+            found = route.match(path)
+            if found is not None and route.method == method:
+                return Asked(route, request, found, parts.query)
+            if found is not None:
+                allowed.append(route.method)
+        if allowed:
+            wrong = HttpError(405, f"{request.method[:20]}: expected {', '.join(sorted(allowed))}")
+            wrong.headers["allow"] = ", ".join(sorted(allowed))
+            raise wrong
+        raise HttpError(404, f"{request.target[:80]}: no such resource; /openapi.json tells what there is")
+
+    @staticmethod
+    def _query(asked: Asked) -> s.Query:
+        try:
+            pairs = parse_qsl(asked.query, keep_blank_values=True, errors="strict", max_num_fields=16)
+            told = dict(pairs)
+            if len(told) != len(pairs):
+                raise ValueError("a parameter is there twice")
+            unknown = sorted(set(told) - QUERY_FIELDS)
+            if unknown:
+                raise ValueError(
+                    f"no parameter {unknown[0][:40]!r}; expected {', '.join(sorted(QUERY_FIELDS))}"
+                )
+            return msgspec.convert(told, s.Query, strict=False)
+        except (ValueError, msgspec.ValidationError) as error:
+            raise HttpError(400, f"query: {error}") from None
+
+    @staticmethod
+    def _body(asked: Asked, kind: type[Any], content_type: str) -> Any:
+        request = asked.request
+        told = request.headers.get("content-type", "").split(";")[0].strip().lower()
+        if told != content_type:
+            raise HttpError(415, f"Content-Type is {told[:40]!r}; expected {content_type}")
+        try:
+            return s.BODIES[kind].decode(request.body)
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+            # What is no JSON is 400; what is, and does not fit the schema, is 422.
+            status = 422 if isinstance(error, msgspec.ValidationError) else 400
+            raise HttpError(status, f"body: {str(error)[:300]}") from None
+
+    # ---- reading ----
+
+    def _openapi(self, asked: Asked) -> Response:
+        if self.document is None:
+            self.document = s.encode(openapi.document(ROUTES))
+        return Response(200, self.document, JSON)
+
+    def _one(self, record: Record, status: int = 200) -> Response:
+        version = self.plane.versions.told(record.version)
+        headers = {"etag": f'"{version}"'}
+        return Response(status, self._bytes(record), JSON, headers)
+
+    def _bytes(self, record: Record) -> bytes:
+        if record.encoded is None:
+            body = s.encode(record.value)
+            version = self.plane.versions.told(record.version).encode()
+            record.encoded = b'{"resourceVersion":"%b",%b' % (version, body[1:])
+        return record.encoded
+
+    def _record(self, kind: str, key: Key) -> Record:
+        record = self.plane.versions.get(kind, key)
+        if record is None:
+            raise HttpError(404, f"{kind[:-1]} {'/'.join(key)[:200]} is not known here")
+        return record
+
+    def _get(self, asked: Asked) -> Response:
+        self._query(asked)
+        key = tuple(asked.path[name] for name in asked.route.key)
+        record = self._record(asked.route.kind, key)
+        told = self._one(record)
+        if matches_tag(asked.request.headers.get("if-none-match"), told.headers["etag"]):
+            return Response(304, headers=told.headers)
+        return told
+
+    def _list(self, asked: Asked) -> Response | Pour:
+        query, kind, tenant = self._query(asked), asked.route.kind, asked.path.get("tenant")
+        try:
+            selector = parse(query.label_selector)
+        except BadSelector as error:
+            raise HttpError(400, str(error)) from None
+        if query.watch in ("1", "true"):
+            return self._watch(kind, tenant, selector, query)
+        versions, after = self.plane.versions, None
+        version = versions.number
+        if query.next:
+            version, after = self._continued(query.next, kind, tenant, query.label_selector)
+        records, last = versions.page(kind, version, selector, query.limit, after, tenant)
+        token = None
+        if last is not None:
+            token = self._token(version, last, kind, tenant, query.label_selector)
+        head = b'{"resourceVersion":"%b","items":[' % versions.told(version).encode()
+        tail = b'],"continue":"%b"}' % token.encode() if token is not None else b"]}"
+        body = head + b",".join(map(self._bytes, records)) + tail
+        return Response(200, body, JSON)
+
+    def _token(self, version: int, after: Key, kind: str, tenant: str | None, selector: str) -> str:
+        told = [self.plane.versions.told(version), list(after), kind, tenant, selector]
+        return base64.urlsafe_b64encode(s.encode(told)).decode()
+
+    def _continued(self, token: str, kind: str, tenant: str | None, selector: str) -> tuple[int, Key]:
+        try:
+            raw = base64.b64decode(token.encode(), altchars=b"-_", validate=True)
+            told = msgspec.json.decode(raw, type=tuple[str, tuple[str, ...], str, str | None, str])
+            version = self.plane.versions.read(told[0])
+        except (ValueError, msgspec.DecodeError) as error:
+            raise HttpError(400, f"continue: {error}; expected the token of a page") from None
+        if told[2:] != (kind, tenant, selector):
+            raise HttpError(400, "continue: expected the same list and labelSelector as for the page before")
+        return version, told[1]
+
+    # ---- watching ----
+
+    def _watch(self, kind: str, tenant: str | None, selector: Selector, query: s.Query) -> Pour:
+        if query.next:
+            raise HttpError(400, "a watch has no pages: expected no continue")
+        plane = self.plane
+        try:
+            plane.channels.check(tenant)
+        except channels.Refused as error:
+            raise TooMuch(overload.Turned(503, str(error), 5_000.0)) from None
+        version, early = plane.versions.number, list[bytes]()
+        if query.resource_version:
+            try:
+                version = plane.versions.read(query.resource_version)
+            except ValueError as error:
+                raise HttpError(400, str(error)) from None
+            for event in plane.versions.since(kind, version):
+                change = event.type_for(selector)
+                if change is not None and (tenant is None or event.record.key[0] == tenant):
+                    early.append(channels.line(event, change, plane.versions.told))
+        else:
+            early = self._all(kind, tenant, selector)
+        watcher = plane.channels.join((kind, tenant, selector), early, self.core.now())
+        timeout_ms = 1_000.0 * query.timeout_seconds
+        return Pour(LINES, lambda sink: self._fill(sink, watcher, timeout_ms))
+
+    def _all(self, kind: str, tenant: str | None, selector: Selector) -> list[bytes]:
+        """What is there now, as ADDED; then a BOOKMARK that says that this was all."""
+        versions, after = self.plane.versions, None
+        lines = list[bytes]()
+        while True:
+            records, after = versions.page(kind, versions.number, selector, 1_000, after, tenant)
+            for record in records:
+                lines.append(b'{"type":"ADDED","object":%b}\n' % self._bytes(record))
+            if len(lines) > FIRST_MOST:
+                text = f"more than {FIRST_MOST} {kind} match; expected a list, and a watch from its version"
+                raise HttpError(400, text)
+            if after is None:
+                return [*lines, channels.bookmark(versions.told())]
+
+    def _fill(self, sink: Sink, watcher: channels.Watcher, timeout_ms: float) -> Coroutine:
+        """The watch's coroutine: takes pieces as the socket does, waits for news, and tells why it ends."""
+        plane, core = self.plane, self.core
+        self.watchers[watcher] = sink
+        until = core.now() + timeout_ms
+        try:
+            while watcher.cut is None and core.now() < until:
+                data = plane.channels.take(watcher, core.now())
+                if data:
+                    yield from sink.send(data)
+                elif watcher.cut is None:
+                    woken = yield from self._news(sink, watcher, min(BOOKMARK_MS, until - core.now()))
+                    if not woken and watcher.cut is None:
+                        watcher.told_at = core.now()
+                        yield from sink.send(channels.bookmark(plane.versions.told()))
+            if watcher.cut is not None:
+                core.log("watch cut off", why=watcher.cut)
+                core.figures.events["watch cut off"] += 1
+                last = channels.problem_line(410, "Gone", watcher.cut)
+            else:
+                last = channels.bookmark(plane.versions.told())
+            yield from sink.last(last, watcher.cut or "watch timeout", LAST_MS)
+        except StreamClosed:
+            pass
+        finally:
+            self.watchers.pop(watcher, None)
+            plane.channels.leave(watcher)
+
+    def _news(self, sink: Sink, watcher: channels.Watcher, wait_ms: float) -> Coroutine:
+        """Waits for news, the connection's end or the time's; gives whether it was not the time's."""
+        loop = sink.stream.loop
+
+        def arm(task: Task) -> Callable[[], None]:
+            timer = loop.call_in(wait_ms, lambda: told(False))
+
+            def disarm() -> None:
+                timer.cancel()
+                watcher.wake = lambda: None
+
+            def told(woken: bool) -> None:
+                disarm()
+                loop.wake(task, woken)
+
+            watcher.wake = lambda: told(True)
+            return disarm
+
+        woken = yield arm
+        if sink.closed:
+            raise StreamClosed(sink.stream.closed or "")
+        return woken
+
+    def _cut(self, watcher: channels.Watcher) -> None:
+        """The watcher stands still and is marked as cut: its coroutine waits in a send that can't end."""
+        sink = self.watchers.get(watcher)
+        if sink is None:
+            return
+        text = watcher.cut or ""
+        self.core.log("watch cut off", why=text)
+        self.core.figures.events["watch cut off"] += 1
+        stream = sink.stream
+        with_reason = sink.connection.chunk(channels.problem_line(410, "Gone", text))
+        if stream.closed is None and len(stream.out) + len(with_reason) < stream.limit:
+            stream.out += with_reason  # it lies behind what the reader has yet to take, if it ever does
+        stream.loop.call_in(LAST_MS, lambda: stream.close(text))
+
+    # ---- changing ----
+
+    def _create(self, asked: Asked) -> Response:
+        tenant, key = asked.path["tenant"], asked.request.headers.get("idempotency-key")
+        self._no_query(asked)
+        if not re.fullmatch(s.TENANT, tenant) or len(tenant) > 128:
+            raise HttpError(422, f"tenant is {tenant[:80]!r}; expected letters, digits, _ . - and /")
+        if key is not None and not 1 <= len(key) <= KEY_MOST:
+            raise HttpError(400, f"Idempotency-Key has {len(key)} characters; expected 1 to {KEY_MOST}")
+        new = self._body(asked, s.NewJob, JSON)
+        job, made = self.plane.create(tenant, new, key, asked.request.body)
+        record = self.plane.versions.get("jobs", (job.tenant, job.name))
+        if record is None:
+            raise HttpError(410, f"the job {job.name} that this key made is gone")
+        told = self._one(record, 201 if made else 200)
+        told.headers["location"] = f"/v1/tenants/{quote(tenant, safe='')}/jobs/{quote(job.name, safe='')}"
+        return told
+
+    @staticmethod
+    def _no_query(asked: Asked) -> None:
+        if asked.query:
+            raise HttpError(400, f"query is {asked.query[:40]!r}; expected none")
+
+    def _matched(self, asked: Asked, kind: str, key: Key) -> Record:
+        """The resource, if If-Match lets it be changed."""
+        record = self._record(kind, key)
+        tag = f'"{self.plane.versions.told(record.version)}"'
+        wanted = asked.request.headers.get("if-match")
+        if wanted is not None and not matches_tag(wanted, tag):
+            raise HttpError(412, f"the {kind[:-1]} is at {tag}; If-Match wants {wanted[:120]}")
+        return record
+
+    def _delete_job(self, asked: Asked) -> Response:
+        self._no_query(asked)
+        key = asked.path["tenant"], asked.path["name"]
+        self._matched(asked, "jobs", key)
+        self.plane.cancel_job(self.plane.jobs[key])
+        return self._one(self._record("jobs", key), 202)
+
+    def _patch_job(self, asked: Asked) -> Response:
+        self._no_query(asked)
+        key = asked.path["tenant"], asked.path["name"]
+        patch = self._body(asked, s.LabelPatch, "application/merge-patch+json")
+        self._matched(asked, "jobs", key)
+        self.plane.patch(self.plane.jobs[key], patch.labels)
+        return self._one(self._record("jobs", key))
+
+    def _delete_task(self, asked: Asked) -> Response:
+        self._no_query(asked)
+        key = asked.path["tenant"], asked.path["framework"], asked.path["name"]
+        self._matched(asked, "tasks", key)
+        self.plane.cancel_task(self.plane.mirror.tasks[key])
+        return self._one(self._record("tasks", key), 202)
+
+
+def matches_tag(header: str | None, tag: str) -> bool:
+    """Whether an If-Match or If-None-Match names the tag (RFC 9110, 13.1); weak ones compare by their
+    text."""
+    if header is None:
+        return False
+    return header.strip() == "*" or tag in (part.strip().removeprefix("W/") for part in header.split(","))
--- a/glencleat/fronts/server.py
+++ b/glencleat/fronts/server.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import contextlib
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -15,7 +16,6 @@
 from glencleat.mesos import messages as m
 from glencleat.mesos import recordio
 from glencleat.mesos.http import HttpError, Request, Response, ServerConnection
-import contextlib
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,7 +67,49 @@
     every_ms: float
 
 
-Handler = Callable[[Request], Response | Subscribe]
+class Sink:
+    """A chunked response that a coroutine of the handler's fills at the reader's pace."""
+
+    def __init__(self, connection: ServerConnection, stream: Stream) -> None:
+        self.connection, self.stream = connection, stream
+
+    @property
+    def closed(self) -> bool:
+        return self.stream.closed is not None
+
+    def on_close(self, call: Callable[[], None]) -> None:
+        self.stream.on_close.append(lambda _: call())
+
+    def send(self, data: bytes) -> Coroutine:
+        """Hands over a piece and waits until the socket has taken it; raises StreamClosed."""
+        self.stream.send(self.connection.chunk(data))
+        yield from self.stream.flush()
+
+    def last(self, data: bytes, why: str, within_ms: float) -> Coroutine:
+        """A last piece, as far as the reader takes it in time; then the connection ends."""
+        loop = self.stream.loop
+        timer = loop.call_in(within_ms, lambda: self.stream.close(why))
+        try:
+            self.stream.send(self.connection.chunk(data) + self.connection.end_stream())
+            yield from self.stream.flush()
+        finally:
+            timer.cancel()
+            self.stream.close(why)
+
+
+@dataclass(slots=True)
+class Pour:
+    """A handler's answer that is a stream without an end of its own; `fill` runs until it is over."""
+
+    content_type: str
+    fill: Callable[[Sink], Coroutine]
+
+
+Handler = Callable[[Request], Response | Subscribe | Pour]
+
+
+def plain(error: HttpError) -> Response:
+    return Response(error.status, (error.text + "\n").encode())
 
 
 class Server:
@@ -78,8 +120,9 @@
         handler: Handler,
         limits: Limits,
         log: Callable[..., None] = lambda event, **more: None,
+        problem: Callable[[HttpError], Response] = plain,
     ) -> None:
-        self.loop, self.handler, self.limits, self.log = loop, handler, limits, log
+        self.loop, self.handler, self.limits, self.log, self.problem = loop, handler, limits, log, problem
         self.refused = 0
         self.unproven: dict[Stream, None] = {}  # connections that have not made a whole request, oldest first
         self.listener = Listener(
@@ -146,20 +189,29 @@
     def _complain(self, connection: ServerConnection, stream: Stream, error: HttpError) -> None:
         self.log("bad request", status=error.status, why=error.text[:200])
         with contextlib.suppress(StreamClosed):
-            stream.send(connection.refuse(error))
+            stream.send(connection.refuse(error, self.problem(error)))
 
     def _answer(
         self, connection: ServerConnection, stream: Stream, request: Request, clock: Patience
     ) -> Coroutine:
+        request.origin = stream
         try:
             told = self.handler(request)
         except HttpError as error:
-            told = Response(error.status, (error.text + "\n").encode())
+            told = self.problem(error)
         if isinstance(told, Response):
             stream.send(connection.answer(told))
             if stream.out:
                 clock.waits(True)  # the response, too, is to be taken in that time
                 yield from stream.flush()
+            if told.pause_ms:
+                yield from self.loop.sleep(told.pause_ms)
+            return None
+        if isinstance(told, Pour):
+            clock.stop()
+            stream.send(connection.open_stream({}, told.content_type))
+            self.loop.spawn(self._hold(stream), "watch", self.loop.current)
+            yield from told.fill(Sink(connection, stream))
             return None
         stream.send(connection.open_stream(told.headers))
         return self._subscribe(connection, stream, told)
@@ -188,11 +240,14 @@
     @staticmethod
     def _hold(stream: Stream) -> Coroutine:
         """The session's read side: its peer sends nothing more, an end means that it is gone."""
-        while True:
-            data = yield from stream.read(4096)
-            if data == b"":
-                stream.close("peer closed")
-                return
+        try:
+            while True:
+                data = yield from stream.read(4096)
+                if data == b"":
+                    stream.close("peer closed")
+                    return
+        except StreamClosed:
+            return
 
     def close(self) -> None:
         """Stops listening; open connections stay."""
--- a/glencleat/mesos/http.py
+++ b/glencleat/mesos/http.py
@@ -22,6 +22,7 @@
     def __init__(self, status: int, text: str) -> None:
         super().__init__(text)
         self.status, self.text = status, text
+        self.headers = dict[str, str]()  # that the response carries
 
 
 @dataclass(slots=True)
@@ -31,6 +32,7 @@
     headers: dict[str, str]
     body: bytes
     close: bool = False
+    origin: object = None  # the connection, for limits that are its own
 
 
 @dataclass(slots=True)
@@ -39,6 +41,7 @@
     body: bytes = b""
     content_type: str = "text/plain; charset=utf-8"
     headers: dict[str, str] = field(default_factory=dict)
+    pause_ms: float = 0.0  # so long the connection is not read afterwards
 
 
 class ServerConnection:
@@ -82,6 +85,10 @@
     def _check_head(self, head: h11.Request) -> None:
         if head.method == b"CONNECT":  # a success would turn the connection into a tunnel
             raise HttpError(501, "CONNECT: this is no proxy")
+        names = [name for name, _ in head.headers]
+        if b"content-length" in names and b"transfer-encoding" in names:
+            # Two readers that disagree on which one counts see two different requests (RFC 9112, 6.3).
+            raise HttpError(400, "both Content-Length and Transfer-Encoding; expected one of them")
         for name, value in head.headers:
             if name == b"content-length" and int(value) > self.body_most:
                 raise HttpError(413, f"a body of {int(value)} bytes; expected at most {self.body_most}")
@@ -120,12 +127,12 @@
         except h11.RemoteProtocolError as error:
             raise HttpError(error.error_status_hint, str(error)) from None
 
-    def open_stream(self, headers: dict[str, str]) -> bytes:
+    def open_stream(self, headers: dict[str, str], content_type: str = "application/json") -> bytes:
         """Head of a chunked response that never ends by itself; raises HttpError for a peer that knows no
         chunks."""
         if (self.h11.their_http_version or b"") < b"1.1":
             raise HttpError(505, "a stream of events needs HTTP/1.1")
-        told = [("content-type", "application/json"), ("transfer-encoding", "chunked"), *headers.items()]
+        told = [("content-type", content_type), ("transfer-encoding", "chunked"), *headers.items()]
         return self._send(h11.Response(status_code=200, headers=told))
 
     @staticmethod
@@ -138,12 +145,14 @@
     def end_stream(self) -> bytes:
         return self._send(h11.EndOfMessage())
 
-    def refuse(self, error: HttpError) -> bytes:
+    def refuse(self, error: HttpError, told: Response | None = None) -> bytes:
         """A last response to a peer at fault, if one can still be sent; the connection is then closed."""
         if self.h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return b""
-        body = (error.text + "\n").encode()
-        head = [("content-length", str(len(body))), ("content-type", "text/plain"), ("connection", "close")]
+        told = told or Response(error.status, (error.text + "\n").encode(), "text/plain")
+        body = told.body
+        head = [("content-length", str(len(body))), ("content-type", told.content_type)]
+        head.append(("connection", "close"))
         try:
             data = self._send(h11.Response(status_code=error.status, headers=head))
             return data + self._send(h11.Data(data=body)) + self._send(h11.EndOfMessage())
--- /dev/null
+++ b/glencleat/rest/overload.py
@@ -0,0 +1,140 @@
+"""Decides what is taken when more is asked for than can be done: admission, pace, limits of each peer.
+Pure.
+
+Three bounds, from the outside in. A connection has a rate: one that goes past it is answered 429, and one
+that goes on regardless is not read for a while, so that refusing costs little. A tenant has a rate of
+creations and a bound on what it keeps waiting: 429. The allocator has a bound on what waits in all, and on
+how long a new task would wait for its first round: 503. Each says when to come back. Cancelling is never
+turned away here: it makes room."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass
+
+from glencleat.rest.jobs import Bucket
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """Rates are a second; a list costs one token for each hundred resources that it looks at."""
+
+    connection_rate: float = 500.0
+    connection_burst: float = 1_000.0
+    tenant_rate: float = 1_000.0  # tasks created
+    tenant_burst: float = 5_000.0
+    tenants: int = 10_000  # with a rate of their own
+    waiting_each: int = 10_000  # tasks of one tenant
+    waiting: int = 50_000
+    jobs: int = 20_000  # known, over or not
+    first_round_ms: float = 1_000.0  # a new task must get its first round by then
+    ignored: int = 8  # refusals in a row on a connection, after which it is not read for a while
+
+
+@dataclass(frozen=True, slots=True)
+class Turned:
+    """A request that is not taken; `retry_ms` is when it might be."""
+
+    status: int
+    text: str
+    retry_ms: float
+
+
+class Pace:
+    """How much time creations may take in one turn of the loop, and what they got done in it.
+
+    Ends and acknowledgements come in by the same loop: when it runs late, creations take less of it, down to
+    `least_ms`; when it does not, a little more, up to `most_ms`. The rate of first rounds is learned from the
+    turns that left work over."""
+
+    def __init__(self, least_ms: float = 1.0, most_ms: float = 8.0, late_ms: float = 12.0) -> None:
+        self.least_ms, self.most_ms, self.late_ms = least_ms, most_ms, late_ms
+        self.budget_ms = most_ms
+        self.rate = 1_000.0  # tasks a second that get their round while more wait
+        self.since: float | None = None
+
+    def begins(self, now: float, due: float) -> float:
+        """The turn's budget in milliseconds; `due`: when it was to begin."""
+        if now - due > self.late_ms:
+            self.budget_ms = max(self.least_ms, self.budget_ms / 2.0)
+        else:
+            self.budget_ms = min(self.most_ms, self.budget_ms + self.least_ms / 2.0)
+        return self.budget_ms
+
+    def ends(self, now: float, told: int, left: int) -> None:
+        """A turn is over: so many were told, so many still wait."""
+        if self.since is not None and told and now > self.since:
+            measured = 1_000.0 * told / (now - self.since)
+            self.rate += 0.1 * (measured - self.rate)
+            self.rate = max(1.0, self.rate)
+        self.since = now if left else None
+
+    def wait_ms(self, queued: int) -> float:
+        """How long a task waits for its round behind so many."""
+        return 1_000.0 * queued / self.rate
+
+
+class Gate:
+    """Admission of requests; one Bucket for each connection (kept by the front) and for each tenant."""
+
+    def __init__(self, limits: Limits, pace: Pace) -> None:
+        self.limits, self.pace = limits, pace
+        self.tenants: OrderedDict[str, Bucket] = OrderedDict()
+        self.counts: dict[str, int] = {}  # requests turned away, by reason
+
+    def connection(self, now: float) -> Bucket:
+        return Bucket(self.limits.connection_rate, self.limits.connection_burst, now)
+
+    def request(self, bucket: Bucket, cost: float, now: float) -> Turned | None:
+        """Any request of a connection."""
+        wait = bucket.wait(cost, now)
+        if wait > 0.0:
+            return self._turned(
+                "connection", 429, f"more than {self.limits.connection_rate:g} requests/s", wait
+            )
+        bucket.pay(cost)
+        return None
+
+    def create(
+        self, tenant: str, tasks: int, waiting_here: int, waiting: int, jobs: int, queued: int, now: float
+    ) -> Turned | None:
+        """A job of so many tasks; `queued` wait for a round now, `waiting` for their place."""
+        limits = self.limits
+        if waiting_here + tasks > limits.waiting_each:
+            text = f"{waiting_here} tasks of {tenant} wait, {tasks} come; at most {limits.waiting_each}"
+            return self._turned("tenant waits", 429, text, 1_000.0)
+        if waiting + tasks > limits.waiting:
+            text = f"{waiting} tasks wait, {tasks} come; at most {limits.waiting}"
+            return self._turned("all wait", 503, text, 1_000.0)
+        if jobs >= limits.jobs:
+            return self._turned("jobs", 503, f"{jobs} jobs are known; at most {limits.jobs}", 5_000.0)
+        first = self.pace.wait_ms(queued)
+        if queued and first > limits.first_round_ms:
+            text = (
+                f"a new task would wait {first:.0f} ms for its first round; at most {limits.first_round_ms:g}"
+            )
+            return self._turned("overload", 503, text, first - 0.5 * limits.first_round_ms)
+        bucket = self._tenant(tenant, now)
+        wait = bucket.wait(tasks, now)
+        if wait > 0.0:
+            text = f"{tenant} creates more than {limits.tenant_rate:g} tasks/s"
+            return self._turned("tenant rate", 429, text, wait)
+        bucket.pay(tasks)
+        return None
+
+    def _tenant(self, tenant: str, now: float) -> Bucket:
+        bucket = self.tenants.pop(tenant, None)
+        if bucket is None:
+            while len(self.tenants) >= self.limits.tenants:
+                self.tenants.popitem(last=False)
+            bucket = Bucket(self.limits.tenant_rate, self.limits.tenant_burst, now)
+        self.tenants[tenant] = bucket
+        return bucket
+
+    def _turned(self, reason: str, status: int, text: str, retry_ms: float) -> Turned:
+        self.counts[reason] = self.counts.get(reason, 0) + 1
+        return Turned(status, text, max(50.0, retry_ms))
+
+    def pause_ms(self, refused_in_a_row: int, retry_ms: float) -> float:
+        """How long a connection is not read after a refusal: not at all, unless it ignores refusals."""
+        return min(1_000.0, retry_ms) if refused_in_a_row > self.limits.ignored else 0.0
--- /dev/null
+++ b/glencleat/rest/routes.py
@@ -0,0 +1,125 @@
+"""The routes of the REST front: one table for the dispatcher and for the OpenAPI document. Pure."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+from glencleat.rest import schema as s
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """`path` has `{name}` for a part that the client fills in; `key`: the parts that name the resource."""
+
+    method: str
+    path: str
+    handler: str
+    summary: str
+    kind: str = ""
+    key: tuple[str, ...] = ()
+    body: type[Any] | None = None
+    answers: tuple[tuple[int, type[Any] | None, str], ...] = ()
+    problems: tuple[int, ...] = ()
+
+    def match(self, path: list[str]) -> dict[str, str] | None:
+        """The filled-in parts, decoded; None: another route."""
+        parts = self.path.split("/")[1:]
+        if len(parts) != len(path):
+            return None
+        found = dict[str, str]()
+        for part, told in zip(parts, path, strict=True):
+            if part.startswith("{") and told:
+                found[part[1:-1]] = told
+            elif part != told:
+                return None
+        return found
+
+    def parameters(self) -> list[str]:
+        return [part[1:-1] for part in self.path.split("/") if part.startswith("{")]
+
+
+LISTS = {"jobs": s.JobList, "tasks": s.TaskList, "machines": s.MachineList, "services": s.ServiceList}
+
+
+def _lists() -> list[Route]:
+    made = []
+    for kind, told in LISTS.items():
+        answers = ((200, told, "A page, or with `watch=1` a stream of WatchEvent lines."),)
+        places = [f"/v1/{kind}"] + ([f"/v1/tenants/{{tenant}}/{kind}"] if kind != "machines" else [])
+        for path in places:
+            of = " of a tenant" if "{" in path else ""
+            made.append(
+                Route("GET", path, "list", f"List or watch {kind}{of}", kind, (), None, answers, (400, 410))
+            )
+    return made
+
+
+def _gets() -> list[Route]:
+    made = []
+    for kind, path in (
+        ("jobs", "/v1/tenants/{tenant}/jobs/{name}"),
+        ("tasks", "/v1/tenants/{tenant}/tasks/{framework}/{name}"),
+        ("services", "/v1/tenants/{tenant}/services/{name}"),
+        ("machines", "/v1/machines/{name}"),
+    ):
+        route = Route("GET", path, "get", f"Get one of the {kind}", kind)
+        answers = ((200, s.KINDS[kind], "The resource."), (304, None, "As If-None-Match has it."))
+        made.append(
+            Route(
+                "GET", path, "get", route.summary, kind, tuple(route.parameters()), None, answers, (400, 404)
+            )
+        )
+    return made
+
+
+JOB, TASK = "/v1/tenants/{tenant}/jobs/{name}", "/v1/tenants/{tenant}/tasks/{framework}/{name}"
+ROUTES: tuple[Route, ...] = (
+    Route("GET", "/openapi.json", "openapi", "This document", answers=((200, None, "OpenAPI 3.1."),)),
+    *_lists(),
+    *_gets(),
+    Route(
+        "POST",
+        "/v1/tenants/{tenant}/jobs",
+        "createJob",
+        "Create a job; with an Idempotency-Key, a repeat gives the first one's job",
+        "jobs",
+        (),
+        s.NewJob,
+        ((201, s.Job, "The new job."), (200, s.Job, "The job that this key made before.")),
+        (400, 409, 410, 413, 415, 422, 503),
+    ),
+    Route(
+        "DELETE",
+        JOB,
+        "deleteJob",
+        "Cancel a job: its tasks are stopped, and it is gone once they are over",
+        "jobs",
+        ("tenant", "name"),
+        None,
+        ((202, s.Job, "As it stands."),),
+        (400, 404, 412),
+    ),
+    Route(
+        "PATCH",
+        JOB,
+        "patchJob",
+        "Change a job's labels by a merge patch",
+        "jobs",
+        ("tenant", "name"),
+        s.LabelPatch,
+        ((200, s.Job, "The job with its new labels."),),
+        (400, 404, 412, 413, 415, 422),
+    ),
+    Route(
+        "DELETE",
+        TASK,
+        "deleteTask",
+        "Cancel one task, of a job or of a framework",
+        "tasks",
+        ("tenant", "framework", "name"),
+        None,
+        ((202, s.Task, "As it stands; its end follows."),),
+        (400, 404, 412),
+    ),
+)
--- /dev/null
+++ b/glencleat/rest/schema.py
@@ -0,0 +1,247 @@
+"""Schemas of the REST front: what it checks its input against and what its OpenAPI document is made from.
+
+JSON names are in camelCase. Times are milliseconds, memory is MB, cores are cores; `resourceVersion` is
+opaque and compares for equality only."""
+
+from __future__ import annotations
+
+from typing import Annotated, Any, Literal
+
+import msgspec
+from msgspec import Meta
+
+NAME = r"^[A-Za-z0-9]([A-Za-z0-9_.-]{0,126}[A-Za-z0-9])?$"
+TENANT = r"[A-Za-z0-9]([A-Za-z0-9_./-]*[A-Za-z0-9])?"
+LABEL_KEY = r"^[A-Za-z0-9]([A-Za-z0-9_./-]{0,62}[A-Za-z0-9])?$"
+LABEL_VALUE = r"^([A-Za-z0-9]([A-Za-z0-9_.-]{0,62}[A-Za-z0-9])?)?$"
+
+Name = Annotated[str, Meta(pattern=NAME, max_length=128, description="Letters, digits, `_`, `.`, `-`.")]
+LabelKey = Annotated[str, Meta(pattern=LABEL_KEY, max_length=64)]
+LabelValue = Annotated[str, Meta(pattern=LABEL_VALUE, max_length=64)]
+Labels = Annotated[dict[LabelKey, LabelValue], Meta(max_length=32)]
+Text = Annotated[str, Meta(min_length=1, max_length=256)]
+Millis = Annotated[float, Meta(ge=1, le=86_400_000, description="Milliseconds.")]
+
+Data = Annotated[str, Meta(max_length=65_536)]
+
+TASKS_MOST = 1_000  # of one job
+
+
+class Camel(msgspec.Struct, rename="camel", omit_defaults=True, frozen=True, kw_only=True):
+    """Base of all: fields that are not set don't travel."""
+
+
+class Strict(Camel, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    """Base of what clients send: a field that is not known is a mistake and told as one."""
+
+
+class JobSpec(Strict, frozen=True, kw_only=True):
+    """What a job asks for."""
+
+    task_class: Annotated[Text, Meta(description="A class of the allocator's configuration.")] = (
+        msgspec.field(name="class")
+    )
+    service: Text
+    tasks: Annotated[int, Meta(ge=1, le=TASKS_MOST, description="How many tasks.")] = 1
+    cores: Annotated[float, Meta(gt=0, le=100_000)]
+    memory: Annotated[float, Meta(gt=0, le=1e9, description="MB.")]
+    wait_ms: Annotated[
+        Millis | None,
+        Meta(description="How long each task may wait for its place; the class's deadline if absent."),
+    ] = None
+    life_ms: Annotated[Millis | None, Meta(description="Expected life, rough.")] = None
+    key: Annotated[
+        Text | None,
+        Meta(
+            description="Names the work within the tenant; task I has the key `KEY.I`. Also for frameworks."
+        ),
+    ] = None
+    when_lost: Annotated[
+        Literal["leave", "again"],
+        Meta(
+            description="What follows when a placed task was stopped or lost and a second run does no harm."
+        ),
+    ] = "leave"
+    data: Annotated[Data | None, Meta(description="Handed to the agent as it is.")] = None
+
+
+class NewJob(Strict, frozen=True, kw_only=True):
+    """The body of a creation."""
+
+    name: Annotated[Name | None, Meta(description="Unique within the tenant; made if absent.")] = None
+    labels: Labels = {}
+    spec: JobSpec
+
+
+class LabelPatch(Strict, frozen=True, kw_only=True):
+    """A merge patch (RFC 7396) of a job's labels; null takes one away."""
+
+    labels: Annotated[dict[LabelKey, LabelValue | None], Meta(max_length=32)]
+
+
+class Cause(Camel, frozen=True, kw_only=True):
+    """One reason why a task waits, or was not placed."""
+
+    kind: str
+    text: str
+    count: int | None = None
+    machine: Annotated[str | None, Meta(description="The one that said it last.")] = None
+    at_ms: Annotated[float | None, Meta(description="When it was said last; since the epoch.")] = None
+
+
+class Why(Camel, frozen=True, kw_only=True):
+    """Why a task waits, the weightiest cause first. What machines said is told as they said it."""
+
+    summary: str
+    causes: list[Cause] = []
+
+
+class JobStatus(Camel, frozen=True, kw_only=True):
+    """Tasks by how they stand."""
+
+    phase: Literal["waiting", "placed", "over", "cancelled"]
+    waiting: int = 0
+    placed: int = 0
+    finished: int = 0
+    ended: int = 0  # placed once, and over otherwise
+    refused: int = 0
+    failed: int = 0
+
+
+class Common(Camel, frozen=True, kw_only=True):
+    """What all resources carry."""
+
+    resource_version: str = ""
+    labels: dict[str, str] = {}
+    created_at_ms: float | None = None
+
+
+class Job(Common, frozen=True, kw_only=True):
+    tenant: str
+    name: str
+    uid: str
+    spec: JobSpec
+    status: JobStatus
+
+
+class Task(Common, frozen=True, kw_only=True):
+    """A task of either front. States are those of the Mesos v1 API; TASK_STAGING is one that waits."""
+
+    tenant: str
+    framework: str
+    name: str
+    job: str | None = None
+    task_class: str = msgspec.field(name="class")
+    service: str
+    cores: float
+    memory: float
+    state: str
+    answer: Annotated[
+        Literal["served", "refused", "failed"] | None, Meta(description="The one final answer, once given.")
+    ] = None
+    retry: Annotated[
+        Literal["harmless", "reconcile", "never"] | None, Meta(description="What may be done about it.")
+    ] = None
+    reason: str | None = None
+    message: str | None = None
+    machine: str | None = None
+    attempts: int = 0
+    why: Why | None = None
+
+
+class Machine(Common, frozen=True, kw_only=True):
+    name: str
+    kind: str
+    zone: str
+    cell: int
+    phase: Literal["serving", "draining", "gone"]
+    agent: Literal["subscribed", "away", "lost", "unknown"]
+    cores_left: float | None = None
+    memory_left: float | None = None
+
+
+class Service(Common, frozen=True, kw_only=True):
+    tenant: str
+    name: str
+    waiting: int = 0
+    placed: int = 0
+    zones: Annotated[dict[str, int], Meta(description="Placed tasks by hall.")] = {}
+
+
+Resource = Job | Task | Machine | Service
+KINDS: dict[str, type[Any]] = {"jobs": Job, "tasks": Task, "machines": Machine, "services": Service}
+
+
+class Listing(Camel, frozen=True, kw_only=True):
+    """A page. All pages of one list show the state at `resourceVersion`; a watch goes on from there."""
+
+    resource_version: str
+    items: list[Any]
+    next: Annotated[str | None, Meta(description="Token of the next page; absent on the last one.")] = (
+        msgspec.field(name="continue", default=None)
+    )
+
+
+class JobList(Listing, frozen=True, kw_only=True):
+    items: list[Job]
+
+
+class TaskList(Listing, frozen=True, kw_only=True):
+    items: list[Task]
+
+
+class MachineList(Listing, frozen=True, kw_only=True):
+    items: list[Machine]
+
+
+class ServiceList(Listing, frozen=True, kw_only=True):
+    items: list[Service]
+
+
+class WatchEvent(Camel, frozen=True, kw_only=True):
+    """A line of a watch. BOOKMARK has only `resourceVersion`; ERROR has a problem and is the last line."""
+
+    type: Literal["ADDED", "MODIFIED", "DELETED", "BOOKMARK", "ERROR"]
+    object: Any
+
+
+class Problem(Camel, frozen=True, kw_only=True):
+    """An error (RFC 9457)."""
+
+    type: str = "about:blank"
+    title: str
+    status: int
+    detail: str = ""
+    retry_after_ms: float | None = None
+
+
+class Query(Strict, frozen=True, kw_only=True):
+    """Of a list, and with `watch=1` of a watch."""
+
+    label_selector: Annotated[
+        str,
+        Meta(
+            max_length=1_024,
+            description="`a=b,c!=d,e in (f,g),h notin (i),j,!k`; a key with a dot before it is a field: "
+            "`.state`, `.class`, `.service`, `.machine`, `.job`, `.framework`, `.zone`, `.phase`, `.agent`.",
+        ),
+    ] = ""
+    limit: Annotated[int, Meta(ge=1, le=1_000)] = 500
+    next: Annotated[str, Meta(max_length=1_024)] = msgspec.field(name="continue", default="")
+    watch: Literal["0", "1", "true", "false"] = "0"
+    resource_version: Annotated[
+        str, Meta(max_length=128, description="Of a watch: where it goes on. Absent: all that is, then news.")
+    ] = ""
+    timeout_seconds: Annotated[int, Meta(ge=1, le=86_400, description="Ends a watch.")] = 3_600
+
+
+ENCODER = msgspec.json.Encoder()
+
+
+BODIES: dict[type[Any], msgspec.json.Decoder[Any]] = {
+    kind: msgspec.json.Decoder(kind) for kind in (NewJob, LabelPatch)
+}
+
+
+def encode(value: Any) -> bytes:
+    return ENCODER.encode(value)
--- /dev/null
+++ b/glencleat/rest/selector.py
@@ -0,0 +1,100 @@
+"""Label selectors: read from text, matched against a resource's labels and fields, indexed by one term.
+
+The grammar is that of Kubernetes' list calls: terms joined by commas, `key=value`, `key==value`,
+`key!=value`, `key in (a,b)`, `key notin (a,b)`, `key`, `!key`. Keys of fields begin with a dot. Pure."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+TERMS_MOST, VALUES_MOST = 16, 32
+KEY = r"\.?[A-Za-z0-9](?:[A-Za-z0-9_./-]*[A-Za-z0-9])?"
+VALUE = r"[A-Za-z0-9_.:*/-]*"
+TERM = re.compile(
+    rf"\s*(?:(?P<no>!)\s*(?P<absent>{KEY})"
+    rf"|(?P<key>{KEY})\s*(?:(?P<op>==|!=|=)\s*(?P<value>{VALUE})"
+    rf"|\s(?P<set>in|notin)\s*\((?P<values>[^()]*)\))?)\s*(?:,|$)"
+)
+FIELDS = (
+    "state",
+    "class",
+    "service",
+    "machine",
+    "job",
+    "framework",
+    "zone",
+    "phase",
+    "agent",
+    "kind",
+    "answer",
+)
+
+
+class BadSelector(Exception):
+    """The client's fault; says where and what was expected."""
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Term:
+    """`values` empty: the key must be there (or, `wanted` false, must not)."""
+
+    key: str
+    wanted: bool
+    values: tuple[str, ...] = ()
+
+    def matches(self, labels: Mapping[str, str]) -> bool:
+        value = labels.get(self.key)
+        if not self.values:
+            return (value is not None) is self.wanted
+        return (value in self.values) is self.wanted
+
+
+Selector = tuple[Term, ...]  # all must match; sorted, so that equal ones compare equal
+
+
+def parse(text: str) -> Selector:
+    """The terms; raises BadSelector."""
+    terms, at = list[Term](), 0
+    while at < len(text):
+        match = TERM.match(text, at)
+        if match is None or match.end() == at:
+            raise BadSelector(
+                f"labelSelector: at {at} {text[at : at + 24]!r}; expected key=value, key in (a,b) or !key"
+            )
+        terms.append(_term(match))
+        at = match.end()
+    if text.rstrip().endswith(","):
+        raise BadSelector("labelSelector: ends with a comma; expected one more term")
+    if len(terms) > TERMS_MOST:
+        raise BadSelector(f"labelSelector: {len(terms)} terms; expected at most {TERMS_MOST}")
+    return tuple(sorted(set(terms)))
+
+
+def _term(match: re.Match[str]) -> Term:
+    key = match["absent"] or match["key"]
+    if key.startswith(".") and key[1:] not in FIELDS:
+        raise BadSelector(f"labelSelector: {key[:40]} is no field; expected one of .{', .'.join(FIELDS)}")
+    if match["absent"]:
+        return Term(key, False)
+    if match["op"]:
+        return Term(key, match["op"] != "!=", (match["value"],))
+    if match["set"]:
+        values = tuple(sorted({part.strip() for part in match["values"].split(",")}))
+        if len(values) > VALUES_MOST or not all(re.fullmatch(VALUE, value) for value in values):
+            raise BadSelector(f"labelSelector: {key[:40]}: expected at most {VALUES_MOST} plain values")
+        return Term(key, match["set"] == "in", values)
+    return Term(key, True)
+
+
+def matches(selector: Selector, labels: Mapping[str, str]) -> bool:
+    return all(term.matches(labels) for term in selector)
+
+
+def anchor(selector: Selector) -> tuple[str, str] | None:
+    """The term that an index finds the selector by: a key with one wanted value. None: it has none."""
+    for term in selector:
+        if term.wanted and len(term.values) == 1:
+            return term.key, term.values[0]
+    return None
--- /dev/null
+++ b/glencleat/rest/versions.py
@@ -0,0 +1,176 @@
+"""Versioned resources: each kind a sorted map that can be read at any version of a bounded past. Pure state.
+
+One counter numbers all changes. Each change is an Event in its kind's log, which holds the last `most` of
+them; each Record points at the one before it, so that a list in many pages shows one instant although the
+resources go on changing (multi-version concurrency control). What falls out of the log takes its old Records
+with it. The alternative, a copy of the map for each list, is measured in benchmarks/versions.py."""
+
+from __future__ import annotations
+
+from bisect import bisect_right
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from sortedcontainers import SortedDict
+
+from glencleat.rest.selector import Selector, matches
+
+Key = tuple[str, ...]  # the tenant first, where a kind has one
+SCANNED = 2_000  # keys that one page looks at, whether they match or not
+
+
+class Gone(Exception):
+    """The version is older than what the log holds, or is another process's; list again (410)."""
+
+
+@dataclass(slots=True, eq=False)
+class Record:
+    """One resource from `version` on; `value` None: deleted. `labels`: what selectors see."""
+
+    key: Key
+    version: int
+    value: Any
+    labels: Mapping[str, str]
+    before: Record | None = None
+    encoded: bytes | None = None  # filled by whoever writes it first
+
+
+@dataclass(slots=True, eq=False)
+class Event:
+    kind: str
+    version: int
+    record: Record
+    before: Record | None
+    lines: dict[str, bytes] | None = None  # its line of a watch, by type; filled by whoever writes it first
+
+    def type_for(self, selector: Selector) -> str | None:
+        """What the change is to a watcher of the selector; None: nothing."""
+        now = self.record.value is not None and matches(selector, self.record.labels)
+        before = self.before is not None and self.before.value is not None
+        before = before and matches(selector, self.before.labels)  # type: ignore[union-attr]
+        if now:
+            return "MODIFIED" if before else "ADDED"
+        return "DELETED" if before else None
+
+
+class Kind:
+    """One kind's resources and log."""
+
+    def __init__(self, most: int) -> None:
+        self.most = most
+        self.records: SortedDict[Key, Record] = SortedDict()
+        self.log: list[Event] = []
+        self.first = 0  # of the log's list; what lies before it is out
+        self.compacted = 0  # the newest version that can't be resumed before
+        self.live = 0
+
+    def append(self, event: Event) -> None:
+        self.log.append(event)
+        while len(self.log) - self.first > self.most:
+            self._compact(self.log[self.first])
+            self.first += 1
+        if self.first > self.most:
+            del self.log[: self.first]
+            self.first = 0
+
+    def _compact(self, event: Event) -> None:
+        self.compacted = event.version
+        event.record.before = event.before = None
+        if event.record.value is None and self.records.get(event.record.key) is event.record:
+            del self.records[event.record.key]
+
+    def since(self, version: int) -> list[Event]:
+        at = bisect_right(self.log, version, lo=self.first, key=lambda event: event.version)
+        return self.log[at:]
+
+
+class Versions:
+    """All kinds. A version as clients see it is `EPOCH-NUMBER`: another process's is never taken for ours."""
+
+    def __init__(self, epoch: str, kinds: Mapping[str, int]) -> None:
+        self.epoch, self.number = epoch, 0
+        self.kinds = {name: Kind(most) for name, most in kinds.items()}
+
+    def told(self, number: int | None = None) -> str:
+        return f"{self.epoch}-{self.number if number is None else number}"
+
+    def read(self, text: str) -> int:
+        """The number of a version that a client gives back; raises Gone, or ValueError if it is none."""
+        epoch, dash, number = text.rpartition("-")
+        if not dash or not number.isascii() or not number.isdigit() or len(number) > 18:
+            raise ValueError(f"resourceVersion is {text[:40]!r}; expected one that this server told")
+        if epoch != self.epoch:
+            raise Gone("the resourceVersion is another process's; list again")
+        if int(number) > self.number:
+            raise ValueError(f"resourceVersion {text[:40]!r} is yet to come")
+        return int(number)
+
+    def put(self, kind: str, key: Key, value: Any, labels: Mapping[str, str]) -> Event | None:
+        """A new state of a resource; None where nothing changed. Values compare by their fields."""
+        store = self.kinds[kind]
+        before = store.records.get(key)
+        if before is not None and before.value == value and before.labels == labels:
+            return None
+        store.live += before is None or before.value is None
+        return self._change(store, kind, Record(key, self.number + 1, value, labels, before), before)
+
+    def delete(self, kind: str, key: Key) -> Event | None:
+        store = self.kinds[kind]
+        before = store.records.get(key)
+        if before is None or before.value is None:
+            return None
+        store.live -= 1
+        return self._change(store, kind, Record(key, self.number + 1, None, before.labels, before), before)
+
+    def _change(self, store: Kind, kind: str, record: Record, before: Record | None) -> Event:
+        self.number = record.version
+        store.records[record.key] = record
+        event = Event(kind, record.version, record, before)
+        store.append(event)
+        return event
+
+    def get(self, kind: str, key: Key) -> Record | None:
+        record = self.kinds[kind].records.get(key)
+        return record if record is not None and record.value is not None else None
+
+    def since(self, kind: str, version: int) -> list[Event]:
+        """What happened after a version; raises Gone."""
+        store = self.kinds[kind]
+        if version < store.compacted:
+            raise Gone(f"resourceVersion {self.told(version)} is too old; list again")
+        return store.since(version)
+
+    def page(
+        self,
+        kind: str,
+        version: int,
+        selector: Selector,
+        limit: int,
+        after: Key | None = None,
+        tenant: str | None = None,
+    ) -> tuple[list[Record], Key | None]:
+        """Resources as they were at the version, in order of their keys, and the key to go on after.
+
+        A page ends early, with a key to go on after, when many in a row don't match. Raises Gone."""
+        store = self.kinds[kind]
+        if version < store.compacted:
+            raise Gone("the list took too long: its resourceVersion is too old; list again")
+        found = list[Record]()
+        scanned = 0
+        for key in self._keys(store, after, tenant):
+            if len(found) == limit or scanned == SCANNED:
+                return found, after
+            after, scanned = key, scanned + 1
+            record: Record | None = store.records[key]
+            while record is not None and record.version > version:
+                record = record.before
+            if record is not None and record.value is not None and matches(selector, record.labels):
+                found.append(record)
+        return found, None
+
+    @staticmethod
+    def _keys(store: Kind, after: Key | None, tenant: str | None) -> Iterator[Key]:
+        low = after if after is not None else (tenant,) if tenant is not None else None
+        high = (tenant + "\0",) if tenant is not None else None
+        return store.records.irange(low, high, inclusive=(after is None, False))
