--- a/glencleat/allocator/core.py
+++ b/glencleat/allocator/core.py
@@ -421,6 +421,8 @@
         now = self.now()
         for member in self.members.silent(now):
             session: Any = member.session
+            if session is None:
+                continue  # it broke just now: the end of another's session bound a task to this one
             self.log("agent silent", agent=member.id, heard_ms_ago=round(now - member.heard_at))
             session.close("no heartbeat")
         for member in self.members.lost(now):
--- a/glencleat/cli/main.py
+++ b/glencleat/cli/main.py
@@ -14,6 +14,7 @@
 
 from glencleat import VERSION
 from glencleat import log as logging
+from glencleat.cli import rest
 from glencleat.config import Config, ConfigError, load
 
 if TYPE_CHECKING:
@@ -105,7 +106,13 @@
             day.run()
         except PlayError as error:
             give_up(f"glencleat: {error}", 3)
+        died = {name: code for name, code in day.exits.items() if code}
+        for name, code in died.items():
+            # Its owners' sessions were cut by that, which the rules excuse; a fault of ours they must not.
+            click.echo(f"allocator {name} ended by itself with {code}; see {kept / name}.log", err=True)
         verdict(day.recorder.entries, campus)
+        if died:
+            sys.exit(1)
 
 
 @main.group()
@@ -231,5 +238,8 @@
         sys.exit(1)
 
 
+for each in rest.COMMANDS:
+    main.add_command(each)
+
 if __name__ == "__main__":
     main()
--- a/glencleat/daemon.py
+++ b/glencleat/daemon.py
@@ -112,15 +112,17 @@
     def start(self) -> dict[str, str]:
         """Binds the listeners; gives their addresses. Raises OSError naming the address."""
         limits = server_limits(self.config)
+        metrics = MetricsApi(self.core)
         handlers: dict[str, Handler] = {
             "owners": SchedulerApi(self.core).handle,
             "agents": ExecutorApi(self.core).handle,
-            "metrics": MetricsApi(self.core).handle,
+            "metrics": metrics.handle,
         }
         addresses = {name: getattr(self.config, name) for name in handlers}
         if self.plane is not None:
             self.rest = RestApi(self.plane)
             handlers["rest"], addresses["rest"] = self.rest.handle, self.config.rest_listen
+            metrics.add(self.plane, self.rest)
         for name, handler in handlers.items():
             address = addresses[name]
             if address is None:
--- a/glencleat/fronts/metrics.py
+++ b/glencleat/fronts/metrics.py
@@ -14,7 +14,9 @@
 from glencleat.allocator.core import Core
 from glencleat.allocator.ledger import Given
 from glencleat.allocator.members import State
+from glencleat.fronts.rest_api import RestApi
 from glencleat.mesos.http import HttpError, Request, Response
+from glencleat.rest.plane import Plane
 
 
 class Collector:
@@ -69,11 +71,46 @@
         yield module
 
 
+class RestCollector:
+    """The REST front's: what it holds, what it turned away, who watches."""
+
+    def __init__(self, plane: Plane, api: RestApi) -> None:
+        self.plane, self.api = plane, api
+
+    def collect(self) -> Iterator[Metric]:
+        plane = self.plane
+        answers = CounterMetricFamily("glencleat_rest_requests", "Requests, by status", labels=["status"])
+        for status, value in sorted(self.api.requests.items()):
+            answers.add_metric([str(status)], value)
+        yield answers
+        turned = CounterMetricFamily("glencleat_rest_turned_away", "By which bound", labels=["bound"])
+        for name, value in sorted(plane.gate.counts.items()):
+            turned.add_metric([name], value)
+        yield turned
+        held = GaugeMetricFamily("glencleat_rest_resources", "Resources shown", labels=["kind"])
+        for name, kind in plane.versions.kinds.items():
+            held.add_metric([name], kind.live)
+        yield held
+        for name, text, number in (
+            ("watches", "Watches open", plane.channels.count),
+            ("waiting_tasks", "Tasks of jobs that wait", plane.waiting.total()),
+            ("queued_tasks", "Of these, without a round yet", plane.turns.queued),
+            ("version", "Changes published since the start", plane.versions.number),
+            ("round_rate", "Tasks a second that get their round when many wait", plane.pace.rate),
+        ):
+            gauge = GaugeMetricFamily(f"glencleat_rest_{name}", text)
+            gauge.add_metric([], number)
+            yield gauge
+
+
 class MetricsApi:
     def __init__(self, core: Core) -> None:
         self.registry = CollectorRegistry(auto_describe=False)
         self.registry.register(Collector(core))
 
+    def add(self, plane: Plane, api: RestApi) -> None:
+        self.registry.register(RestCollector(plane, api))
+
     def handle(self, request: Request) -> Response:
         if request.target.split("?")[0] != "/metrics":
             raise HttpError(404, f"{request.target[:80]}: no such resource; expected /metrics")
--- a/glencleat/fronts/rest_api.py
+++ b/glencleat/fronts/rest_api.py
@@ -412,7 +412,8 @@
         key = asked.path["tenant"], asked.path["name"]
         self._matched(asked, "jobs", key)
         self.plane.cancel_job(self.plane.jobs[key])
-        return self._one(self._record("jobs", key), 202)
+        record = self.plane.versions.get("jobs", key)
+        return Response(204) if record is None else self._one(record, 202)
 
     def _patch_job(self, asked: Asked) -> Response:
         self._no_query(asked)
@@ -427,7 +428,8 @@
         key = asked.path["tenant"], asked.path["framework"], asked.path["name"]
         self._matched(asked, "tasks", key)
         self.plane.cancel_task(self.plane.mirror.tasks[key])
-        return self._one(self._record("tasks", key), 202)
+        record = self.plane.versions.get("tasks", key)
+        return Response(204) if record is None else self._one(record, 202)
 
 
 def matches_tag(header: str | None, tag: str) -> bool:
--- a/glencleat/rest/plane.py
+++ b/glencleat/rest/plane.py
@@ -141,9 +141,8 @@
         for number in range(new.spec.tasks):
             slot = Slot(job, number, until)
             job.slots.append(slot)
+            self.waiting[tenant] += 1
             self._show(slot)
-            self._queue(slot)
-        self.waiting[tenant] += len(job.slots)
         self.mirror.flush_job(job)  # who reads the answer and then lists finds the job there
         self._expire_later(job.slots)
         return job
@@ -151,22 +150,28 @@
     def _show(self, slot: Slot) -> None:
         key = slot.job.tenant, owner_id(slot.job.tenant), slot.name()
         seen = self.mirror.tasks.get(key)
-        if seen is None:  # else it runs already: adopted from a former incarnation
+        if seen is None:
             seen = self.mirror.tasks[key] = Seen(key, slot.job.labels, slot.job.created_wall)
         seen.slot, seen.labels = slot, slot.job.labels
         self.mirror.ended.pop(key, None)
         self.mirror.touch(key)
+        if seen.call is not None and seen.call.placed():
+            self._join(slot, seen.call)  # it runs already: adopted from a former incarnation
+        else:
+            seen.wait()  # what an adopted one that is over has left behind is no answer to this ask
+            self._queue(slot)
 
     def seen(self, slot: Slot) -> Seen:
         return self.mirror.tasks[slot.job.tenant, owner_id(slot.job.tenant), slot.name()]
 
     def cancel_job(self, job: Job) -> None:
-        """Stops all its tasks; once they are over the job is gone."""
+        """Stops all its tasks; once they are over, which may be at once, the job is gone."""
         job.cancelled = True
         for slot in job.slots:
             self.cancel_slot(slot)
-        self._settled(job)
         self.mirror.flush_job(job)
+        if job.over():
+            self._remove(job)
 
     def cancel_slot(self, slot: Slot) -> None:
         if slot.step is Step.OVER:
--- a/glencleat/rest/routes.py
+++ b/glencleat/rest/routes.py
@@ -97,7 +97,7 @@
         "jobs",
         ("tenant", "name"),
         None,
-        ((202, s.Job, "As it stands."),),
+        ((202, s.Job, "Its tasks are being stopped."), (204, None, "It was over, and is gone.")),
         (400, 404, 412),
     ),
     Route(
@@ -119,7 +119,7 @@
         "tasks",
         ("tenant", "framework", "name"),
         None,
-        ((202, s.Task, "As it stands; its end follows."),),
+        ((202, s.Task, "As it stands; its end follows."), (204, None, "It is gone.")),
         (400, 404, 412),
     ),
 )
--- a/glencleat/standins/alone.py
+++ b/glencleat/standins/alone.py
@@ -18,6 +18,7 @@
 from glencleat.standins.hosts import Host
 from glencleat.standins.machine import Nature
 from glencleat.standins.owners import Job, Owner, Want
+from glencleat.standins.rest_owners import RestOwner
 from glencleat.standins.script import Script
 
 
@@ -57,13 +58,19 @@
     allocators: list[tuple[str, Address]],
     random: Random,
     done: Callable[[Job], None] = lambda job: None,
+    rest: dict[str, Address] | None = None,
 ) -> list[Owner]:
-    """The owners of a play, at the allocators in turn, of five firms."""
-    made = []
+    """The owners of a play, at the allocators in turn, of five firms; so many as the script says by REST."""
+    made = list[Owner]()
+    share, by_rest = script.owners.rest, 0
     for i in range(script.owners.count):
         name, address = allocators[i % len(allocators)]
         seed = random.getrandbits(32)
-        made.append(Owner(loop, recorder, f"o{i:03d}", f"firm-{i % 5}", name, address, seed, done))
+        if rest is not None and by_rest < share * (i + 1):
+            by_rest += 1
+            made.append(RestOwner(loop, recorder, f"r{i:03d}", f"firm-{i % 5}", name, rest[name], seed, done))
+        else:
+            made.append(Owner(loop, recorder, f"o{i:03d}", f"firm-{i % 5}", name, address, seed, done))
     return made
 
 
--- a/glencleat/standins/client.py
+++ b/glencleat/standins/client.py
@@ -5,6 +5,7 @@
 from collections import deque
 from collections.abc import Callable
 from random import Random
+from typing import Protocol
 
 from glencleat.kernel import Loop, Stream, StreamClosed, Task, connect
 from glencleat.kernel.loop import Coroutine
@@ -25,12 +26,32 @@
         self.status = status
 
 
+class Records(Protocol):
+    """Bytes in, whole records out."""
+
+    def feed(self, data: bytes) -> list[bytes]: ...
+
+
+class Lines:
+    """Records that end with a line end."""
+
+    def __init__(self) -> None:
+        self.rest = b""
+
+    def feed(self, data: bytes) -> list[bytes]:
+        *whole, self.rest = (self.rest + data).split(b"\n")
+        return whole
+
+
 class Subscription:
     """A stream of records; `open` subscribes, `records` gives what has come, [] at its end."""
 
-    def __init__(self, loop: Loop, address: Address, target: str) -> None:
-        self.loop, self.address, self.target = loop, address, target
-        self.http, self.decoder = ClientConnection(), Decoder(64 << 20)
+    def __init__(
+        self, loop: Loop, address: Address, target: str, method: str = "POST", decoder: Records | None = None
+    ) -> None:
+        self.loop, self.address, self.target, self.method = loop, address, target, method
+        self.http = ClientConnection()
+        self.decoder: Records = decoder or Decoder(64 << 20)
         self.stream: Stream | None = None
         self.headers: dict[str, str] = {}
         self.early: list[bytes] = []
@@ -38,7 +59,7 @@
     def open(self, body: bytes) -> Coroutine:
         """Raises StreamClosed or Rejected."""
         self.stream = yield from connect(self.loop, self.address, CONNECT_MS)
-        self.stream.send(self.http.request("POST", self.target, "allocator", JSON, body))
+        self.stream.send(self.http.request(self.method, self.target, "allocator", JSON, body))
         status, text = 0, b""
         while True:
             data = yield from self.stream.read()
@@ -182,6 +203,9 @@
         self.calls: Calls | None = None
         self.task: Task = loop.spawn(self._run(), name)
 
+    def subscription(self) -> Subscription:
+        return Subscription(self.loop, self.address, self.target)
+
     def hello(self) -> bytes:
         raise NotImplementedError
 
@@ -192,16 +216,21 @@
     def left(self) -> None:
         """The session ended."""
 
+    def rejected(self, status: int) -> None:
+        """It was not taken."""
+
     def _run(self) -> Coroutine:
         shortest, longest = self.again_ms
         wait = shortest
         while True:
-            self.stream = Subscription(self.loop, self.address, self.target)
+            self.stream = self.subscription()
             try:
                 yield from self.stream.open(self.hello())
                 wait = shortest
                 yield from self.follow(self.stream)
-            except (StreamClosed, Rejected, HttpError, RecordError, BadMessage):
+            except Rejected as error:
+                self.rejected(error.status)
+            except (StreamClosed, HttpError, RecordError, BadMessage):
                 pass
             finally:
                 self._gone()
--- a/glencleat/standins/owners.py
+++ b/glencleat/standins/owners.py
@@ -132,6 +132,10 @@
 
     # ---- asking ----
 
+    def task_of(self, job: Job) -> str:
+        """The task as the hosts' labels name it."""
+        return f"{self.framework}/{job.id}"
+
     def ask(self, job: Job) -> None:
         """Asks for a task, now or as soon as there is an offer."""
         self.jobs[job.id] = job
@@ -163,22 +167,22 @@
         )
         operation = m.Operation("LAUNCH", m.Launch([info]))
 
-        def wrote() -> None:
-            job.asked_at = self.loop.now()
-            self.recorder.add(
-                "asked",
-                who=self.name,
-                allocator=self.allocator,
-                task=f"{self.framework}/{job.id}",
-                cls=job.want.cls,
-                effect=job.want.effect,
-                service=job.service,
-                left=job.want.deadline_ms,
-            )
-
-        self._post("ACCEPT", wrote, accept=m.Accept([m.Value(self.offer)], [operation]))
+        self._post("ACCEPT", lambda: self._wrote(job), accept=m.Accept([m.Value(self.offer)], [operation]))
         self._wait(job, job.want.deadline_ms, lambda: self._gave_up(job))
 
+    def _wrote(self, job: Job) -> None:
+        job.asked_at = self.loop.now()
+        self.recorder.add(
+            "asked",
+            who=self.name,
+            allocator=self.allocator,
+            task=self.task_of(job),
+            cls=job.want.cls,
+            effect=job.want.effect,
+            service=job.service,
+            left=job.want.deadline_ms,
+        )
+
     def _wait(self, job: Job, ms: float, call: Callable[[], None]) -> None:
         if job.timer is not None:
             job.timer.cancel()
@@ -186,9 +190,7 @@
 
     def _gave_up(self, job: Job) -> None:
         """No answer came in its time: the first rule is broken, unless the allocator or the link was."""
-        self.recorder.add(
-            "gave up", who=self.name, allocator=self.allocator, task=f"{self.framework}/{job.id}"
-        )
+        self.recorder.add("gave up", who=self.name, allocator=self.allocator, task=self.task_of(job))
         self._unsure(job)
 
     def _unsure(self, job: Job) -> None:
@@ -243,17 +245,20 @@
         if status.uuid is not None and status.agent_id is not None:
             told = m.Acknowledge(status.agent_id, status.task_id, status.uuid)
             self._post("ACKNOWLEDGE", acknowledge=told)
-        if job is None:
-            return
-        if status.state in ("TASK_STARTING", "TASK_RUNNING"):
+        if job is not None:
+            self._heard(job, status.state, retry)
+
+    def _heard(self, job: Job, state: str, retry: str) -> None:
+        """What follows a state of a task, whichever way it was told."""
+        if state in ("TASK_STARTING", "TASK_RUNNING"):
             self._placed(job)
-        elif status.state in ("TASK_STAGING", "TASK_UNKNOWN"):
+        elif state in ("TASK_STAGING", "TASK_UNKNOWN"):
             return  # goes on being asked for, or in doubt
-        elif status.state == "TASK_UNREACHABLE" and retry == "reconcile":
+        elif state == "TASK_UNREACHABLE" and retry == "reconcile":
             job.state = "doubt"
             self._wait(job, SETTLE_MS, lambda: self._settle(job))
         elif job.state == "placed":
-            self._ended(job, status.state)
+            self._ended(job, state)
         elif retry == "harmless":
             job.end = "refused"
             self._again(job)
--- a/glencleat/standins/play.py
+++ b/glencleat/standins/play.py
@@ -29,6 +29,7 @@
 END_MS = 15_000.0  # for one to end after SIGTERM
 RESTART_MS = 300.0  # of a host in a deploy
 LAG_STEP_MS, LAG_MS = 20.0, 50.0
+KINDS = ("owners", "agents", "metrics", "rest")  # what an allocator listens for
 GROWN = 3.0  # times the usual use of a task that swells
 
 
@@ -44,15 +45,13 @@
         self.owners: Address = ("127.0.0.1", 0)
         self.agents: Address = ("127.0.0.1", 0)
         self.metrics: Address = ("127.0.0.1", 0)
+        self.rest: Address = ("127.0.0.1", 0)
         self.child: subprocess.Popen[bytes] | None = None
 
     def start(self) -> Coroutine:
         """Starts it and waits for its addresses."""
         conf = self.folder / f"{self.name}.conf"
-        listens = [
-            f"listen {k} {a[0]}:{a[1]}"
-            for k, a in (("owners", self.owners), ("agents", self.agents), ("metrics", self.metrics))
-        ]
+        listens = [f"listen {k} {a[0]}:{a[1]}" for k, a in ((kind, getattr(self, kind)) for kind in KINDS)]
         conf.write_text("\n".join([*self.lines, *listens]) + "\n")
         with (self.folder / f"{self.name}.log").open("ab") as log:
             self.child = subprocess.Popen(
@@ -65,7 +64,7 @@
         if not line:
             raise PlayError(f"allocator {self.name} did not start; see {self.folder / self.name}.log")
         bound = json.loads(line)
-        for kind in ("owners", "agents", "metrics"):
+        for kind in KINDS:
             host, _, port = bound[kind].rpartition(":")
             setattr(self, kind, (host, int(port)))
         self.recorder.add("allocator", allocator=self.name, state="up")
@@ -187,7 +186,8 @@
             host.start(cold=False)
         self.directory.start()
         places = [(p.name, p.owners) for p in self.processes]
-        self.owners = alone.owners(self.loop, self.recorder, self.script, places, self.random)
+        rest = {p.name: p.rest for p in self.processes}
+        self.owners = alone.owners(self.loop, self.recorder, self.script, places, self.random, rest=rest)
         yield from self.loop.sleep(self.script.play.warm)
         self.on_ready()
         for at in self.script.at:
--- /dev/null
+++ b/glencleat/standins/rest_owners.py
@@ -0,0 +1,291 @@
+"""Stand-in owners that come by the REST front: jobs of one task, followed by a watch.
+
+Each keeps one watch over its own tasks, resumed at the version that it last read, and a connection for its
+requests. A creation whose answer did not come is sent again under the same Idempotency-Key. What it does with
+each state of a task is what an owner of the Scheduler API does; so are the entries that it records."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import quote
+
+import msgspec
+
+from glencleat.check.record import Recorder
+from glencleat.kernel import Loop, Stream, StreamClosed, Task, connect
+from glencleat.kernel.loop import Coroutine
+from glencleat.mesos import messages as m
+from glencleat.mesos.http import ClientConnection, End, Head, HttpError
+from glencleat.standins.client import CONNECT_MS, Address, Lines, Subscription
+from glencleat.standins.owners import Job, Owner
+
+RECONCILED = "REASON_RECONCILIATION"
+REPEAT_MS = 300.0  # before a request whose answer did not come is sent again
+
+
+@dataclass(slots=True, eq=False)
+class Answer:
+    status: int = 0  # 0: none came
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes = b""
+
+
+@dataclass(slots=True, eq=False)
+class Ask:
+    method: str
+    target: str
+    body: bytes
+    headers: dict[str, str]
+    done: Callable[[Answer], None]
+    wrote: Callable[[], None] = lambda: None
+    until: float = 0.0  # it is sent again till then, if no answer comes
+
+
+class Requests:
+    """Requests one after the other on a kept connection; one whose answer did not come is sent again."""
+
+    def __init__(self, loop: Loop, address: Address) -> None:
+        self.loop, self.address = loop, address
+        self.queue: deque[Ask] = deque()
+        self.http = ClientConnection()
+        self.stream: Stream | None = None
+        self.waiting: Task | None = None
+        self.task = loop.spawn(self._run(), "requests")
+
+    def send(self, ask: Ask) -> None:
+        self.queue.append(ask)
+        if self.waiting is not None:
+            task, self.waiting = self.waiting, None
+            self.loop.wake(task)
+
+    def _arm(self, task: Task) -> Callable[[], None]:
+        self.waiting = task
+
+        def disarm() -> None:
+            self.waiting = None
+
+        return disarm
+
+    def _run(self) -> Coroutine:
+        while True:
+            if not self.queue:
+                yield self._arm
+                continue
+            ask, answer = self.queue.popleft(), Answer()
+            while True:
+                try:
+                    answer = yield from self._one(ask)
+                    break
+                except (StreamClosed, HttpError):
+                    self._drop()
+                if self.loop.now() >= ask.until:
+                    break
+                yield from self.loop.sleep(REPEAT_MS)
+            ask.done(answer)
+
+    def _one(self, ask: Ask) -> Coroutine:
+        if self.stream is None or self.stream.closed is not None:
+            self.http = ClientConnection()
+            self.stream = yield from connect(self.loop, self.address, CONNECT_MS)
+        self.stream.send(self.http.request(ask.method, ask.target, "allocator", ask.headers, ask.body))
+        ask.wrote()
+        answer = Answer()
+        while True:
+            data = yield from self.stream.read()
+            for event in self.http.feed(data):
+                if isinstance(event, Head):
+                    answer.status, answer.headers = event.status, event.headers
+                elif isinstance(event, bytes):
+                    answer.body += event
+                elif isinstance(event, End):
+                    return answer
+            if data == b"":
+                raise StreamClosed("the allocator closed the connection")
+
+    def _drop(self) -> None:
+        if self.stream is not None:
+            self.stream.close("dropped")
+            self.stream = None
+
+    def close(self) -> None:
+        self.loop.cancel(self.task)
+        self._drop()
+
+
+class RestOwner(Owner):
+    """One pipeline at one allocator's REST front."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        recorder: Recorder,
+        name: str,
+        role: str,
+        allocator: str,
+        address: Address,
+        seed: int,
+        done: Callable[[Job], None] = lambda job: None,
+    ) -> None:
+        self.requests = Requests(loop, address)
+        self.version = ""
+        self.live = False
+        self.states: dict[str, str] = {}  # last state recorded of each task
+        self.wait_ms: dict[str, float] = {}  # job -> longer patience than the class's deadline
+        self.reasons: dict[str, Any] = {}  # job -> its last reason record
+        super().__init__(loop, recorder, name, role, allocator, address, seed, done)
+        self.framework = f"rest:{role}"
+        self.place = f"/v1/tenants/{quote(role, safe='')}"
+
+    # ---- the watch ----
+
+    def subscription(self) -> Subscription:
+        selector = quote(f"owner={self.name}", safe="")
+        target = f"{self.place}/tasks?watch=1&labelSelector={selector}"
+        if self.version:
+            target += f"&resourceVersion={self.version}"
+        return Subscription(self.loop, self.address, target, "GET", Lines())
+
+    def hello(self) -> bytes:
+        return b""
+
+    def rejected(self, status: int) -> None:
+        if status == 410:
+            self.version = ""  # too old, or another incarnation's: all that is there is told anew
+
+    def follow(self, stream: Subscription) -> Coroutine:
+        if not self.live:
+            self.live, self.offer = True, "rest"  # it may ask from here on
+            waiting, self.unsent = self.unsent, []
+            for job in waiting:
+                self._send(job)
+        while True:
+            while self.slow:
+                yield from self.loop.sleep(50.0)
+            lines = yield from stream.records()
+            if not lines:
+                return
+            for line in lines:
+                event = msgspec.json.decode(line)
+                if event["type"] == "ERROR":
+                    self.version = ""
+                    return
+                self.version = event["object"]["resourceVersion"]
+                if event["type"] in ("ADDED", "MODIFIED"):
+                    self._task(event["object"])
+
+    def left(self) -> None:
+        if self.live and self.stream is not None and self.stream.stream is not None:
+            self.recorder.add("cut", who=self.name, allocator=self.allocator)
+
+    def _task(self, task: dict[str, Any]) -> None:
+        job = self.jobs.get(task["job"]) if "job" in task else None
+        if job is None:
+            return
+        state, retry, reason = task["state"], task.get("retry", ""), task.get("reason", "")
+        if state == "TASK_STAGING":
+            self.reasons[job.id] = task.get("why")
+            self.states.pop(job.id, None)
+            return
+        if self.states.get(job.id) == state:
+            return
+        self.states[job.id] = state
+        self._answered(job, state, retry, reason, task["resourceVersion"])
+
+    def _answered(self, job: Job, state: str, retry: str, reason: str, text: str) -> None:
+        self.recorder.add(
+            "answer", who=self.name, allocator=self.allocator, task=self.task_of(job),
+            state=state, retry=retry, reason=reason, text=text,
+        )  # fmt: skip
+        self._heard(job, state, retry)
+
+    # ---- asking ----
+
+    def task_of(self, job: Job) -> str:
+        return f"{self.framework}/{job.id}.0"
+
+    def ask(self, job: Job) -> None:
+        self.jobs[job.id] = job
+        job.first_at = job.first_at or self.loop.now()
+        job.state = "waits"
+        if self.live:
+            self._send(job)
+        else:
+            self.unsent.append(job)
+
+    def _send(self, job: Job) -> None:
+        if job.state != "waits":
+            return
+        job.state, job.asked_at, job.end = "asked", self.loop.now(), "unanswered"
+        job.asks += 1
+        if job.asks > 1:
+            self._request("DELETE", f"{self.place}/jobs/{job.id}", b"", lambda answer: self._post_job(job))
+        else:
+            self._post_job(job)
+
+    def _request(
+        self, method: str, target: str, body: bytes, done: Callable[[Answer], None], **more: Any
+    ) -> None:
+        headers = {"content-type": "application/json"} if body else {}
+        headers |= more.pop("headers", {})
+        self.requests.send(Ask(method, target, body, headers, done, **more))
+
+    def _post_job(self, job: Job) -> None:
+        if job.state != "asked":
+            return
+        patience = self.wait_ms.get(job.id, job.want.deadline_ms)
+        spec = {
+            "class": job.want.cls, "service": job.service, "cores": job.cores, "memory": job.memory,
+            "waitMs": patience, "lifeMs": job.life_ms, "key": job.id,
+        }  # fmt: skip
+        body = msgspec.json.encode({"name": job.id, "labels": {"owner": self.name}, "spec": spec})
+        self.states.pop(job.id, None)
+        begun = False
+
+        def wrote() -> None:
+            nonlocal begun
+            if not begun:  # a repeat under the same key is the same ask
+                begun = True
+                self._wrote(job)
+                self._wait(job, patience, lambda: self._gave_up(job))
+
+        key = {"idempotency-key": f"{job.id}-{job.asks}"}
+        until = self.loop.now() + patience
+        self._request(
+            "POST", f"{self.place}/jobs", body, lambda answer: self._posted(job, answer),
+            headers=key, wrote=wrote, until=until,
+        )  # fmt: skip
+
+    def _posted(self, job: Job, answer: Answer) -> None:
+        if answer.status in (429, 503) and job.state == "asked":
+            self._answered(job, "TASK_DROPPED", "harmless", f"HTTP {answer.status}", "")
+        elif answer.status == 422 and job.state == "asked":
+            self._answered(job, "TASK_ERROR", "never", "HTTP 422", "")
+
+    def _reconcile(self, ids: list[str]) -> None:
+        for name in ids:
+            target = f"{self.place}/tasks/{quote(self.framework, safe='')}/{name}.0"
+            self._request("GET", target, b"", lambda answer, name=name: self._got(name, answer))  # type: ignore[misc]
+
+    def _got(self, name: str, answer: Answer) -> None:
+        job = self.jobs.get(name)
+        if job is None or answer.status != 200:
+            return
+        task = msgspec.json.decode(answer.body)
+        self._answered(job, task["state"], task.get("retry", ""), RECONCILED, "")
+
+    def _post(self, kind: str, wrote: Callable[[], None] | None = None, **parts: object) -> None:
+        raise AssertionError(f"{kind} is no call of this front")
+
+    def cancel(self, job: Job) -> None:
+        """Asks that the job be stopped."""
+        self._request("DELETE", f"{self.place}/jobs/{job.id}", b"", lambda answer: None)
+
+    def _event(self, event: m.SchedulerEvent) -> None:
+        raise AssertionError("no event of this front")
+
+    def end(self) -> None:
+        super().end()
+        self.requests.close()
--- a/glencleat/standins/script.py
+++ b/glencleat/standins/script.py
@@ -68,6 +68,7 @@
 class Owners(Part):
     count: Count = 30
     rate: Annotated[float, Field(gt=0, le=5_000)] = 20.0  # new tasks a second, of all
+    rest: Annotated[float, BeforeValidator(_share), Field(ge=0, le=1)] = 0.0  # so many come by the REST front
 
 
 class Allocators(Part):
