--- a/glencleat/fronts/rest_api.py
+++ b/glencleat/fronts/rest_api.py
@@ -204,7 +204,7 @@
 
     def _openapi(self, asked: Asked) -> Response:
         if self.document is None:
-            self.document = s.encode(openapi.document(ROUTES))
+            self.document = s.encode(openapi.document(ROUTES, self.core.classes))
         return Response(200, self.document, JSON)
 
     def _one(self, record: Record, status: int = 200) -> Response:
@@ -273,6 +273,12 @@
     # ---- watching ----
 
     def _watch(self, kind: str, tenant: str | None, selector: Selector, query: s.Query) -> Pour:
+        watcher = self.join(kind, tenant, selector, query)
+        timeout_ms = 1_000.0 * query.timeout_seconds
+        return Pour(LINES, lambda sink: self._fill(sink, watcher, timeout_ms))
+
+    def join(self, kind: str, tenant: str | None, selector: Selector, query: s.Query) -> channels.Watcher:
+        """A watcher that has all from the query's version on before it; raises HttpError, Gone or TooMuch."""
         if query.next:
             raise HttpError(400, "a watch has no pages: expected no continue")
         plane = self.plane
@@ -292,9 +298,7 @@
                     early.append(channels.line(event, change, plane.versions.told))
         else:
             early = self._all(kind, tenant, selector)
-        watcher = plane.channels.join((kind, tenant, selector), early, self.core.now())
-        timeout_ms = 1_000.0 * query.timeout_seconds
-        return Pour(LINES, lambda sink: self._fill(sink, watcher, timeout_ms))
+        return plane.channels.join((kind, tenant, selector), early, self.core.now())
 
     def _all(self, kind: str, tenant: str | None, selector: Selector) -> list[bytes]:
         """What is there now, as ADDED; then a BOOKMARK that says that this was all."""
--- a/glencleat/fronts/server.py
+++ b/glencleat/fronts/server.py
@@ -18,6 +18,9 @@
 from glencleat.mesos.http import HttpError, Request, Response, ServerConnection
 
 
+LINGER_MS, LINGER_BYTES = 1_000.0, 4 << 20  # that a peer at fault may still send
+
+
 @dataclass(frozen=True, slots=True)
 class Limits:
     connections: int = 10_000
@@ -179,13 +182,29 @@
                     break
         except HttpError as error:
             self._complain(connection, stream, error)
-            yield from stream.flush()
+            yield from self._linger(stream)
         except StreamClosed:
             pass
         finally:
             clock.stop()
             stream.close("done")
 
+    def _linger(self, stream: Stream) -> Coroutine:
+        """Reads on for a little after a last response: a close with bytes unread resets the connection, and
+        the peer would lose the response that says what was wrong (RFC 9112, 9.6)."""
+        timer = self.loop.call_in(LINGER_MS, lambda: stream.close("done"))
+        try:
+            yield from stream.flush()
+            stream.shut()
+            left = LINGER_BYTES
+            while left > 0 and stream.closed is None:
+                data = yield from stream.read()
+                left -= len(data) or left
+        except StreamClosed:
+            pass
+        finally:
+            timer.cancel()
+
     def _complain(self, connection: ServerConnection, stream: Stream, error: HttpError) -> None:
         self.log("bad request", status=error.status, why=error.text[:200])
         with contextlib.suppress(StreamClosed):
--- a/glencleat/kernel/streams.py
+++ b/glencleat/kernel/streams.py
@@ -131,6 +131,11 @@
 
             yield arm
 
+    def shut(self) -> None:
+        """No more is written; what was written arrives, and the peer's bytes can still be read."""
+        with contextlib.suppress(OSError):
+            self.sock.shutdown(socket.SHUT_WR)
+
     def close(self, why: str = "closed") -> None:
         if self.closed is not None:
             return
--- a/glencleat/mesos/http.py
+++ b/glencleat/mesos/http.py
@@ -85,6 +85,8 @@
     def _check_head(self, head: h11.Request) -> None:
         if head.method == b"CONNECT":  # a success would turn the connection into a tunnel
             raise HttpError(501, "CONNECT: this is no proxy")
+        if len(head.target) + sum(len(name) + len(value) for name, value in head.headers) > HEAD_MOST:
+            raise HttpError(431, f"a head of over {HEAD_MOST} bytes")  # h11 counts only what comes in pieces
         names = [name for name, _ in head.headers]
         if b"content-length" in names and b"transfer-encoding" in names:
             # Two readers that disagree on which one counts see two different requests (RFC 9112, 6.3).
--- a/glencleat/rest/openapi.py
+++ b/glencleat/rest/openapi.py
@@ -15,12 +15,13 @@
 MERGE = "application/merge-patch+json"
 
 
-def document(routes: Iterable[Route]) -> dict[str, Any]:
-    """The whole document as plain values."""
+def document(routes: Iterable[Route], classes: Iterable[str]) -> dict[str, Any]:
+    """The whole document as plain values; `classes`: those of this allocator's configuration."""
     models = [*s.KINDS.values(), s.JobList, s.TaskList, s.MachineList, s.ServiceList]
     models += [s.NewJob, s.LabelPatch, s.WatchEvent, s.Problem, s.Query]
     _, schemas = msgspec.json.schema_components(models, ref_template=REF)
     query = schemas.pop("Query")
+    schemas["JobSpec"]["properties"]["class"]["enum"] = sorted(classes)
     paths: dict[str, dict[str, Any]] = {}
     for route in routes:
         paths.setdefault(route.path, {})[route.method.lower()] = _operation(route, query)
--- a/glencleat/rest/plane.py
+++ b/glencleat/rest/plane.py
@@ -34,6 +34,7 @@
 PREFIX = "rest"
 FLUSH_MS = 2.0  # after the first change, all that changed meanwhile is published
 FLUSHED = 400  # resources in one turn
+AT_ONCE = 20  # tasks of a new job that are shown before its creation is answered
 TURN_MS = 2.0  # between two turns in which creations get their rounds
 FAN_MS, WOKEN = 1.0, 64  # watchers woken in one turn
 
@@ -144,6 +145,8 @@
             self.waiting[tenant] += 1
             self._show(slot)
         self.mirror.flush_job(job)  # who reads the answer and then lists finds the job there
+        for slot in job.slots[:AT_ONCE]:
+            self.mirror.flush_task(self.seen(slot).key)
         self._expire_later(job.slots)
         return job
 
--- a/glencleat/rest/versions.py
+++ b/glencleat/rest/versions.py
@@ -98,7 +98,8 @@
     def read(self, text: str) -> int:
         """The number of a version that a client gives back; raises Gone, or ValueError if it is none."""
         epoch, dash, number = text.rpartition("-")
-        if not dash or not number.isascii() or not number.isdigit() or len(number) > 18:
+        shaped = dash and epoch.isalnum() and number.isascii() and number.isdigit()
+        if not shaped or len(number) > 18:
             raise ValueError(f"resourceVersion is {text[:40]!r}; expected one that this server told")
         if epoch != self.epoch:
             raise Gone("the resourceVersion is another process's; list again")
--- /dev/null
+++ b/tests/test_rest_state.py
@@ -0,0 +1,518 @@
+"""The REST front's state and decisions without sockets: selectors, versions, watches, jobs, overload, reasons."""
+
+from collections import Counter
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from glencleat import interface as api
+from glencleat.allocator import tables
+from glencleat.allocator.ledger import Given
+from glencleat.allocator.tables import Answer, Retry
+from glencleat.allocator.why import Record as Reasons
+from glencleat.rest import channels, jobs, overload, reasons
+from glencleat.rest import schema as s
+from glencleat.rest.jobs import Bucket, Job, Keys, Slot, Step, Turns
+from glencleat.rest.selector import BadSelector, Term, anchor, matches, parse
+from glencleat.rest.versions import Gone, Versions
+
+# ---- selectors ----
+
+
+@pytest.mark.parametrize(
+    ("text", "labels", "fits"),
+    [
+        ("", {}, True),
+        ("a=b", {"a": "b"}, True),
+        ("a==b", {"a": "c"}, False),
+        ("a=b", {}, False),
+        ("a!=b", {}, True),
+        ("a!=b", {"a": "b"}, False),
+        ("a", {"a": ""}, True),
+        ("a", {}, False),
+        ("!a", {}, True),
+        ("! a", {"a": "x"}, False),
+        ("a in (b, c)", {"a": "c"}, True),
+        ("a in (b,c)", {"a": "d"}, False),
+        ("a notin (b,c)", {}, True),
+        ("a notin (b,c)", {"a": "b"}, False),
+        (" a = b , c != d ", {"a": "b", "c": "e"}, True),
+        ("a=b,c", {"a": "b"}, False),
+        (".state=TASK_RUNNING,x/y.z in (q)", {".state": "TASK_RUNNING", "x/y.z": "q"}, True),
+        ("a=", {"a": ""}, True),
+    ],
+)
+def test_selectors_match_as_those_of_kubernetes(text, labels, fits):
+    assert matches(parse(text), labels) is fits
+
+
+@pytest.mark.parametrize("text", ["a=b,", "=b", "a=(b)", "a in b", "a in (b", ".odd=x", "a b", "a in (b c)", "!", ",a"])
+def test_a_bad_selector_says_where(text):
+    with pytest.raises(BadSelector, match="labelSelector: .*(expected|no field)"):
+        parse(text)
+
+
+def test_a_selector_has_bounds():
+    with pytest.raises(BadSelector, match="17 terms"):
+        parse(",".join(f"a{i}=b" for i in range(17)))
+    with pytest.raises(BadSelector, match="at most 32"):
+        parse(f"a in ({','.join(f'v{i}' for i in range(33))})")
+
+
+def test_equal_selectors_share_a_channel_and_the_anchor_is_one_value():
+    assert parse("b=1,a=2") == parse("a==2, b=1, a=2")
+    assert anchor(parse("!x,a in (b),c")) == ("a", "b")
+    assert anchor(parse("a!=b,c in (d,e),f")) is None
+
+
+# ---- versions and watches: one model for both ----
+
+KEYS = [("t1", "a"), ("t1", "b"), ("t2", "a"), ("t2", "c")]
+LABELS = [{}, {"x": "1"}, {"x": "2"}, {"x": "1", "y": "1"}]
+SELECTORS = ["", "x=1", "x!=1", "x", "!x", "x in (1,2),!y"]
+CHANGES = st.lists(
+    st.tuples(st.sampled_from(KEYS), st.one_of(st.none(), st.tuples(st.integers(0, 2), st.sampled_from(LABELS)))),
+    max_size=40,
+)
+
+
+def fold(state, lines):
+    """What a client does with a watch's lines."""
+    for event in map(s.msgspec.json.decode, b"".join(lines).splitlines()):
+        key = event["object"].get("tenant"), event["object"].get("name")
+        if event["type"] == "DELETED":
+            assert key in state, "DELETED of what the client never had"
+            del state[key]
+        elif event["type"] != "BOOKMARK":
+            assert (key in state) is (event["type"] == "MODIFIED"), "a gap or a repeat"
+            state[key] = event["object"].get("waiting", 0)
+    return state
+
+
+def value(key, number):
+    return s.Service(tenant=key[0], name=key[1], waiting=number)
+
+
+def listed(versions, selector, tenant=None, version=None):
+    records, _ = versions.page("k", versions.number if version is None else version, selector, 99, None, tenant)
+    return {r.key: r.value.waiting for r in records}
+
+
+@settings(max_examples=150, deadline=None, derandomize=True)
+@given(CHANGES, st.sampled_from(SELECTORS), st.sampled_from([None, "t1"]), st.integers(3, 12), st.data())
+def test_any_list_and_watch_folds_to_the_servers_state(changes, text, tenant, kept, data):
+    """Watches begin, stop and resume anywhere, take at any pace, over a log that forgets: no gap, no repeat."""
+    versions = Versions("e", {"k": kept})
+    hub = channels.Channels(channels.Limits(lines=kept, piece=1), versions.told)
+    selector = parse(text)
+    seen, watcher, resume, past = {}, None, None, {}
+    for key, change in changes:
+        event = versions.delete("k", key) if change is None else versions.put("k", key, value(key, change[0]), change[1])
+        if event is not None:
+            hub.publish(event, 0.0)
+        past[versions.number] = listed(versions, selector, tenant)
+        for version, old in past.items():  # every version that the log still holds can be read as it was
+            if version >= versions.kinds["k"].compacted:
+                assert listed(versions, selector, tenant, version) == old
+        action = data.draw(st.sampled_from(["nothing", "take", "begin", "stop"]))
+        if action == "begin" and watcher is None:
+            if resume is not None:
+                try:
+                    events = versions.since("k", resume)
+                except Gone:
+                    resume = None
+            if resume is None:
+                seen, early, resume = listed(versions, selector, tenant), [], versions.number
+            else:
+                kinds = [(e, e.type_for(selector)) for e in events if tenant is None or e.record.key[0] == tenant]
+                early = [channels.line(e, kind, versions.told) for e, kind in kinds if kind is not None]
+            watcher = hub.join(("k", tenant, selector), early, 0.0)
+        elif action in ("take", "stop") and watcher is not None:
+            lines = []
+            while data_ := hub.take(watcher, 0.0):
+                lines.append(data_)
+            fold(seen, lines)
+            if watcher.cut is None:
+                assert seen == listed(versions, selector, tenant)
+                resume = versions.number
+            else:
+                resume = None
+            if action == "stop" or watcher.cut is not None:
+                hub.leave(watcher)
+                watcher = None
+    if watcher is not None:
+        hub.leave(watcher)
+    assert hub.count == 0 and not hub.channels and not hub.by_tenant and not hub.awake
+
+
+@settings(max_examples=60, deadline=None, derandomize=True)
+@given(CHANGES, st.lists(st.tuples(st.sampled_from(SELECTORS), st.sampled_from([None, "t1", "t2"])), max_size=6))
+def test_the_index_tells_whom_a_filter_over_all_would(changes, wheres):
+    versions = Versions("e", {"k": 1_000})
+    hub = channels.Channels(channels.Limits(piece=1 << 20), versions.told)
+    watchers = [(hub.join(("k", tenant, parse(text)), [], 0.0), parse(text), tenant, []) for text, tenant in wheres]
+    for key, change in changes:
+        event = versions.delete("k", key) if change is None else versions.put("k", key, value(key, change[0]), change[1])
+        if event is None:
+            continue
+        hub.publish(event, 0.0)
+        for _, selector, tenant, wanted in watchers:
+            kind = event.type_for(selector)
+            if kind is not None and tenant in (None, key[0]):
+                wanted.append(channels.line(event, kind, versions.told))
+    for watcher, _, _, wanted in watchers:
+        assert hub.take(watcher, 0.0) == b"".join(wanted)
+
+
+def test_pages_show_one_instant_while_resources_change():
+    versions = Versions("e", {"k": 100})
+    for i in range(10):
+        versions.put("k", ("t", f"{i:02}"), value(("t", f"{i:02}"), i), {})
+    at = versions.number
+    first, after = versions.page("k", at, (), 4)
+    versions.delete("k", ("t", "05"))
+    versions.put("k", ("t", "06"), value(("t", "06"), 99), {})
+    versions.put("k", ("t", "04a"), value(("t", "04a"), 1), {})
+    second, rest = versions.page("k", at, (), 99, after)
+    assert rest is None and [r.value.waiting for r in first + second] == list(range(10))
+
+
+def test_a_page_looks_at_a_bounded_number_of_keys(monkeypatch):
+    monkeypatch.setattr("glencleat.rest.versions.SCANNED", 5)
+    versions = Versions("e", {"k": 100})
+    for i in range(12):
+        versions.put("k", ("t", f"{i:02}"), value(("t", f"{i:02}"), i), {"x": "1"} if i == 11 else {})
+    found, after, pages = [], None, 0
+    while True:
+        records, after = versions.page("k", versions.number, parse("x=1"), 4, after)
+        found, pages = found + records, pages + 1
+        if after is None:
+            break
+    assert [r.key[1] for r in found] == ["11"] and pages == 3
+
+
+@pytest.mark.parametrize("text", ["", "x", "e-", "-1", "e--1", "e-1x", "e-²", "e-" + "9" * 19, "e-7"])
+def test_a_version_that_was_never_told_is_a_clients_mistake(text):
+    versions = Versions("e", {"k": 10})
+    versions.put("k", ("t", "a"), value(("t", "a"), 1), {})
+    with pytest.raises(ValueError, match="resourceVersion"):
+        versions.read(text)
+
+
+def test_another_processs_version_is_gone():
+    with pytest.raises(Gone):
+        Versions("e", {"k": 10}).read("f-3")
+
+
+def test_a_slow_watcher_is_cut_and_costs_nothing_meanwhile():
+    versions = Versions("e", {"k": 100_000})
+    hub = channels.Channels(channels.Limits(lines=100, stall_ms=1_000.0), versions.told)
+    slow, quick = (hub.join(("k", None, ()), [], 0.0) for _ in range(2))
+    hub.take(slow, 0.0), hub.take(quick, 0.0)
+    for i in range(300):
+        hub.publish(versions.put("k", ("t", "a"), value(("t", "a"), i), {}), 60_000.0)
+        if i % 50 == 0:
+            assert hub.take(quick, 60_000.0)
+    assert len(slow.channel.lines) <= 100 and hub.stalled(60_500.0) == []
+    assert hub.take(slow, 60_500.0) == b"" and "no longer kept" in slow.cut
+    while hub.take(quick, 60_500.0):
+        pass
+    assert quick.cut is None
+    idle = hub.join(("k", None, ()), [], 60_500.0)
+    hub.take(idle, 60_500.0)
+    hub.publish(versions.put("k", ("t", "a"), value(("t", "a"), -1), {}), 99_000.0)
+    assert hub.stalled(99_500.0) == [], "its time begins with the news, not with when it last took something"
+    assert idle in hub.stalled(100_500.0) and "nothing was read" in idle.cut
+
+
+def test_watches_are_bounded_in_all_and_by_tenant():
+    hub = channels.Channels(channels.Limits(watchers=3, each=2), lambda n: "v")
+    joined = [hub.join(("k", "t", ()), [], 0.0) for _ in range(2)]
+    with pytest.raises(channels.Refused, match="of t are open"):
+        hub.join(("k", "t", ()), [], 0.0)
+    hub.join(("k", "u", ()), [], 0.0)
+    with pytest.raises(channels.Refused, match="3 watches"):
+        hub.join(("k", "v", ()), [], 0.0)
+    hub.leave(joined[0]), hub.leave(joined[0])
+    assert hub.count == 2
+
+
+# ---- jobs ----
+
+CLASSES = {
+    effect: api.TaskClass(effect.value, effect, 1_000.0, 8_000.0, 1.0, window_ms=5_000.0) for effect in api.Effect
+}
+
+
+def job(effect=api.Effect.SAFE, tasks=1, wait=20_000.0, tenant="t", name="j", **more):
+    spec = s.JobSpec(task_class=effect.value, service="svc", tasks=tasks, cores=1.0, memory=1.0, wait_ms=wait, **more)
+    made = Job(tenant, name, "u", spec, CLASSES[effect], {}, 0.0, 0.0)
+    made.slots = [Slot(made, i, wait, Step.ASKED, rounds=1) for i in range(tasks)]
+    return made
+
+
+DROPPED = Answer(tables.DROPPED, Retry.HARMLESS)
+MAYBE = Answer(tables.LOST, Retry.HARMLESS)
+LOST = Answer(tables.LOST, Retry.RECONCILE)
+U, K, S = api.Effect.UNSAFE, api.Effect.KEYED, api.Effect.SAFE
+
+
+@pytest.mark.parametrize(
+    ("effect", "given", "answer", "now", "cancelled", "step"),
+    [
+        (S, Given.SERVED, DROPPED, 0.0, False, Step.PLACED),
+        (S, Given.SERVED, DROPPED, 0.0, True, Step.PLACED),
+        (S, Given.REFUSED, DROPPED, 0.0, False, Step.PAUSED),
+        (U, Given.REFUSED, DROPPED, 0.0, False, Step.PAUSED),
+        (S, Given.REFUSED, MAYBE, 0.0, False, Step.PAUSED),
+        (K, Given.REFUSED, MAYBE, 0.0, False, Step.PAUSED),
+        (U, Given.REFUSED, MAYBE, 0.0, False, Step.OVER),  # it may have run
+        (S, Given.REFUSED, DROPPED, 19_500.0, False, Step.OVER),  # no time for another round
+        (S, Given.REFUSED, DROPPED, 0.0, True, Step.OVER),
+        (S, Given.REFUSED, Answer(tables.ERROR, Retry.NEVER), 0.0, False, Step.OVER),
+        (U, Given.FAILED, LOST, 0.0, False, Step.OVER),
+        (S, Given.FAILED, DROPPED, 0.0, False, Step.OVER),
+    ],
+)
+def test_what_follows_a_round(effect, given, answer, now, cancelled, step):
+    slot = job(effect).slots[0]
+    slot.cancelled = cancelled
+    then = jobs.after_round(slot, given, answer, now, Random(1))
+    assert then.step is step and (then.pause_ms > 0.0) is (step is Step.PAUSED)
+
+
+def test_pauses_grow_and_leave_time_for_a_last_round():
+    slot = job(wait=60_000.0).slots[0]
+    pauses = []
+    for slot.rounds in range(1, 9):
+        pauses.append(jobs.after_round(slot, Given.REFUSED, DROPPED, 0.0, Random(1)).pause_ms)
+    assert pauses == sorted(pauses) and pauses[0] < 400.0 and pauses[-1] <= 1.25 * jobs.PAUSE_MOST_MS
+    near = jobs.after_round(slot, Given.REFUSED, DROPPED, 58_900.0, Random(1))
+    assert near.step is Step.PAUSED and near.pause_ms <= 600.0
+    assert jobs.round_ms(slot, 58_900.0, 50.0) == pytest.approx(1_050.0) and jobs.round_ms(slot, 59_960.0, 50.0) == 0.0
+    assert jobs.round_ms(slot, 0.0, 50.0) == 8_000.0
+
+
+@pytest.mark.parametrize(
+    ("effect", "lost", "state", "retry", "cancelled", "step"),
+    [
+        (S, "again", tables.KILLED, Retry.HARMLESS, False, Step.PAUSED),
+        (K, "again", tables.FAILED, Retry.HARMLESS, False, Step.PAUSED),
+        (U, "again", tables.KILLED, Retry.HARMLESS, False, Step.OVER),
+        (S, "leave", tables.KILLED, Retry.HARMLESS, False, Step.OVER),
+        (S, "again", tables.FINISHED, Retry.NEVER, False, Step.OVER),
+        (S, "again", tables.KILLED, Retry.HARMLESS, True, Step.OVER),
+        (S, "again", tables.UNREACHABLE, Retry.HARMLESS, False, Step.PLACED),
+    ],
+)
+def test_what_follows_a_placed_tasks_end(effect, lost, state, retry, cancelled, step):
+    slot = job(effect, when_lost=lost).slots[0]
+    slot.cancelled = cancelled
+    assert jobs.after_end(slot, Answer(state, retry)).step is step
+
+
+def test_turns_go_round_the_tenants():
+    turns = Turns()
+    for slot in job(tasks=100, tenant="greedy").slots + job(tasks=3, tenant="small").slots:
+        turns.queue(slot)
+    got = [turns.pop().job.tenant for _ in range(8)]
+    assert Counter(got) == {"greedy": 5, "small": 3} and turns.queued == 95
+
+
+def test_a_tenants_returns_have_a_budget_and_others_do_not_wait_for_it():
+    turns = Turns(retries_rate=10.0, retries_burst=5.0)
+    for slot in job(tasks=50, tenant="a").slots + job(tasks=2, tenant="b").slots:
+        turns.pause(slot, 100.0)
+    turns.wake(99.0)
+    assert turns.pop() is None and turns.due() == 100.0
+    turns.wake(100.0)
+    got = Counter()
+    while (slot := turns.pop()) is not None:
+        got[slot.job.tenant] += 1
+    assert got == {"a": 5, "b": 2}
+    for now in range(101, 5_200):
+        turns.wake(float(now))
+    got = 0
+    while turns.pop() is not None:
+        got += 1
+    assert 40 <= got <= 46, "ten a second for five seconds"
+
+
+def test_a_cancelled_task_in_the_queue_is_passed_over():
+    turns, slots = Turns(), job(tasks=2).slots
+    for slot in slots:
+        turns.queue(slot)
+    slots[0].step = Step.OVER
+    assert turns.pop() is slots[1] and turns.pop() is None and turns.queued == 0
+
+
+def test_keys_are_never_forgotten_while_they_count():
+    keys, one = Keys(most=2, keep_ms=1_000.0), job()
+    keys.note("t", "k1", 1, one, 0.0)
+    done = job(name="done")
+    done.slots[0].step = Step.OVER
+    keys.note("t", "k2", 2, done, 0.0)
+    assert not keys.room(500.0), "both still count"
+    assert keys.room(1_500.0) and keys.find("t", "k1") == (1, one) and keys.find("t", "k2") is None
+
+
+@settings(max_examples=100, deadline=None, derandomize=True)
+@given(st.lists(st.tuples(st.floats(0, 500), st.floats(0.1, 20)), max_size=60))
+def test_a_bucket_never_gives_more_than_rate_and_burst(steps):
+    bucket, now, paid = Bucket(10.0, 5.0, 0.0), 0.0, 0.0
+    for wait, cost in steps:
+        now += wait
+        if bucket.wait(cost, now) == 0.0:
+            bucket.pay(cost)
+            paid += cost
+    assert paid <= 10.0 * now / 1_000.0 + 5.0 + 20.0 + 1e-6
+
+
+# ---- overload ----
+
+
+def gate(**more):
+    return overload.Gate(overload.Limits(**more), overload.Pace())
+
+
+@pytest.mark.parametrize(
+    ("limits", "asked", "status", "text"),
+    [
+        ({"waiting_each": 10}, {"waiting_here": 9}, 429, "9 tasks of t wait, 2 come"),
+        ({"waiting": 10}, {"waiting": 9}, 503, "9 tasks wait"),
+        ({"jobs": 5}, {"jobs": 5}, 503, "5 jobs"),
+        ({"first_round_ms": 100.0}, {"queued": 500}, 503, "first round"),
+        ({"tenant_rate": 1.0, "tenant_burst": 1.0}, {"paid": 1.0}, 429, "more than 1 tasks/s"),
+    ],
+)
+def test_each_bound_turns_a_creation_away_and_says_when_to_come_back(limits, asked, status, text):
+    made = gate(**limits)
+    paid = asked.pop("paid", 0.0)
+    told = {"waiting_here": 0, "waiting": 0, "jobs": 0, "queued": 0} | asked
+    if paid:
+        assert made.create("t", 1, now=0.0, **told) is None
+    turned = made.create("t", 2, now=0.0, **told)
+    assert turned.status == status and text in turned.text and turned.retry_ms >= 50.0
+    assert sum(made.counts.values()) == 1
+    if paid:
+        assert made.create("u", 1, now=0.0, **told) is None, "another tenant has its own"
+
+
+def test_a_connection_that_ignores_refusals_is_not_read_for_a_while():
+    made = gate(connection_rate=10.0, connection_burst=2.0, ignored=3)
+    bucket = made.connection(0.0)
+    assert [made.request(bucket, 1.0, 0.0) is None for _ in range(3)] == [True, True, False]
+    assert made.request(bucket, 1.0, 101.0) is None
+    assert made.pause_ms(3, 500.0) == 0.0 and made.pause_ms(4, 500.0) == 500.0 and made.pause_ms(9, 9_000.0) == 1_000.0
+
+
+def test_creations_take_less_of_a_loop_that_runs_late():
+    pace = overload.Pace(least_ms=1.0, most_ms=8.0, late_ms=10.0)
+    assert pace.begins(100.0, 99.0) == 8.0
+    budgets = [pace.begins(200.0, 100.0) for _ in range(5)]
+    assert budgets == [4.0, 2.0, 1.0, 1.0, 1.0]
+    grown = [pace.begins(100.0, 100.0) for _ in range(20)]
+    assert grown == sorted(grown) and grown[-1] == 8.0
+
+
+def test_the_rate_of_rounds_is_learned_only_while_more_wait():
+    pace = overload.Pace()
+    for turn in range(100):
+        pace.ends(10.0 * turn, 2, left=50)
+    assert pace.rate == pytest.approx(200.0, rel=0.01) and pace.wait_ms(100) == pytest.approx(500.0, rel=0.01)
+    pace.ends(1_000.0, 1, left=0)
+    rate = pace.rate
+    pace.ends(99_000.0, 1, left=0)
+    assert pace.rate == rate, "an idle front is not a slow one"
+
+
+def test_tenants_with_a_rate_of_their_own_are_bounded():
+    made = gate(tenants=10)
+    for i in range(50):
+        made.create(f"t{i}", 1, 0, 0, 0, 0, 0.0)
+    assert len(made.tenants) == 10
+
+
+# ---- reasons ----
+
+SPREAD = api.TaskClass("spread", K, 1_000.0, 8_000.0, 1.0, window_ms=5_000.0, spread="zone", most=2)
+LARGE = api.TaskClass("large", S, 1_000.0, 8_000.0, 1.0, kind="large")
+PLAIN = api.TaskClass("plain", S, 1_000.0, 8_000.0, 1.0)
+KINDS = {"std": api.Size(8.0, 1_000.0), "large": api.Size(64.0, 9_000.0)}
+SETTINGS = api.Settings(
+    0, 1, "a", (SPREAD, LARGE, PLAIN), KINDS, accept_cores=2.0, cold_ms=6_000.0, cold_offers=10.0
+)
+
+
+def machine(name, zone="a", phase=api.Phase.SERVING, kind="std", up=None):
+    return api.Machine(name, kind, zone, 0, phase, ready_at_ms=up)
+
+
+def facts(machines, agents=None, placed=None, silent=None, before=None):
+    agents = dict.fromkeys((m.name for m in machines), "subscribed") if agents is None else agents
+    known = {m.name: m for m in machines}
+    return reasons.Facts(SETTINGS, known, agents, placed or {}, silent or {}, 100_000.0, before or {})
+
+
+def kinds(made, shape):
+    return {cause.kind: cause for cause in made.common(shape)}
+
+
+def test_no_machine_that_fits():
+    made = facts([machine("h1"), machine("h2", phase=api.Phase.GONE, kind="large")])
+    assert "of kind large" in kinds(made, ("large", "svc", 1.0, 1.0))["no-machine"].text
+    assert set(kinds(made, ("plain", "svc", 16.1, 1.0))) == {"no-machine"}
+    assert set(kinds(made, ("plain", "svc", 16.0, 1.0))) == {"no-room"}, "machines accept twice their cores"
+    assert set(kinds(made, ("plain", "svc", 1.0, 1_001.0))) == {"no-machine"}
+
+
+def test_machines_that_drain_are_away_barred_or_cold_are_counted():
+    made = facts(
+        [machine("h1", phase=api.Phase.DRAINING), machine("h2"), machine("h3"), machine("h4", up=99_000.0), machine("h5")],
+        {"h1": "subscribed", "h2": "away", "h3": "subscribed", "h4": "subscribed", "h5": "subscribed"},
+        silent={"h3": 2},
+    )
+    found = kinds(made, ("plain", "svc", 1.0, 1.0))
+    assert {kind: cause.count for kind, cause in found.items()} == {
+        "draining": 1, "no-agent": 1, "barred": 1, "cold": 1, "no-room": 2,
+    }  # fmt: skip
+
+
+def test_the_limit_of_a_service_in_each_hall():
+    machines = [machine("h1", "a"), machine("h2", "b")]
+    half = kinds(facts(machines, placed={"svc": Counter(h1=2)}), ("spread", "svc", 1.0, 1.0))["spread"]
+    assert half.text == "limit of 2 tasks of svc a hall: 1 of 2 at it (a)" and half.count == 1
+    both = kinds(facts(machines, placed={"svc": Counter(h1=2, h2=3)}), ("spread", "svc", 1.0, 1.0))["spread"]
+    assert "2 of 2 at it (a, b)" in both.text
+    assert "spread" not in kinds(facts(machines, placed={"other": Counter(h1=9)}), ("spread", "svc", 1.0, 1.0))
+
+
+def test_what_has_not_changed_is_the_same_list():
+    shape = ("plain", "svc", 1.0, 1.0)
+    first = facts([machine("h1")])
+    causes = first.common(shape)
+    assert facts([machine("h2")], before=first.known).common(shape) is causes
+    assert facts([], before=first.known).common(shape) is not causes
+
+
+def test_what_machines_said_is_told_as_they_said_it_newest_first():
+    record = Reasons()
+    record.note(api.Outcome.REFUSED, api.Why.CORES, "h1", 1_000.0)
+    record.note(api.Outcome.REFUSED, api.Why.CORES, "h2", 2_000.0)
+    record.note(api.Outcome.TIMED_OUT, api.Why.NONE, "h3", 3_000.0)
+    common = [s.Cause(kind="no-room", text="3 machines fit")]
+    told = reasons.why(reasons.PAUSE, record, common, lambda at: at + 5.0)
+    assert [cause.kind for cause in told.causes] == ["pause", "no-answer", "refused-cores", "no-room"]
+    assert told.causes[2] == s.Cause(
+        kind="refused-cores", text="refused (cores) 2 times, last by h2", count=2, machine="h2", at_ms=2_005.0
+    )
+    assert told.summary == "no answer in time once, by h3"
+    spread = s.Cause(kind="spread", text="limit")
+    assert reasons.why(None, record, [spread], lambda at: at).summary == "limit"
+    assert [c.kind for c in reasons.why(None, Reasons(), common, lambda at: at).causes] == ["no-room", "not-tried"]
+
+
+def test_a_term_matches_what_it_says():
+    assert Term("a", True).matches({"a": "x"}) and not Term("a", False, ("x",)).matches({"a": "x"})
