Lists and watches begin by an index and in pieces; watchers are told within a share of the loop's time

A thousand watches that begin at once each scanned all tasks in one go: 1.3 million matches, 8 ms each, while placements waited. A label index over all versions that can still be read finds what a selector wants; a watch without a version now reads its first state page by page at one version, as its reader takes it; and waking watchers is bounded to a tenth of the loop's time, measured where it is spent.

--- a/glencleat/fronts/rest_api.py
+++ b/glencleat/fronts/rest_api.py
@@ -8,7 +8,7 @@
 import base64
 import math
 import re
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from typing import Any
 from urllib.parse import parse_qsl, quote, unquote, urlsplit
@@ -25,12 +25,12 @@
 from glencleat.rest.plane import Conflict, Plane, TooMuch
 from glencleat.rest.routes import ROUTES, Route
 from glencleat.rest.selector import BadSelector, Selector, parse
-from glencleat.rest.versions import Gone, Key, Record
+from glencleat.rest.versions import Event, Gone, Key, Record
 
 JSON, PROBLEM, LINES = "application/json", "application/problem+json", "application/x-ndjson"
 TARGET_MOST = 4_096  # characters
 KEY_MOST = 128  # of an Idempotency-Key
-FIRST_MOST = 20_000  # resources that a watch without a version may begin with
+FIRST = 100  # resources in a piece of a watch that begins without a version
 BOOKMARK_MS = 5_000.0
 LAST_MS = 2_000.0  # for a watcher that is cut off to read why
 QUERY_FIELDS = {field.encode_name for field in msgspec.structs.fields(s.Query)}
@@ -286,33 +286,46 @@
             plane.channels.check(tenant)
         except channels.Refused as error:
             raise TooMuch(overload.Turned(503, str(error), 5_000.0)) from None
-        version, early = plane.versions.number, list[bytes]()
         if query.resource_version:
             try:
                 version = plane.versions.read(query.resource_version)
             except ValueError as error:
                 raise HttpError(400, str(error)) from None
-            for event in plane.versions.since(kind, version):
-                change = event.type_for(selector)
-                if change is not None and (tenant is None or event.record.key[0] == tenant):
-                    early.append(channels.line(event, change, plane.versions.told))
+            early = self._missed(plane.versions.since(kind, version), tenant, selector)
         else:
-            early = self._all(kind, tenant, selector)
+            early = self._all(kind, tenant, selector, plane.versions.number)
         return plane.channels.join((kind, tenant, selector), early, self.core.now())
 
-    def _all(self, kind: str, tenant: str | None, selector: Selector) -> list[bytes]:
-        """What is there now, as ADDED; then a BOOKMARK that says that this was all."""
+    def _missed(self, events: list[Event], tenant: str | None, selector: Selector) -> Iterator[bytes]:
+        """What happened since the version that a watch resumes at, in pieces."""
+        lines, size = list[bytes](), 0
+        for event in events:
+            change = event.type_for(selector)
+            if change is None or tenant not in (None, event.record.key[0]):
+                continue
+            lines.append(channels.line(event, change, self.plane.versions.told))
+            size += len(lines[-1])
+            if size > self.plane.limits.watch.piece:
+                yield b"".join(lines)
+                lines, size = [], 0
+        if lines:
+            yield b"".join(lines)
+
+    def _all(self, kind: str, tenant: str | None, selector: Selector, version: int) -> Iterator[bytes]:
+        """What is there at the version, as ADDED; then a BOOKMARK that says that this was all.
+
+        Each piece is read when the reader has room for it, at the one version: beginning a watch costs a
+        decision no more than a page."""
         versions, after = self.plane.versions, None
-        lines = list[bytes]()
         while True:
-            records, after = versions.page(kind, versions.number, selector, 1_000, after, tenant)
-            for record in records:
-                lines.append(b'{"type":"ADDED","object":%b}\n' % self._bytes(record))
-            if len(lines) > FIRST_MOST:
-                text = f"more than {FIRST_MOST} {kind} match; expected a list, and a watch from its version"
-                raise HttpError(400, text)
+            records, after = versions.page(kind, version, selector, FIRST, after, tenant)
+            lines = [b'{"type":"ADDED","object":%b}\n' % self._bytes(record) for record in records]
             if after is None:
-                return [*lines, channels.bookmark(versions.told())]
+                lines.append(channels.bookmark(versions.told(version)))
+            if lines:
+                yield b"".join(lines)
+            if after is None:
+                return
 
     def _fill(self, sink: Sink, watcher: channels.Watcher, timeout_ms: float) -> Coroutine:
         """The watch's coroutine: takes pieces as the socket does, waits for news, and tells why it ends."""
@@ -321,9 +334,12 @@
         until = core.now() + timeout_ms
         try:
             while watcher.cut is None and core.now() < until:
-                data = plane.channels.take(watcher, core.now())
+                began = core.timing.now()
+                data = plane.channels.take(watcher, began)
                 if data:
-                    yield from sink.send(data)
+                    sending = sink.send(data)
+                    plane.share.spent(core.timing.now() - began)
+                    yield from sending
                 elif watcher.cut is None:
                     woken = yield from self._news(sink, watcher, min(BOOKMARK_MS, until - core.now()))
                     if not woken and watcher.cut is None:
--- a/glencleat/fronts/server.py
+++ b/glencleat/fronts/server.py
@@ -84,9 +84,10 @@
         self.stream.on_close.append(lambda _: call())
 
     def send(self, data: bytes) -> Coroutine:
-        """Hands over a piece and waits until the socket has taken it; raises StreamClosed."""
+        """Hands over a piece at once; what it gives waits until the socket has taken it. Raises
+        StreamClosed."""
         self.stream.send(self.connection.chunk(data))
-        yield from self.stream.flush()
+        return self.stream.flush()
 
     def last(self, data: bytes, why: str, within_ms: float) -> Coroutine:
         """A last piece, as far as the reader takes it in time; then the connection ends."""
--- a/glencleat/rest/channels.py
+++ b/glencleat/rest/channels.py
@@ -8,13 +8,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 from itertools import islice
 
 from glencleat.rest.schema import Problem, WatchEvent, encode
-from glencleat.rest.selector import Selector, anchor
-from glencleat.rest.versions import Event
+from glencleat.rest.selector import Selector, anchors
+from glencleat.rest.versions import Event, Gone
 
 Where = tuple[str, str | None, Selector]  # kind, tenant or all, selector
 
@@ -36,7 +36,7 @@
 class Watcher:
     channel: Channel
     cursor: int  # lines of the channel taken, counted from its beginning
-    early: list[bytes]  # lines from before it joined: what it resumed, or all that is
+    early: Iterator[bytes] | None  # pieces from before it joined: what it resumed, or all that was there
     progress_at: float
     wake: Callable[[], None] = lambda: None
     cut: str | None = None  # why it was cut off
@@ -114,7 +114,10 @@
         if self.by_tenant.get(tenant, 0) >= self.limits.each:
             raise Refused(f"{self.limits.each} watches of {tenant or 'all tenants'} are open; no more")
 
-    def join(self, where: Where, early: list[bytes], now: float) -> Watcher:
+    def join(self, where: Where, early: Iterator[bytes] | None, now: float) -> Watcher:
+        """A watcher of all that is published from now on, after the pieces of `early`.
+
+        These are made as the reader takes them; Gone out of them cuts the watcher off."""
         self.check(where[1])
         channel = self.channels.get(where)
         if channel is None:
@@ -144,10 +147,10 @@
 
     def _bucket(self, channel: Channel) -> dict[Channel, None]:
         kind, _, selector = channel.where
-        term = anchor(selector)
-        if term is None:
+        terms = anchors(selector)
+        if not terms:
             return self.unanchored.setdefault(kind, {})
-        return self.by_label.setdefault((kind, *term), {})
+        return self.by_label.setdefault((kind, *terms[0]), {})
 
     # ---- events ----
 
@@ -185,15 +188,14 @@
 
         Sets `cut` where it is too late."""
         watcher.progress_at = watcher.told_at = now
-        if watcher.early:
-            size, count = 0, 0
-            for item in watcher.early:
-                if count and size + len(item) > self.limits.piece:
-                    break
-                size, count = size + len(item), count + 1
-            data = b"".join(watcher.early[:count])
-            del watcher.early[:count]
-            return data
+        if watcher.early is not None:
+            try:
+                return next(watcher.early)
+            except StopIteration:
+                watcher.early = None
+            except Gone as error:
+                watcher.cut = f"too slow: {error}"
+                return b""
         channel = watcher.channel
         if watcher.cursor < channel.base:
             behind = channel.base - watcher.cursor
@@ -208,7 +210,7 @@
         return data
 
     def behind(self, watcher: Watcher) -> bool:
-        return bool(watcher.early) or watcher.cursor < watcher.channel.end()
+        return watcher.early is not None or watcher.cursor < watcher.channel.end()
 
     def stalled(self, now: float) -> list[Watcher]:
         """Watchers that have taken nothing for too long although there was news; each is marked as cut."""
--- a/glencleat/rest/overload.py
+++ b/glencleat/rest/overload.py
@@ -74,6 +74,27 @@
         return 1_000.0 * queued / self.rate
 
 
+class Fan:
+    """How many watchers may be woken now, so that telling them takes no more than a share of the loop's time.
+
+    What each took is measured where it is done. With few watchers each is told at once; with many, each less
+    often and more at a time, which costs less for each event."""
+
+    def __init__(self, share: float = 0.1, burst_ms: float = 2.0) -> None:
+        self.share, self.burst_ms = share, burst_ms
+        self.left_ms, self.cost_ms, self.at = burst_ms, 0.03, 0.0
+
+    def count(self, now: float) -> int:
+        self.left_ms = min(self.burst_ms, self.left_ms + self.share * (now - self.at))
+        self.at = now
+        return max(1, int(self.left_ms / self.cost_ms)) if self.left_ms > 0.0 else 0
+
+    def spent(self, ms: float) -> None:
+        """One watcher was handed a piece."""
+        self.left_ms -= ms
+        self.cost_ms += 0.05 * (max(0.001, ms) - self.cost_ms)
+
+
 class Gate:
     """Admission of requests; one Bucket for each connection (kept by the front) and for each tenant."""
 
--- a/glencleat/rest/plane.py
+++ b/glencleat/rest/plane.py
@@ -36,7 +36,7 @@
 FLUSHED = 400  # resources in one turn
 AT_ONCE = 20  # tasks of a new job that are shown before its creation is answered
 TURN_MS = 2.0  # between two turns in which creations get their rounds
-FAN_MS, WOKEN = 1.0, 64  # watchers woken in one turn
+FAN_MS = 1.0  # between two turns in which watchers are woken
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,6 +77,7 @@
         )
         self.mirror.stir = self._stir
         self.pace = overload.Pace()
+        self.share = overload.Fan()
         self.gate = overload.Gate(limits.gate, self.pace)
         self.turns = Turns()
         self.keys = Keys(limits.keys, limits.over_ms)
@@ -447,7 +448,9 @@
 
     def _fan(self) -> None:
         self.fanning = False
-        self.channels.wake(WOKEN)
+        most = self.share.count(self.core.timing.now())
+        if most:
+            self.channels.wake(most)
         self.fan()
 
     def end(self) -> None:
--- a/glencleat/rest/selector.py
+++ b/glencleat/rest/selector.py
@@ -92,9 +92,6 @@
     return all(term.matches(labels) for term in selector)
 
 
-def anchor(selector: Selector) -> tuple[str, str] | None:
-    """The term that an index finds the selector by: a key with one wanted value. None: it has none."""
-    for term in selector:
-        if term.wanted and len(term.values) == 1:
-            return term.key, term.values[0]
-    return None
+def anchors(selector: Selector) -> list[tuple[str, str]]:
+    """The terms that an index can find the selector by: a key with one wanted value."""
+    return [(term.key, term.values[0]) for term in selector if term.wanted and len(term.values) == 1]
--- a/glencleat/rest/versions.py
+++ b/glencleat/rest/versions.py
@@ -8,13 +8,13 @@
 from __future__ import annotations
 
 from bisect import bisect_right
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from typing import Any
 
 from sortedcontainers import SortedDict
 
-from glencleat.rest.selector import Selector, matches
+from glencleat.rest.selector import Selector, anchors, matches
 
 Key = tuple[str, ...]  # the tenant first, where a kind has one
 SCANNED = 2_000  # keys that one page looks at, whether they match or not
@@ -64,6 +64,34 @@
         self.first = 0  # of the log's list; what lies before it is out
         self.compacted = 0  # the newest version that can't be resumed before
         self.live = 0
+        # (label, value) -> keys of which a Record that can still be read has it, and how many do
+        self.by_label: dict[tuple[str, str], dict[Key, int]] = {}
+
+    def index(self, record: Record, change: int) -> None:
+        """Counts a Record in (1) or out (-1) of what its labels find."""
+        if record.value is None:
+            return
+        for label in record.labels.items():
+            keys = self.by_label.setdefault(label, {})
+            count = keys.get(record.key, 0) + change
+            if count:
+                keys[record.key] = count
+                continue
+            del keys[record.key]
+            if not keys:
+                del self.by_label[label]
+
+    def candidates(self, selector: Selector, after: Key | None, tenant: str | None) -> Iterable[Key]:
+        """Keys that may match, in order: those of the rarest wanted label, or all where none is wanted."""
+        wanted = [self.by_label.get(label, {}) for label in anchors(selector)]
+        if wanted:
+            found = sorted(min(wanted, key=lambda keys: len(keys)))
+            if tenant is not None:
+                found = [key for key in found if key[0] == tenant]
+            return found if after is None else found[bisect_right(found, after) :]
+        low = after if after is not None else (tenant,) if tenant is not None else None
+        high = (tenant + "\0",) if tenant is not None else None
+        return self.records.irange(low, high, inclusive=(after is None, False))
 
     def append(self, event: Event) -> None:
         self.log.append(event)
@@ -76,6 +104,8 @@
 
     def _compact(self, event: Event) -> None:
         self.compacted = event.version
+        if event.before is not None:
+            self.index(event.before, -1)
         event.record.before = event.before = None
         if event.record.value is None and self.records.get(event.record.key) is event.record:
             del self.records[event.record.key]
@@ -127,6 +157,7 @@
     def _change(self, store: Kind, kind: str, record: Record, before: Record | None) -> Event:
         self.number = record.version
         store.records[record.key] = record
+        store.index(record, 1)
         event = Event(kind, record.version, record, before)
         store.append(event)
         return event
@@ -159,7 +190,7 @@
             raise Gone("the list took too long: its resourceVersion is too old; list again")
         found = list[Record]()
         scanned = 0
-        for key in self._keys(store, after, tenant):
+        for key in store.candidates(selector, after, tenant):
             if len(found) == limit or scanned == SCANNED:
                 return found, after
             after, scanned = key, scanned + 1
@@ -169,9 +200,3 @@
             if record is not None and record.value is not None and matches(selector, record.labels):
                 found.append(record)
         return found, None
-
-    @staticmethod
-    def _keys(store: Kind, after: Key | None, tenant: str | None) -> Iterator[Key]:
-        low = after if after is not None else (tenant,) if tenant is not None else None
-        high = (tenant + "\0",) if tenant is not None else None
-        return store.records.irange(low, high, inclusive=(after is None, False))
