--- a/glencleat/check/record.py
+++ b/glencleat/check/record.py
@@ -12,7 +12,7 @@
 | offered | host | read a LAUNCH: `attempt`, `task`, `cls`, `effect`, `service`, `zone`, `within` ms |
 | | | (`text` is its run; `since`: it may have lain unread since then) |
 | listed | host | subscribed as run `text` and listed the attempts `ids` as all that it holds |
-| said | host | wrote an UPDATE of `attempt`: `state` |
+| said | host | wrote an UPDATE of `attempt`: `state`, and for a refusal its cause as `text` |
 | kill | host | read a KILL of `attempt` |
 | started | host | the program of `attempt` began (this is the effect) |
 | up, down | host | came up (`cold` or not), went down |
--- a/glencleat/rest/versions.py
+++ b/glencleat/rest/versions.py
@@ -85,7 +85,8 @@
         """Keys that may match, in order: those of the rarest wanted label, or all where none is wanted."""
         wanted = [self.by_label.get(label, {}) for label in anchors(selector)]
         if wanted:
-            found = sorted(min(wanted, key=lambda keys: len(keys)))
+            _, _, rarest = min((len(keys), number, keys) for number, keys in enumerate(wanted))
+            found = sorted(rarest)
             if tenant is not None:
                 found = [key for key in found if key[0] == tenant]
             return found if after is None else found[bisect_right(found, after) :]
--- a/glencleat/standins/hosts.py
+++ b/glencleat/standins/hosts.py
@@ -127,6 +127,7 @@
                 attempt=status.task_id.value,
                 state=status.state,
                 reason=status.reason or "",
+                text=m.label(status.labels, "cause") or "",
             )
 
     def report(self, probe: int | None) -> None:
--- a/tests/test_rest_path.py
+++ b/tests/test_rest_path.py
@@ -220,6 +220,67 @@
     assert day.broken() == [] and day.core.figures.mismatch() == {}
 
 
+def test_the_same_unsafe_work_by_both_fronts_starts_once(world):
+    """A pipeline that asks by the Scheduler API and, unsure, by REST as well, under one key, many times over."""
+    day = world()
+    mesos = day.owner("o")  # of the role "tenant"
+    rest = RestOwner(day.loop, day.recorder, "r", "tenant", "a0", day.bound["rest"], 3)
+    day.owners.append(rest)
+    day.until(lambda: rest.live)
+    for i in range(10):
+        for owner in (mesos, rest) if i % 2 else (rest, mesos):
+            job = day.job(f"w{i}" if owner is rest else f"w{i}.0", "store-compact", "unsafe")
+            owner.ask(job)  # the key of a Mesos ask is its id, that of a REST job's task is KEY.0
+    day.until(lambda: not mesos.jobs and not rest.jobs, 15_000.0)
+    answers = [e for e in day.recorder.entries if e.kind == "answer"]
+    assert sum(e.kind == "started" for e in day.recorder.entries) == 10
+    assert sum(e.state == "TASK_FINISHED" for e in answers) == 10
+    assert sum(e.state == "TASK_ERROR" for e in answers) == 10 and day.broken() == []
+
+
+def test_every_waiting_task_tells_what_machines_last_said_within_two_seconds(world):
+    """All hosts refuse falsely, though they have all their room; the reasons follow them, and their recovery."""
+    day = world()
+    owner = RestOwner(day.loop, day.recorder, "r", "tenant", "a0", day.bound["rest"], 3)
+    day.owners.append(owner)
+    day.until(lambda: owner.live)
+
+    def set_full(on):
+        for host in day.hosts:
+            host.machine.faults.false_full = on
+
+    def last_said():
+        """Task -> host, cause and time of the last refusal that was written."""
+        tasks, said = {}, {}
+        for entry in day.recorder.entries:
+            if entry.kind == "offered":
+                tasks[entry.attempt] = entry.task
+            elif entry.kind == "said" and entry.state == "TASK_DROPPED":
+                said[tasks[entry.attempt]] = (entry.who, entry.text, entry.at)
+        return said
+
+    set_full(True)
+    for i in range(8):
+        job = day.job(f"t{i}", life=100.0)
+        owner.wait_ms[job.id] = 30_000.0
+        owner.ask(job)
+    end, compared = day.loop.now() + 4_000.0, 0
+    while day.loop.now() < end:
+        pause = day.loop.now() + 200.0
+        day.until(lambda pause=pause: day.loop.now() > pause)
+        for name, (host, cause, at) in last_said().items():
+            reason = owner.reasons[name.split("/")[1].removesuffix(".0")]
+            causes = [c for c in reason["causes"] if c["kind"] == f"refused-{cause}" and c["machine"] == host]
+            if day.loop.now() - at > 2_000.0 or causes:
+                assert causes, (name, host, cause, reason)
+                compared += 1
+    assert compared > 30 and len(last_said()) == 8
+    set_full(False)
+    day.until(lambda: not owner.jobs, 20_000.0)
+    ends = [e.state for e in day.recorder.entries if e.kind == "answer"]
+    assert ends.count("TASK_FINISHED") == 8 and "TASK_DROPPED" not in ends and day.broken() == []
+
+
 # ---- the document ----
 
 
