Watchers take turns with what they have yet to read; a watch that can't begin leaves nothing

A quick reader with much to read had the loop for itself until its socket was full, and a watcher that only waited for its turn could have been cut off as slow. After each piece a watcher now queues again within the share that watchers have, and only one whose socket is full counts as standing still. A watch of an HTTP/1.0 client left its watcher behind.

--- a/glencleat/fronts/rest_api.py
+++ b/glencleat/fronts/rest_api.py
@@ -90,6 +90,7 @@
         self.requests: dict[int, int] = {}  # by status
         self.document: bytes | None = None
         plane.cut = self._cut
+        plane.channels.blocked = self._blocked
         self.handlers: dict[str, Callable[[Asked], Response | Pour]] = {
             "openapi": self._openapi,
             "list": self._list,
@@ -275,7 +276,11 @@
     def _watch(self, kind: str, tenant: str | None, selector: Selector, query: s.Query) -> Pour:
         watcher = self.join(kind, tenant, selector, query)
         timeout_ms = 1_000.0 * query.timeout_seconds
-        return Pour(LINES, lambda sink: self._fill(sink, watcher, timeout_ms))
+        return Pour(
+            LINES,
+            lambda sink: self._fill(sink, watcher, timeout_ms),
+            lambda: self.plane.channels.leave(watcher),
+        )
 
     def join(self, kind: str, tenant: str | None, selector: Selector, query: s.Query) -> channels.Watcher:
         """A watcher that has all from the query's version on before it; raises HttpError, Gone or TooMuch."""
@@ -340,6 +345,11 @@
                     sending = sink.send(data)
                     plane.share.spent(core.timing.now() - began)
                     yield from sending
+                    if plane.channels.again(watcher):
+                        # The next piece waits for its turn too: a quick reader with much to read would
+                        # otherwise have the loop for itself until its socket is full.
+                        plane.fan()
+                        yield from self._news(sink, watcher, until - core.now())
                 elif watcher.cut is None:
                     woken = yield from self._news(sink, watcher, min(BOOKMARK_MS, until - core.now()))
                     if not woken and watcher.cut is None:
@@ -381,6 +391,11 @@
             raise StreamClosed(sink.stream.closed or "")
         return woken
 
+    def _blocked(self, watcher: channels.Watcher) -> bool:
+        """Whether it is the reader that does not take what lies ready, and not we that have not told it."""
+        sink = self.watchers.get(watcher)
+        return sink is not None and bool(sink.stream.out)
+
     def _cut(self, watcher: channels.Watcher) -> None:
         """The watcher stands still and is marked as cut: its coroutine waits in a send that can't end."""
         sink = self.watchers.get(watcher)
--- a/glencleat/fronts/server.py
+++ b/glencleat/fronts/server.py
@@ -107,6 +107,7 @@
 
     content_type: str
     fill: Callable[[Sink], Coroutine]
+    undo: Callable[[], None]  # called instead of `fill` where the stream can't begin
 
 
 Handler = Callable[[Request], Response | Subscribe | Pour]
@@ -229,7 +230,11 @@
             return None
         if isinstance(told, Pour):
             clock.stop()
-            stream.send(connection.open_stream({}, told.content_type))
+            try:
+                stream.send(connection.open_stream({}, told.content_type))
+            except (HttpError, StreamClosed):
+                told.undo()
+                raise
             self.loop.spawn(self._hold(stream), "watch", self.loop.current)
             yield from told.fill(Sink(connection, stream))
             return None
--- a/glencleat/rest/channels.py
+++ b/glencleat/rest/channels.py
@@ -104,6 +104,7 @@
         self.count = 0
         self.by_tenant: dict[str | None, int] = {}
         self.awake: dict[Watcher, None] = {}  # those with news to take, in the order in which it came
+        self.blocked: Callable[[Watcher], bool] = lambda watcher: True  # whether it has a piece to read still
 
     # ---- joining ----
 
@@ -209,6 +210,13 @@
             channel.trim(self.limits.lines)
         return data
 
+    def again(self, watcher: Watcher) -> bool:
+        """Has the watcher woken once more if there is more to take; False: there is not."""
+        if not self.behind(watcher):
+            return False
+        self.awake[watcher] = None
+        return True
+
     def behind(self, watcher: Watcher) -> bool:
         return watcher.early is not None or watcher.cursor < watcher.channel.end()
 
@@ -218,7 +226,8 @@
         for channel in self.channels.values():
             for watcher in channel.watchers:
                 waited = now - watcher.progress_at
-                if watcher.cut is None and waited > self.limits.stall_ms and self.behind(watcher):
+                late = watcher.cut is None and waited > self.limits.stall_ms
+                if late and self.behind(watcher) and self.blocked(watcher):
                     watcher.cut = f"too slow: nothing was read for {waited / 1000.0:.0f} s"
                     found.append(watcher)
         return found
--- a/glencleat/rest/plane.py
+++ b/glencleat/rest/plane.py
@@ -33,7 +33,7 @@
 
 PREFIX = "rest"
 FLUSH_MS = 2.0  # after the first change, all that changed meanwhile is published
-FLUSHED = 400  # resources in one turn
+FLUSHED = 100  # resources in one turn
 AT_ONCE = 20  # tasks of a new job that are shown before its creation is answered
 TURN_MS = 2.0  # between two turns in which creations get their rounds
 FAN_MS = 1.0  # between two turns in which watchers are woken
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -673,3 +673,19 @@
     assert core.module.probes
     cluster.timing.advance(600.0)
     assert not core.module.probes and not core.probes
+
+
+def test_the_end_of_one_silent_session_may_break_another_in_the_same_sweep():
+    """Seen in a play: the task goes from the first silent agent to the second, whose connection fails at
+    that."""
+    cluster = Cluster(2)
+    owner = Owner(cluster).subscribe()
+    cluster.timing.advance(1_000.0 * cluster.core.options.missed - 100.0)
+    owner.launch("t1")  # so late that the sweep comes before its time-out
+    ((first, _),) = cluster.offered()
+    (second,) = (agent for agent in cluster.agents.values() if agent is not first)
+    cluster.core.members.members[second.name] = cluster.core.members.members.pop(second.name)  # swept last
+    second.link.fails = True
+    cluster.timing.advance(500.0)
+    assert first.link.why == "no heartbeat" and second.link.why == "connection lost"
+    cluster.check()
--- a/tests/test_rest_path.py
+++ b/tests/test_rest_path.py
@@ -154,6 +154,37 @@
 # ---- watches ----
 
 
+def test_a_watch_that_cannot_begin_leaves_nothing_behind(world):
+    day = world()
+    told = raw(day, b"GET /v1/jobs?watch=1 HTTP/1.0\r\n\r\n")
+    assert told.startswith(b"HTTP/1.1 505") and day.daemon.plane.channels.count == 0
+
+
+def test_many_readers_with_much_to_read_take_turns(world):
+    """Each begins with 3,000 resources; none has the loop for itself, and all get all, once."""
+    day = world("rest first-round 10m\n")
+    plane = day.daemon.plane
+    plane._pump_soon = lambda *_: None
+    for i in range(6):
+        raw(day, post(f"b{i}", f"t{i}", tasks=500), until=b"}")
+    day.until(lambda: plane.versions.kinds["tasks"].live == 3_000)
+
+    def read():
+        socks = [socket.create_connection(day.bound["rest"], timeout=10) for _ in range(8)]
+        got = [b""] * 8
+        for sock in socks:
+            sock.sendall(request("GET", "/v1/tasks?watch=1"))
+        for i, sock in enumerate(socks):
+            while b"BOOKMARK" not in got[i]:
+                got[i] += sock.recv(1 << 20)
+            sock.close()
+        return [set(re.findall(rb'"name":"(b[0-9.]+)"', data)) for data in got]
+
+    assert [len(names) for names in beside(day, read)] == [3_000] * 8
+    day.until(lambda: plane.channels.count == 0)
+
+
+
 def test_a_watcher_that_stops_reading_in_a_burst_is_cut_off_and_nobody_waits_for_it(world):
     """10,000 events; another watcher gets them all, and tasks are placed meanwhile."""
     day = world("rest watch-stall 500ms first-round 10m\n")
