--- a/glencleat/allocator/agent_side.py
+++ b/glencleat/allocator/agent_side.py
@@ -108,9 +108,8 @@
             if not attempt.back and attempt.step is Step.OUT:
                 self._accepted(attempt)
             elif attempt.back and attempt.step in (Step.OUT, Step.ACCEPTED, Step.RUNS):
-                was_placed = attempt.step is not Step.OUT
-                attempt.step = attempt.step if was_placed else Step.ACCEPTED
-                self._late_yes(attempt, was_placed)
+                attempt.step = Step.ACCEPTED if attempt.step is Step.OUT else attempt.step
+                self._late_yes(attempt, attempt.placed)
             return
         framework, name = m.label(task.labels, "framework"), m.label(task.labels, "task")
         try:
@@ -137,6 +136,7 @@
         call.given, call.adopted = Given.SERVED, True
         call.attempts.clear()
         attempt.call, attempt.number, attempt.back, attempt.ran = call, 0, False, None
+        attempt.placed = True
         core.ledger.take(call)
         core.ledger.bind(attempt)
         core.figures.adopted[call.ask.task_class] += 1
@@ -185,7 +185,8 @@
 
     def _apply_late(self, attempt: Attempt, told: Told) -> None:
         """A status of an attempt that was given up; what it settles, an owner left in doubt is told."""
-        call, was_placed = attempt.call, attempt.step is not Step.OUT
+        # Not by its step: a late yes moves that on too, and its next status would pass for a placed task's.
+        call, was_placed = attempt.call, attempt.placed
         attempt.step = told.step
         if told.step is not Step.OVER:
             self._late_yes(attempt, was_placed)
@@ -203,7 +204,7 @@
         """The agent's yes: the task is placed, which is its answer."""
         core, call = self.core, attempt.call
         core.stop_timer(attempt)
-        attempt.step = Step.ACCEPTED
+        attempt.step, attempt.placed = Step.ACCEPTED, True
         spent = max(0.0, core.now() - attempt.sent_at)
         core.tell(api.Accepted(call.number, attempt.number, attempt.machine, spent))
         core.answer(call, Given.SERVED, tables.Answer(tables.STARTING, tables.Retry.NEVER))
--- a/glencleat/allocator/ledger.py
+++ b/glencleat/allocator/ledger.py
@@ -57,6 +57,7 @@
     end: int = 0
     step: Step = Step.OUT
     back: bool = False  # the module has had its Returned
+    placed: bool = False  # its yes came while the module still waited for it, or it was adopted
     ran: bool | None = None  # None: not known
     timer: object = None
     uuids: list[str] = field(default_factory=list)
--- a/glencleat/daemon.py
+++ b/glencleat/daemon.py
@@ -129,7 +129,8 @@
                 continue
             told = problem if name == "rest" else plain
             try:
-                self.servers[name] = Server(self.loop, address, handler, limits, self._log, told)
+                intake = self.plane.intake if name == "rest" and self.plane is not None else None
+                self.servers[name] = Server(self.loop, address, handler, limits, self._log, told, intake)
             except OSError as error:
                 raise OSError(f"listen {name} {address[0]}:{address[1]}: {error.strerror}") from None
         # An empty change is news of nothing, at which the module asks for the list by itself.
--- a/glencleat/fronts/server.py
+++ b/glencleat/fronts/server.py
@@ -9,9 +9,11 @@
 import contextlib
 from collections.abc import Callable
 from dataclasses import dataclass
+from itertools import islice
+from typing import Protocol
 
 from glencleat.kernel import Listener, Loop, Stream, StreamClosed
-from glencleat.kernel.loop import Coroutine
+from glencleat.kernel.loop import Coroutine, Task
 from glencleat.kernel.timers import Timer
 from glencleat.mesos import messages as m
 from glencleat.mesos import recordio
@@ -117,6 +119,66 @@
     return Response(error.status, (error.text + "\n").encode())
 
 
+class Intake(Protocol):
+    """Decides how many requests there is time for; `rest.overload` has one."""
+
+    def count(self, now: float, idle_ms: float) -> int: ...
+    def spent(self, ms: float) -> None: ...
+    def crowded(self, waiting: int) -> bool: ...
+
+
+class Turnstile:
+    """Lets requests be read in the order in which their bytes came, when there is time for them."""
+
+    def __init__(self, loop: Loop, intake: Intake) -> None:
+        self.loop, self.intake = loop, intake
+        self.waiting: dict[Task, None] = {}
+        self.looking = False
+
+    def count(self) -> int:
+        return self.intake.count(self.loop.now(), getattr(self.loop.poller, "idle_ms", 0.0))
+
+    def enter(self) -> Coroutine:
+        """Waits for a turn; gives False, at once, where that would take too long."""
+        if not self.waiting and self.count():
+            return True
+        if self.intake.crowded(len(self.waiting)):
+            return False
+
+        def arm(task: Task) -> Callable[[], None]:
+            self.waiting[task] = None
+            self._look_soon()
+
+            def disarm() -> None:
+                self.waiting.pop(task, None)
+
+            return disarm
+
+        yield arm
+        return True
+
+    def _look_soon(self) -> None:
+        if not self.looking:
+            self.looking = True
+            self.loop.call_in(0.0, self._look)
+
+    def _look(self) -> None:
+        self.looking = False
+        for task in list(islice(self.waiting, self.count())):
+            del self.waiting[task]
+            self.loop.wake(task)
+        if self.waiting:
+            self._look_soon()
+
+
+# What a crowd is told without its request being read: the rest would cost more than the answer.
+BUSY = (
+    b"HTTP/1.1 503 \r\nretry-after: 1\r\nconnection: close\r\ncontent-type: application/problem+json\r\n"
+    b"content-length: %d\r\n\r\n%b"
+)
+BUSY_BODY = b'{"title":"Not now","status":503,"detail":"too many requests wait","retryAfterMs":1000}'
+
+
 class Server:
     def __init__(
         self,
@@ -126,7 +188,9 @@
         limits: Limits,
         log: Callable[..., None] = lambda event, **more: None,
         problem: Callable[[HttpError], Response] = plain,
+        intake: Intake | None = None,
     ) -> None:
+        self.turnstile = Turnstile(loop, intake) if intake is not None else None
         self.loop, self.handler, self.limits, self.log, self.problem = loop, handler, limits, log, problem
         self.refused = 0
         self.unproven: dict[Stream, None] = {}  # connections that have not made a whole request, oldest first
@@ -170,15 +234,24 @@
             while stream.closed is None:
                 clock.waits(connection.waits())
                 data = yield from stream.read()
+                if self.turnstile is not None and not (yield from self.turnstile.enter()):
+                    self._dropped("too many requests wait to be read")
+                    stream.send(BUSY % (len(BUSY_BODY), BUSY_BODY))
+                    yield from self._linger(stream)
+                    return
+                began = self.loop.now()
                 requests = connection.feed(data)
                 if requests:
                     self.unproven.pop(stream, None)
                 while requests:
-                    link = yield from self._answer(connection, stream, requests[0], clock)
+                    link = yield from self._answer(connection, stream, requests[0], clock, began)
                     if link is not None:
                         clock.stop()
                         yield from self._hold(stream)
                         return
+                    if self.turnstile is not None:  # what came behind it takes a turn of its own
+                        yield from self.turnstile.enter()
+                    began = self.loop.now()
                     requests = requests[1:] or connection.more()
                 if data == b"" or connection.ended():
                     break
@@ -213,7 +286,12 @@
             stream.send(connection.refuse(error, self.problem(error)))
 
     def _answer(
-        self, connection: ServerConnection, stream: Stream, request: Request, clock: Patience
+        self,
+        connection: ServerConnection,
+        stream: Stream,
+        request: Request,
+        clock: Patience,
+        began: float,
     ) -> Coroutine:
         request.origin = stream
         try:
@@ -222,6 +300,8 @@
             told = self.problem(error)
         if isinstance(told, Response):
             stream.send(connection.answer(told))
+            if self.turnstile is not None:
+                self.turnstile.intake.spent(self.loop.now() - began)
             if stream.out:
                 clock.waits(True)  # the response, too, is to be taken in that time
                 yield from stream.flush()
--- a/glencleat/kernel/loop.py
+++ b/glencleat/kernel/loop.py
@@ -51,6 +51,7 @@
     def __init__(self) -> None:
         self.epoll = select.epoll()
         self.calls: dict[int, Callable[[int], None]] = {}
+        self.idle_ms = 0.0  # spent waiting, in all
 
     def watch(self, fd: int, interest: int, call: Callable[[int], None]) -> None:
         self.epoll.register(fd, interest)
@@ -65,7 +66,9 @@
 
     def poll(self, timeout_ms: float | None) -> int:
         wait = None if timeout_ms is None else max(0.0, timeout_ms) / 1000.0
+        began = time.monotonic()
         events = self.epoll.poll(wait, 512)
+        self.idle_ms += 1_000.0 * (time.monotonic() - began)
         for fd, mask in events:
             call = self.calls.get(fd)  # an earlier callback of this round may have closed it
             if call is not None:
--- a/glencleat/rest/overload.py
+++ b/glencleat/rest/overload.py
@@ -15,6 +15,11 @@
 from glencleat.rest.jobs import Bucket
 
 
+SLOW, SLOW_MS = 4.0, 100.0  # answers that take so many times the best, and more than this, are slow
+WINDOW_LEAST, WINDOW_MOST = 16.0, 16_384.0
+STRETCH_MS = 100.0
+
+
 @dataclass(frozen=True, slots=True)
 class Limits:
     """Rates are a second; a list costs one token for each hundred resources that it looks at."""
@@ -50,8 +55,11 @@
     def __init__(self, least_ms: float = 1.0, most_ms: float = 8.0, late_ms: float = 12.0) -> None:
         self.least_ms, self.most_ms, self.late_ms = least_ms, most_ms, late_ms
         self.budget_ms = most_ms
+        self.window = 256.0  # attempts of jobs' tasks that may be out at once
+        self.took_ms, self.best_ms = 0.0, 1e9  # from an attempt to its machine's answer: lately, at best
         self.rate = 1_000.0  # tasks a second that get their round while more wait
         self.since: float | None = None
+        self.told = 0
 
     def begins(self, now: float, due: float) -> float:
         """The turn's budget in milliseconds; `due`: when it was to begin."""
@@ -61,13 +69,36 @@
             self.budget_ms = min(self.most_ms, self.budget_ms + self.least_ms / 2.0)
         return self.budget_ms
 
+    def answered(self, ms: float) -> None:
+        """A machine answered an attempt after so long, as we read it."""
+        self.took_ms += 0.05 * (ms - self.took_ms)
+        self.best_ms = min(1.001 * self.best_ms, ms)
+
+    def full(self, out: int) -> bool:
+        """Whether so many attempts are out that more would only wait, here or at their machines.
+
+        The window grows while answers come about as fast as they ever did and shrinks while they don't (as
+        TCP Vegas has it): what is beyond it waits in the queue, where admission sees it."""
+        if self.took_ms > max(SLOW_MS, SLOW * self.best_ms):
+            self.window = max(WINDOW_LEAST, 0.98 * self.window)
+        elif out > 0.8 * self.window:
+            self.window = min(WINDOW_MOST, self.window + 4.0)
+        return out >= self.window
+
     def ends(self, now: float, told: int, left: int) -> None:
-        """A turn is over: so many were told, so many still wait."""
-        if self.since is not None and told and now > self.since:
-            measured = 1_000.0 * told / (now - self.since)
-            self.rate += 0.1 * (measured - self.rate)
-            self.rate = max(1.0, self.rate)
-        self.since = now if left else None
+        """A turn is over: so many were told, so many still wait.
+
+        Turns in which nothing could be told count too: the rate is taken over stretches in which there was
+        always something to tell."""
+        if self.since is None:
+            self.since, self.told = (now, 0) if left else (None, 0)
+            return
+        self.told += told
+        span = now - self.since
+        if span >= STRETCH_MS:
+            self.rate = max(1.0, self.rate + 0.3 * (1_000.0 * self.told / span - self.rate))
+        if span >= STRETCH_MS or not left:
+            self.since, self.told = (now, 0) if left else (None, 0)
 
     def wait_ms(self, queued: int) -> float:
         """How long a task waits for its round behind so many."""
@@ -95,6 +126,35 @@
         self.cost_ms += 0.05 * (max(0.001, ms) - self.cost_ms)
 
 
+class Intake:
+    """When the next request is read: requests of this front take a share of a loop that is never idle, and
+    all the time that it is.
+
+    Agents' and owners' calls come in by the same loop and are read as they come; what they leave is known
+    from the loop's idle time. Without this a crowd of creations delays the yeses of tasks that were placed
+    before, until their attempts time out and all work done for them is lost."""
+
+    def __init__(self, share: float = 0.4, burst_ms: float = 20.0, wait_ms: float = 1_000.0) -> None:
+        self.share, self.burst_ms, self.wait_ms = share, burst_ms, wait_ms
+        self.left_ms, self.cost_ms, self.at, self.idle = burst_ms, 1.0, 0.0, 0.0
+
+    def count(self, now: float, idle_ms: float) -> int:
+        """How many may be read now; `idle_ms`: how long the loop has waited for events since its start."""
+        more = self.share * (now - self.at) + (idle_ms - self.idle)
+        self.left_ms = min(self.burst_ms, self.left_ms + more)
+        self.at, self.idle = now, idle_ms
+        return max(1, int(self.left_ms / self.cost_ms)) if self.left_ms > 0.0 else 0
+
+    def spent(self, ms: float) -> None:
+        """One request was read and answered."""
+        self.left_ms -= ms
+        self.cost_ms += 0.05 * (max(0.01, ms) - self.cost_ms)
+
+    def crowded(self, waiting: int) -> bool:
+        """Whether one more would wait too long behind so many, and is better told so at once."""
+        return waiting * self.cost_ms / self.share > self.wait_ms
+
+
 class Gate:
     """Admission of requests; one Bucket for each connection (kept by the front) and for each tenant."""
 
--- a/glencleat/rest/plane.py
+++ b/glencleat/rest/plane.py
@@ -18,8 +18,8 @@
 
 from glencleat import interface as api
 from glencleat.allocator.core import Core
-from glencleat.allocator.ledger import Ask, Call, Given
-from glencleat.allocator.seam import Answered, Forgotten, Happened, Opened, Taken, Told, Verdict
+from glencleat.allocator.ledger import Ask, Attempt, Call, Given
+from glencleat.allocator.seam import Answered, Back, Forgotten, Happened, Opened, Sent, Taken, Told, Verdict
 from glencleat.allocator.tables import DROPPED, FINISHED, KILLED, RESOURCES_UNKNOWN, RUNNING, STARTING
 from glencleat.allocator.tables import Answer, Retry
 from glencleat.mesos import messages as m
@@ -77,7 +77,7 @@
         )
         self.mirror.stir = self._stir
         self.pace = overload.Pace()
-        self.share = overload.Fan()
+        self.share, self.intake = overload.Fan(), overload.Intake()
         self.gate = overload.Gate(limits.gate, self.pace)
         self.turns = Turns()
         self.keys = Keys(limits.keys, limits.over_ms)
@@ -85,7 +85,7 @@
         self.waiting: Counter[str] = Counter()  # slots that wait, by tenant
         self.jobs_of: Counter[str] = Counter()
         self.over: dict[Job, None] = {}  # in the order in which they ended
-        self.numbers = 0
+        self.out: dict[str, float] = {}  # attempts of jobs' tasks without an answer -> when they were sent
         self.flushing = self.pumping = False
         self.pump_due = 0.0
         self.fanning = False
@@ -225,12 +225,14 @@
         began = self.core.timing.now()
         budget, told = self.pace.begins(began, self.pump_due), 0
         self.turns.wake(self.core.now())
-        while self.core.timing.now() - began < budget or not told:
+        full = self.pace.full(len(self.out))
+        while not full and (self.core.timing.now() - began < budget or not told):
             slot = self.turns.pop()
             if slot is None:
                 break
             told += 1
             self._round(slot)
+            full = len(self.out) >= self.pace.window
         self.pace.ends(self.core.timing.now(), told, self.turns.queued)
         due = self.turns.due()
         if self.turns.queued:
@@ -324,9 +326,22 @@
     def hear(self, what: Happened) -> None:
         if not self._ours(what):
             self.mirror.hear(what)
+        if isinstance(what, Sent):
+            if what.attempt.call.framework.startswith(PREFIX + ":"):
+                self.out[what.attempt.id] = what.attempt.sent_at
+        elif isinstance(what, Back):
+            self._heard(what.attempt, what.outcome is api.Outcome.REFUSED)
+        elif isinstance(what, Answered) and what.given is Given.SERVED:
+            self._heard(what.call.last(), True)
         if isinstance(what, Opened):
             self._pump_soon()
 
+    def _heard(self, attempt: Attempt | None, answered: bool) -> None:
+        """An attempt is no longer out; `answered`: its machine said so."""
+        sent = self.out.pop(attempt.id, None) if attempt is not None else None
+        if sent is not None and answered:
+            self.pace.answered(self.core.now() - sent)
+
     def _ours(self, what: Happened) -> bool:
         """Whether it is about a job's task; then it is handled here."""
         if not isinstance(what, Told | Taken | Answered | Forgotten):
--- a/glencleat/rest/schema.py
+++ b/glencleat/rest/schema.py
@@ -27,8 +27,9 @@
 TASKS_MOST = 1_000  # of one job
 
 
-class Camel(msgspec.Struct, rename="camel", omit_defaults=True, frozen=True, kw_only=True):
-    """Base of all: fields that are not set don't travel."""
+class Camel(msgspec.Struct, rename="camel", omit_defaults=True, frozen=True, kw_only=True, gc=False):
+    """Base of all: fields that are not set don't travel. None can be part of a cycle, and there are many: the
+    garbage collector does not look at them, or a full collection would hold placements up."""
 
 
 class Strict(Camel, forbid_unknown_fields=True, frozen=True, kw_only=True):
--- a/glencleat/rest/versions.py
+++ b/glencleat/rest/versions.py
@@ -9,9 +9,9 @@
 
 from bisect import bisect_right
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
 from typing import Any
 
+import msgspec
 from sortedcontainers import SortedDict
 
 from glencleat.rest.selector import Selector, anchors, matches
@@ -24,9 +24,10 @@
     """The version is older than what the log holds, or is another process's; list again (410)."""
 
 
-@dataclass(slots=True, eq=False)
-class Record:
-    """One resource from `version` on; `value` None: deleted. `labels`: what selectors see."""
+class Record(msgspec.Struct, eq=False, gc=False):
+    """One resource from `version` on; `value` None: deleted. `labels`: what selectors see.
+
+    Records and Events form chains and no cycles, and are too many for the garbage collector to go through."""
 
     key: Key
     version: int
@@ -36,8 +37,7 @@
     encoded: bytes | None = None  # filled by whoever writes it first
 
 
-@dataclass(slots=True, eq=False)
-class Event:
+class Event(msgspec.Struct, eq=False, gc=False):
     kind: str
     version: int
     record: Record
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -675,6 +675,23 @@
     assert not core.module.probes and not core.probes
 
 
+def test_a_late_yes_that_was_stopped_is_not_adopted_by_its_next_status():
+    """Its owner was told `refused`, and asks again: it must not find two. Seen under a crowd of creations."""
+    cluster, owner, agent, attempt = begin("safe")
+    other = next(a for a in cluster.agents.values() if a is not agent)
+    other.link.close("gone")
+    for _ in range(9):
+        agent.beat()
+        cluster.timing.advance(1_000.0)  # its time-out, and the end of the ask
+    assert owner.states("t1")[-1] in ("TASK_LOST", "TASK_DROPPED")
+    agent.say(attempt, "TASK_STARTING")
+    assert agent.kills() == [attempt]
+    agent.say(attempt, "TASK_RUNNING")
+    assert agent.kills() == [attempt, attempt] and owner.states("t1")[-1] in ("TASK_LOST", "TASK_DROPPED")
+    assert not cluster.core.ledger.calls and sum(cluster.core.figures.adopted.values()) == 0
+    cluster.check()
+
+
 def test_the_end_of_one_silent_session_may_break_another_in_the_same_sweep():
     """Seen in a play: the task goes from the first silent agent to the second, whose connection fails at
     that."""
