Tasks of a dead machine are placed anew where wanted; a job out of sight can be cancelled

Read again: a task whose machine stays away was kept as placed for ever, also where its job wants lost tasks back, and a job with such a task could not be cancelled at all. A safe one is now placed anew after the pause; if the machine is back before, the task is kept and nothing more is asked; if it comes later, its copy is stopped. Cancelling takes what is out of sight as over, and stops it should it come back.

--- a/glencleat/rest/jobs.py
+++ b/glencleat/rest/jobs.py
@@ -128,9 +128,8 @@
 
 
 def after_end(slot: Slot, answer: Answer) -> Next:
-    """What follows the end of a placed task. One that may run on out of sight is not over."""
-    if answer.state == UNREACHABLE:
-        return Next(Step.PLACED)
+    """What follows the end of a placed task. One that may run on out of sight is not over, unless a second
+    does no harm and is wanted: should the first come back, the core stops it."""
     again = (
         slot.job.spec.when_lost == "again"
         and answer.state != FINISHED
@@ -138,7 +137,9 @@
         and slot.job.cls.effect is not api.Effect.UNSAFE
         and not slot.cancelled
     )
-    return Next(Step.PAUSED, PAUSE_MS * 2.0) if again else Next(Step.OVER)
+    if again:
+        return Next(Step.PAUSED, PAUSE_MS * 2.0)
+    return Next(Step.PLACED if answer.state == UNREACHABLE else Step.OVER)
 
 
 def round_ms(slot: Slot, now: float, margin_ms: float) -> float:
--- a/glencleat/rest/plane.py
+++ b/glencleat/rest/plane.py
@@ -183,6 +183,9 @@
         slot.cancelled = True
         if slot.step in (Step.QUEUED, Step.PAUSED):
             self._refuse(slot, Answer(KILLED, Retry.HARMLESS), "cancelled by its owner")
+        elif slot.call is not None and slot.call.over:  # out of sight; stopped should it come back
+            self._step(slot, Step.OVER)
+            self._settled(slot.job)
         elif slot.call is not None:
             self.core.owners.withdraw(slot.call)  # its answer, or its end, follows
 
@@ -363,11 +366,14 @@
             slot.placed_once |= then.step is Step.PLACED
             self._after(slot, then, answer, given, what.text)
         elif answer.state in (STARTING, RUNNING):
-            # Also one that was told as failed and is found to run: it is placed from here on.
+            # Also one that was told as failed, or that was to be placed anew, and is found to run: it is
+            # placed from here on, and nothing more is asked for it.
             self.mirror.told(what.call, answer, what.text)
             slot.placed_once = True
-            if slot.step is Step.OVER:
+            if slot.step is not Step.PLACED:
                 self._step(slot, Step.PLACED)
+                slot.given = slot.given or Given.SERVED
+                seen.answer = slot.given.value
                 self.over.pop(slot.job, None)
                 slot.job.over_at = None
         elif slot.step is Step.PLACED:
--- a/tests/test_rest_front.py
+++ b/tests/test_rest_front.py
@@ -154,6 +154,57 @@
     assert front.job()["status"] == {"phase": "over", "finished": 1}
 
 
+def test_a_task_of_a_dead_machine_is_placed_elsewhere_and_stopped_if_it_comes_back():
+    front = Front(2)
+    front.create(whenLost="again")
+    front.run()
+    front.say("TASK_RUNNING")
+    dead, attempt = front.out()
+    (launch,) = dead.launches()
+    dead.link.close("gone")
+    front.run(5_000.0)  # past agents-return, and the pause
+    front.run(1_000.0)
+    assert front.out()[0] is not dead
+    front.say("TASK_RUNNING")
+    dead.subscribe(tasks=[launch])
+    assert dead.kills() == [attempt] and front.job()["status"]["placed"] == 1
+    front.cluster.check()
+
+
+def test_a_machine_that_is_back_before_the_next_round_keeps_its_task():
+    front = Front(1)
+    front.create(whenLost="again")
+    front.run()
+    front.say("TASK_RUNNING")
+    agent, _ = front.out()
+    (launch,) = agent.launches()
+    agent.link.close("gone")
+    while front.task()["state"] != "TASK_STAGING":
+        front.timing.advance(50.0)
+    agent.subscribe(tasks=[launch])
+    front.run(5_000.0)
+    assert agent.launches() == [] and agent.kills() == [] and front.task()["state"] == "TASK_RUNNING"
+    assert front.job()["status"]["placed"] == 1 and front.plane.waiting.total() == 0
+    front.cluster.check()
+
+
+@pytest.mark.parametrize("cls", ["safe", "unsafe"])
+def test_a_job_whose_task_is_out_of_sight_can_be_cancelled(cls):
+    front = Front(1)
+    front.create(**{"class": cls})
+    front.run()
+    front.say("TASK_RUNNING")
+    agent, attempt = front.out()
+    (launch,) = agent.launches()
+    agent.link.close("gone")
+    front.run(6_000.0)
+    assert front.task()["state"] == "TASK_UNREACHABLE" and front.job()["status"]["placed"] == 1
+    assert front.ask("DELETE", "/v1/tenants/t/jobs/j")[0] == 204
+    agent.subscribe(tasks=[launch])
+    front.run()
+    assert agent.kills() == [attempt], "it came back, and nobody wants it"
+
+
 # ---- cancelling ----
 
 
