--- a/glencleat/fronts/rest_api.py
+++ b/glencleat/fronts/rest_api.py
@@ -336,6 +336,7 @@
         """The watch's coroutine: takes pieces as the socket does, waits for news, and tells why it ends."""
         plane, core = self.plane, self.core
         self.watchers[watcher] = sink
+        sink.on_close(lambda: watcher.wake())
         until = core.now() + timeout_ms
         try:
             while watcher.cut is None and core.now() < until:
@@ -350,11 +351,14 @@
                         # otherwise have the loop for itself until its socket is full.
                         plane.fan()
                         yield from self._news(sink, watcher, until - core.now())
+                elif watcher.cut is None and began - watcher.told_at >= BOOKMARK_MS:
+                    watcher.told_at = began
+                    sending = sink.send(channels.bookmark(plane.versions.told()))
+                    plane.share.spent(core.timing.now() - began)
+                    yield from sending
                 elif watcher.cut is None:
-                    woken = yield from self._news(sink, watcher, min(BOOKMARK_MS, until - core.now()))
-                    if not woken and watcher.cut is None:
-                        watcher.told_at = core.now()
-                        yield from sink.send(channels.bookmark(plane.versions.told()))
+                    quiet = watcher.told_at + BOOKMARK_MS - began
+                    yield from self._news(sink, watcher, min(quiet, until - began))
             if watcher.cut is not None:
                 core.log("watch cut off", why=watcher.cut)
                 core.figures.events["watch cut off"] += 1
@@ -369,27 +373,33 @@
             plane.channels.leave(watcher)
 
     def _news(self, sink: Sink, watcher: channels.Watcher, wait_ms: float) -> Coroutine:
-        """Waits for news, the connection's end or the time's; gives whether it was not the time's."""
-        loop = sink.stream.loop
+        """Waits for news, or for the time to be over; raises StreamClosed at the connection's end.
+
+        When the time is over the watcher queues for its turn like one with news: a thousand that began
+        together would else be due for their bookmarks in one turn of the loop."""
+        loop, plane = sink.stream.loop, self.plane
+
+        def late() -> None:
+            plane.channels.remind(watcher)
+            plane.fan()
 
         def arm(task: Task) -> Callable[[], None]:
-            timer = loop.call_in(wait_ms, lambda: told(False))
+            timer = loop.call_in(max(0.0, wait_ms), late)
 
             def disarm() -> None:
                 timer.cancel()
                 watcher.wake = lambda: None
 
-            def told(woken: bool) -> None:
+            def told() -> None:
                 disarm()
-                loop.wake(task, woken)
+                loop.wake(task)
 
-            watcher.wake = lambda: told(True)
+            watcher.wake = told
             return disarm
 
-        woken = yield arm
+        yield arm
         if sink.closed:
             raise StreamClosed(sink.stream.closed or "")
-        return woken
 
     def _blocked(self, watcher: channels.Watcher) -> bool:
         """Whether it is the reader that does not take what lies ready, and not we that have not told it."""
--- a/glencleat/rest/channels.py
+++ b/glencleat/rest/channels.py
@@ -188,7 +188,13 @@
         """The next piece for a watcher that has room for it; b"" when it has all and will be woken.
 
         Sets `cut` where it is too late."""
-        watcher.progress_at = watcher.told_at = now
+        watcher.progress_at = now
+        data = self._piece(watcher)
+        if data:
+            watcher.told_at = now
+        return data
+
+    def _piece(self, watcher: Watcher) -> bytes:
         if watcher.early is not None:
             try:
                 return next(watcher.early)
@@ -217,6 +223,10 @@
         self.awake[watcher] = None
         return True
 
+    def remind(self, watcher: Watcher) -> None:
+        """Has the watcher woken in its turn although there is no news."""
+        self.awake[watcher] = None
+
     def behind(self, watcher: Watcher) -> bool:
         return watcher.early is not None or watcher.cursor < watcher.channel.end()
 
--- a/tests/test_rest_path.py
+++ b/tests/test_rest_path.py
@@ -160,6 +160,15 @@
     assert told.startswith(b"HTTP/1.1 505") and day.daemon.plane.channels.count == 0
 
 
+def test_a_watcher_that_hangs_up_is_forgotten_at_once(world):
+    day = world()
+    with socket.create_connection(day.bound["rest"]) as sock:
+        sock.sendall(request("GET", "/v1/jobs?watch=1"))
+        day.until(lambda: day.daemon.plane.channels.count == 1 and day.daemon.plane.channels.channels)
+    day.until(lambda: day.daemon.plane.channels.count == 0, 1_000.0)
+    assert not day.daemon.rest.watchers
+
+
 def test_many_readers_with_much_to_read_take_turns(world):
     """Each begins with 3,000 resources; none has the loop for itself, and all get all, once."""
     day = world("rest first-round 10m\n")
