--- a/glencleat/daemon.py
+++ b/glencleat/daemon.py
@@ -33,8 +33,8 @@
 
 MB = 1 << 20
 FLUSH_MS = 1_000.0
-# Young objects between two collections, and so on (gc.set_threshold). With a thousand sessions a collection of
-# all takes 70 ms; at Python's own 700 it came every few seconds, and was the p99 of placements.
+# Young objects between two collections, and so on (gc.set_threshold). With a thousand sessions, one of
+# all takes 70 ms; with Python's own 700 it came every few seconds, and was the p99 of placements.
 COLLECT = 50_000, 20, 50
 LIVE = {"limit", "rest", "log", "shutdown", "answer_margin", "probe_timeout"}  # what SIGHUP can change
 
