--- a/tests/test_rest_front.py
+++ b/tests/test_rest_front.py
@@ -327,6 +327,21 @@
     assert front.job()["status"] == {"phase": "over", "finished": 1}
 
 
+def test_what_an_adopted_task_left_behind_is_no_answer_to_a_new_job():
+    first = Front(1)
+    first.create()
+    first.run()
+    ((_, launch),) = first.cluster.offered()
+    front = Front(1)
+    (agent,) = front.agents.values()
+    agent.subscribe(tasks=[launch])
+    agent.say(launch.task_id.value, "TASK_KILLED")
+    front.run()
+    assert front.task()["state"] == "TASK_KILLED"
+    front.create()
+    assert front.task()["state"] == "TASK_STAGING" and "answer" not in front.task()
+
+
 def test_a_framework_cannot_subscribe_as_a_job():
     from glencleat.fronts.scheduler_api import SchedulerApi
     from glencleat.mesos import messages as m
