Read again: one share of time, one stamp, one refusal before the ask; dead parts out

Rereading the whole change showed pieces written twice and state that nobody read. Fan and Intake were one token bucket of time and now share it (Share); the checks before an ask is read stood in both ways in (_refused); a resource's JSON was stamped in two places (schema.stamped), a tag in two, the plain refusal built by hand beside tables.refusal, the bounds of labels told three times. Out: an unused protocol, three unread fields, a hook nobody set.

Two things were at the wrong place. After every answer a connection waited for a second turn at the turnstile, also when nothing lay behind it. A watch that was cut off had its reason written into its buffer by hand, and told and counted again by its own coroutine if the reader came back; the coroutine alone does both now.

Speed not measured again.

--- a/glencleat/allocator/owner_side.py
+++ b/glencleat/allocator/owner_side.py
@@ -123,25 +123,14 @@
     def _launch(self, framework: Framework, info: m.TaskInfo) -> None:
         core = self.core
         before = core.ledger.task(framework.id, info.task_id.value)
-        repeat = admission.repeats(before)
-        if repeat == "same" and before is not None:
+        if admission.repeats(before) == "same" and before is not None:
             core.figures.events["launch repeated"] += 1
             if before.given is not None:
                 self._reconciled(framework, before.task_id, before)
             return
-        if repeat == "never" and before is not None:
-            self._turn_away(framework, info, tables.reconciled(before.fate()), "it may have run before")
-            return
-        load = admission.Load(
-            core.ledger.open,
-            framework.open,
-            len(core.ledger.calls),
-            core.frameworks.behind(framework),
-            core.ending,
-        )
-        why = admission.refuses(load, core.options.limits)
-        if why is not None:
-            self._turn_away(framework, info, tables.refusal(False), why)
+        verdict = self._refused(before, framework.open, core.frameworks.behind(framework))
+        if verdict is not None:
+            self._turn_away(framework, info, verdict.answer, verdict.text)
             return
         try:
             ask = read(info, core.classes, core.options.default_class, core.options.answer_margin_ms)
@@ -156,6 +145,15 @@
         framework.open += 1
         core.ask(taken)
 
+    def _refused(self, before: Call | None, open_here: int, behind: bool) -> Verdict | None:
+        """Why a task that is no repeat of one in hand is not taken, before what it asks for is looked at."""
+        core = self.core
+        if admission.repeats(before) == "never" and before is not None:
+            return Verdict(tables.reconciled(before.fate()), "it may have run before")
+        load = admission.Load(core.ledger.open, open_here, len(core.ledger.calls), behind, core.ending)
+        why = admission.refuses(load, core.options.limits)
+        return Verdict(tables.refusal(False), why) if why is not None else None
+
     def _take(self, owner: str, tenant: str | None, info: m.TaskInfo, ask: Ask) -> Call | Verdict:
         core = self.core
         effect = core.classes[ask.task_class].effect
@@ -177,16 +175,12 @@
         placed already is given as it is: the same ask again, or adopted from a former incarnation."""
         core = self.core
         before = core.ledger.task(owner, info.task_id.value)
-        repeat = admission.repeats(before)
-        if repeat == "same" and before is not None:
+        if admission.repeats(before) == "same" and before is not None:
             core.figures.events["launch repeated"] += 1
             return before
-        if repeat == "never" and before is not None:
-            return Verdict(tables.reconciled(before.fate()), "it may have run before")
-        load = admission.Load(core.ledger.open, 0, len(core.ledger.calls), False, core.ending)
-        why = admission.refuses(load, core.options.limits)
-        if why is not None:
-            return Verdict(tables.refusal(False), why)
+        verdict = self._refused(before, 0, False)
+        if verdict is not None:
+            return verdict
         taken = self._take(owner, tenant, info, ask)
         if isinstance(taken, Call):
             if record is not None:
--- a/glencleat/fronts/rest_api.py
+++ b/glencleat/fronts/rest_api.py
@@ -209,15 +209,14 @@
         return Response(200, self.document, JSON)
 
     def _one(self, record: Record, status: int = 200) -> Response:
-        version = self.plane.versions.told(record.version)
-        headers = {"etag": f'"{version}"'}
-        return Response(status, self._bytes(record), JSON, headers)
+        return Response(status, self._bytes(record), JSON, {"etag": self._tag(record)})
+
+    def _tag(self, record: Record) -> str:
+        return f'"{self.plane.versions.told(record.version)}"'
 
     def _bytes(self, record: Record) -> bytes:
         if record.encoded is None:
-            body = s.encode(record.value)
-            version = self.plane.versions.told(record.version).encode()
-            record.encoded = b'{"resourceVersion":"%b",%b' % (version, body[1:])
+            record.encoded = s.stamped(record.value, self.plane.versions.told(record.version))
         return record.encoded
 
     def _record(self, kind: str, key: Key) -> Record:
@@ -324,7 +323,7 @@
         versions, after = self.plane.versions, None
         while True:
             records, after = versions.page(kind, version, selector, FIRST, after, tenant)
-            lines = [b'{"type":"ADDED","object":%b}\n' % self._bytes(record) for record in records]
+            lines = [channels.wrap("ADDED", self._bytes(record)) for record in records]
             if after is None:
                 lines.append(channels.bookmark(versions.told(version)))
             if lines:
@@ -360,8 +359,6 @@
                     quiet = watcher.told_at + BOOKMARK_MS - began
                     yield from self._news(sink, watcher, min(quiet, until - began))
             if watcher.cut is not None:
-                core.log("watch cut off", why=watcher.cut)
-                core.figures.events["watch cut off"] += 1
                 last = channels.problem_line(410, "Gone", watcher.cut)
             else:
                 last = channels.bookmark(plane.versions.told())
@@ -369,6 +366,9 @@
         except StreamClosed:
             pass
         finally:
+            if watcher.cut is not None:
+                core.log("watch cut off", why=watcher.cut)
+                core.figures.events["watch cut off"] += 1
             self.watchers.pop(watcher, None)
             plane.channels.leave(watcher)
 
@@ -407,18 +407,11 @@
         return sink is not None and bool(sink.stream.out)
 
     def _cut(self, watcher: channels.Watcher) -> None:
-        """The watcher stands still and is marked as cut: its coroutine waits in a send that can't end."""
+        """The watcher stands still and is marked as cut: its coroutine waits in a send. If the reader takes
+        that in a last while, the coroutine goes on and tells it why; else the connection ends."""
         sink = self.watchers.get(watcher)
-        if sink is None:
-            return
-        text = watcher.cut or ""
-        self.core.log("watch cut off", why=text)
-        self.core.figures.events["watch cut off"] += 1
-        stream = sink.stream
-        with_reason = sink.connection.chunk(channels.problem_line(410, "Gone", text))
-        if stream.closed is None and len(stream.out) + len(with_reason) < stream.limit:
-            stream.out += with_reason  # it lies behind what the reader has yet to take, if it ever does
-        stream.loop.call_in(LAST_MS, lambda: stream.close(text))
+        if sink is not None:
+            sink.stream.loop.call_in(LAST_MS, lambda: sink.stream.close(watcher.cut or ""))
 
     # ---- changing ----
 
@@ -446,7 +439,7 @@
     def _matched(self, asked: Asked, kind: str, key: Key) -> Record:
         """The resource, if If-Match lets it be changed."""
         record = self._record(kind, key)
-        tag = f'"{self.plane.versions.told(record.version)}"'
+        tag = self._tag(record)
         wanted = asked.request.headers.get("if-match")
         if wanted is not None and not matches_tag(wanted, tag):
             raise HttpError(412, f"the {kind[:-1]} is at {tag}; If-Match wants {wanted[:120]}")
--- a/glencleat/fronts/server.py
+++ b/glencleat/fronts/server.py
@@ -136,7 +136,7 @@
         self.looking = False
 
     def count(self) -> int:
-        return self.intake.count(self.loop.now(), getattr(self.loop.poller, "idle_ms", 0.0))
+        return self.intake.count(self.loop.now(), self.loop.poller.idle_ms)
 
     def enter(self) -> Coroutine:
         """Waits for a turn; gives False, at once, where that would take too long."""
@@ -249,8 +249,8 @@
                         clock.stop()
                         yield from self._hold(stream)
                         return
-                    if self.turnstile is not None:  # what came behind it takes a turn of its own
-                        yield from self.turnstile.enter()
+                    if self.turnstile is not None and connection.waits():
+                        yield from self.turnstile.enter()  # what came behind it takes a turn of its own
                     began = self.loop.now()
                     requests = requests[1:] or connection.more()
                 if data == b"" or connection.ended():
--- a/glencleat/kernel/loop.py
+++ b/glencleat/kernel/loop.py
@@ -39,6 +39,8 @@
 
 
 class Poller(Protocol):
+    idle_ms: float  # spent waiting, in all
+
     def watch(self, fd: int, interest: int, call: Callable[[int], None]) -> None: ...
     def change(self, fd: int, interest: int) -> None: ...
     def forget(self, fd: int) -> None: ...
@@ -51,7 +53,7 @@
     def __init__(self) -> None:
         self.epoll = select.epoll()
         self.calls: dict[int, Callable[[int], None]] = {}
-        self.idle_ms = 0.0  # spent waiting, in all
+        self.idle_ms = 0.0
 
     def watch(self, fd: int, interest: int, call: Callable[[int], None]) -> None:
         self.epoll.register(fd, interest)
--- a/glencleat/rest/channels.py
+++ b/glencleat/rest/channels.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 from itertools import islice
 
-from glencleat.rest.schema import Problem, WatchEvent, encode
+from glencleat.rest.schema import Problem, encode, stamped
 from glencleat.rest.selector import Selector, anchors
 from glencleat.rest.versions import Event, Gone
 
@@ -85,14 +85,14 @@
         source = event.record if event.record.value is not None else event.before
         assert source is not None
         # A deletion shows the last state under the deletion's version: a watch can be resumed after it.
-        made = event.lines[kind] = wrap(kind, source.value, told(event.version))
+        body = stamped(source.value, told(event.version))
+        made = event.lines[kind] = wrap(kind, body)
     return made
 
 
-def wrap(kind: str, value: object, version: str) -> bytes:
-    body = encode(value)
-    stamp = b'{"resourceVersion":"%b",' % version.encode()
-    return b'{"type":"%b","object":%b%b}\n' % (kind.encode(), stamp, body[1:])
+def wrap(kind: str, body: bytes) -> bytes:
+    """A line of a watch."""
+    return b'{"type":"%b","object":%b}\n' % (kind.encode(), body)
 
 
 class Channels:
@@ -251,8 +251,8 @@
 
 
 def bookmark(version: str) -> bytes:
-    return b'{"type":"BOOKMARK","object":{"resourceVersion":"%b"}}\n' % version.encode()
+    return wrap("BOOKMARK", encode({"resourceVersion": version}))
 
 
 def problem_line(status: int, title: str, detail: str) -> bytes:
-    return encode(WatchEvent(type="ERROR", object=Problem(title=title, status=status, detail=detail))) + b"\n"
+    return wrap("ERROR", encode(Problem(title=title, status=status, detail=detail)))
--- a/glencleat/rest/jobs.py
+++ b/glencleat/rest/jobs.py
@@ -39,7 +39,6 @@
     number: int
     until: float  # its owner waits till then
     step: Step = Step.QUEUED
-    due: float = 0.0  # PAUSED: when it is queued again
     rounds: int = 0
     call: Call | None = None
     record: Record = field(default_factory=Record)  # of all its rounds
@@ -60,7 +59,6 @@
     spec: JobSpec
     cls: api.TaskClass
     labels: dict[str, str]
-    created_at: float
     created_wall: float
     cancelled: bool = False
     slots: list[Slot] = field(default_factory=list)
@@ -190,7 +188,7 @@
         self.queued += 1
 
     def pause(self, slot: Slot, until: float) -> None:
-        slot.step, slot.due = Step.PAUSED, until
+        slot.step = Step.PAUSED
         self.order += 1
         heapq.heappush(self.paused, (until, self.order, slot))
 
--- a/glencleat/rest/mirror.py
+++ b/glencleat/rest/mirror.py
@@ -9,7 +9,6 @@
 from collections import Counter, OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Protocol
 
 from glencleat import interface as api
 from glencleat.allocator.ledger import Call
@@ -26,8 +25,7 @@
     Taken,
     Told,
 )
-from glencleat.allocator.tables import STAGING, UNREACHABLE, Answer
-from glencleat.allocator.tables import RUNNING, STARTING
+from glencleat.allocator.tables import RUNNING, STAGING, STARTING, UNREACHABLE, Answer
 from glencleat.allocator.why import Record
 from glencleat.rest import reasons
 from glencleat.rest import schema as s
@@ -36,16 +34,9 @@
 from glencleat.rest.versions import Event, Key, Versions
 
 LIVE = (STAGING, STARTING, RUNNING, UNREACHABLE)
-LABELS_MOST, LABEL_CHARS = 32, 64  # of a framework's task; others are not shown
 NO_TENANT = "*"  # Mesos' default role
 
 
-class Source(Protocol):
-    """What the mirror reads of the core beside what its halves do."""
-
-    opening: Opening
-
-
 @dataclass(slots=True, eq=False)
 class Seen:
     """What is known of one task, of either front."""
@@ -63,7 +54,6 @@
     machine: str | None = None
     counted: tuple[str, str, str] | None = None  # service, "waiting" or the hall, machine
     shape: reasons.Shape | None = None  # while it waits
-    said: s.Task | None = None  # as it was published
 
     def tell(self, answer: Answer, text: str | None, machine: str | None) -> None:
         self.state, self.retry, self.reason = answer.state, answer.retry.value, answer.reason
@@ -93,14 +83,8 @@
         wall: Callable[[], float],
         ended_most: int = 10_000,
     ) -> None:
-        self.core, self.opening, self.versions, self.channels, self.wall = (
-            core,
-            opening,
-            versions,
-            channels,
-            wall,
-        )
-        self.ended_most = ended_most
+        self.core, self.opening, self.wall = core, opening, wall
+        self.versions, self.channels, self.ended_most = versions, channels, ended_most
         self.tasks: dict[Key, Seen] = {}
         self.ended: OrderedDict[Key, None] = OrderedDict()  # of frameworks; a job's go with their job
         self.machines: dict[str, api.Machine] = {}
@@ -115,7 +99,6 @@
         self.dirty_services: dict[tuple[str, str], None] = {}
         self.dirty_machines: dict[str, None] = {}
         self.stir: Callable[[], None] = lambda: None  # something is dirty: flush soon
-        self.on_event: Callable[[Event], None] = lambda event: None
 
     # ---- hearing ----
 
@@ -235,9 +218,7 @@
         """Publishes up to so many changed resources; gives whether some are left."""
         left = most
         while self.dirty_tasks and left:
-            key = next(iter(self.dirty_tasks))
-            del self.dirty_tasks[key]
-            self._flush_task(self.tasks[key])
+            self.flush_task(next(iter(self.dirty_tasks)))
             left -= 1
         while self.dirty_jobs and left:
             self.flush_job(next(iter(self.dirty_jobs)))
@@ -265,7 +246,6 @@
             self.channels.publish(event, self.core.now())
             if self.channels.awake:
                 self.stir()
-            self.on_event(event)
 
     def _flush_task(self, seen: Seen) -> None:
         call, slot = seen.call, seen.slot
@@ -420,13 +400,10 @@
         return reasons.out(last.machine, last.number) if last is not None else None
 
     def why(self, seen: Seen) -> s.Why:
-        record = (
-            seen.slot.record
-            if seen.slot is not None
-            else seen.call.why
-            if seen.call is not None
-            else Record()
-        )
+        if seen.slot is not None:
+            record = seen.slot.record
+        else:
+            record = seen.call.why if seen.call is not None else Record()
         common = self.common.get(seen.shape, []) if seen.shape is not None else []
         return reasons.why(self.stage(seen), record, common, self.wall_of)
 
@@ -453,12 +430,11 @@
 
 
 def task_labels(call: Call) -> dict[str, str]:
-    """A framework's labels, as far as they are short and few."""
+    """A framework's labels, as far as they are as short and few as a job's may be."""
     told = call.info.labels.labels if call.info.labels is not None else []
-    short = [
-        x for x in told if x.value is not None and len(x.key) <= LABEL_CHARS and len(x.value) <= LABEL_CHARS
-    ]
-    return {x.key: x.value or "" for x in short[:LABELS_MOST] if not x.key.startswith(".")}
+    most = s.LABEL_CHARS
+    short = [x for x in told if x.value is not None and len(x.key) <= most and len(x.value) <= most]
+    return {x.key: x.value or "" for x in short[: s.LABELS_MOST] if not x.key.startswith(".")}
 
 
 def task_fields(task: s.Task) -> dict[str, str]:
--- a/glencleat/rest/overload.py
+++ b/glencleat/rest/overload.py
@@ -22,7 +22,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Limits:
-    """Rates are a second; a list costs one token for each hundred resources that it looks at."""
+    """Rates are a second; a list costs a token more for each 50,000 bytes that it gives."""
 
     connection_rate: float = 500.0
     connection_burst: float = 1_000.0
@@ -105,50 +105,45 @@
         return 1_000.0 * queued / self.rate
 
 
-class Fan:
-    """How many watchers may be woken now, so that telling them takes no more than a share of the loop's time.
+class Share:
+    """How often something may be done now, so that it takes no more than a share of the loop's time, and any
+    time in which the loop is idle, as far as that is told. What each took is measured where it is done."""
 
-    What each took is measured where it is done. With few watchers each is told at once; with many, each less
-    often and more at a time, which costs less for each event."""
+    def __init__(self, share: float, burst_ms: float, cost_ms: float, least_ms: float) -> None:
+        self.share, self.burst_ms, self.least_ms = share, burst_ms, least_ms
+        self.left_ms, self.cost_ms, self.at, self.idle = burst_ms, cost_ms, 0.0, 0.0
 
-    def __init__(self, share: float = 0.1, burst_ms: float = 2.0) -> None:
-        self.share, self.burst_ms = share, burst_ms
-        self.left_ms, self.cost_ms, self.at = burst_ms, 0.03, 0.0
-
-    def count(self, now: float) -> int:
-        self.left_ms = min(self.burst_ms, self.left_ms + self.share * (now - self.at))
-        self.at = now
+    def count(self, now: float, idle_ms: float = 0.0) -> int:
+        """`idle_ms`: how long the loop has waited for events since its start."""
+        more = self.share * (now - self.at) + (idle_ms - self.idle)
+        self.left_ms = min(self.burst_ms, self.left_ms + more)
+        self.at, self.idle = now, idle_ms
         return max(1, int(self.left_ms / self.cost_ms)) if self.left_ms > 0.0 else 0
 
     def spent(self, ms: float) -> None:
-        """One watcher was handed a piece."""
+        """It was done once, and took so long."""
         self.left_ms -= ms
-        self.cost_ms += 0.05 * (max(0.001, ms) - self.cost_ms)
+        self.cost_ms += 0.05 * (max(self.least_ms, ms) - self.cost_ms)
+
+
+class Fan(Share):
+    """How many watchers may be woken now. With few watchers each is told at once; with many, each less often
+    and more at a time, which costs less for each event."""
+
+    def __init__(self, share: float = 0.1, burst_ms: float = 2.0) -> None:
+        super().__init__(share, burst_ms, cost_ms=0.03, least_ms=0.001)
 
 
-class Intake:
-    """When the next request is read: requests of this front take a share of a loop that is never idle, and
-    all the time that it is.
+class Intake(Share):
+    """How many requests of this front may be read now.
 
     Agents' and owners' calls come in by the same loop and are read as they come; what they leave is known
     from the loop's idle time. Without this a crowd of creations delays the yeses of tasks that were placed
     before, until their attempts time out and all work done for them is lost."""
 
     def __init__(self, share: float = 0.4, burst_ms: float = 20.0, wait_ms: float = 1_000.0) -> None:
-        self.share, self.burst_ms, self.wait_ms = share, burst_ms, wait_ms
-        self.left_ms, self.cost_ms, self.at, self.idle = burst_ms, 1.0, 0.0, 0.0
-
-    def count(self, now: float, idle_ms: float) -> int:
-        """How many may be read now; `idle_ms`: how long the loop has waited for events since its start."""
-        more = self.share * (now - self.at) + (idle_ms - self.idle)
-        self.left_ms = min(self.burst_ms, self.left_ms + more)
-        self.at, self.idle = now, idle_ms
-        return max(1, int(self.left_ms / self.cost_ms)) if self.left_ms > 0.0 else 0
-
-    def spent(self, ms: float) -> None:
-        """One request was read and answered."""
-        self.left_ms -= ms
-        self.cost_ms += 0.05 * (max(0.01, ms) - self.cost_ms)
+        super().__init__(share, burst_ms, cost_ms=1.0, least_ms=0.01)
+        self.wait_ms = wait_ms
 
     def crowded(self, waiting: int) -> bool:
         """Whether one more would wait too long behind so many, and is better told so at once."""
--- a/glencleat/rest/plane.py
+++ b/glencleat/rest/plane.py
@@ -20,8 +20,8 @@
 from glencleat.allocator.core import Core
 from glencleat.allocator.ledger import Ask, Attempt, Call, Given
 from glencleat.allocator.seam import Answered, Back, Forgotten, Happened, Opened, Sent, Taken, Told, Verdict
-from glencleat.allocator.tables import DROPPED, FINISHED, KILLED, RESOURCES_UNKNOWN, RUNNING, STARTING
-from glencleat.allocator.tables import Answer, Retry
+from glencleat.allocator.tables import DROPPED, FINISHED, KILLED, RUNNING, STARTING, Answer, Retry, refusal
+from glencleat.allocator.tables import Step as AttemptStep
 from glencleat.mesos import messages as m
 from glencleat.rest import overload
 from glencleat.rest import schema as s
@@ -136,7 +136,7 @@
         uid = base64.b32encode(self.random.randbytes(10)).decode().lower()
         name = new.name or f"{new.spec.service[:40]}-{uid[:8]}".lower()
         wall = round(self.core.timing.clock.wall())
-        job = Job(tenant, name, uid, new.spec, cls, dict(new.labels), now, wall)
+        job = Job(tenant, name, uid, new.spec, cls, dict(new.labels), wall)
         self.jobs[tenant, name] = job
         self.jobs_of[tenant] += 1
         until = now + job.wait_ms()
@@ -198,10 +198,9 @@
 
     def patch(self, job: Job, labels: dict[str, str | None]) -> None:
         """Merges labels into the job's and its tasks'; raises Conflict."""
-        merged = job.labels | {k: v for k, v in labels.items() if v is not None}
-        merged = {k: v for k, v in merged.items() if labels.get(k, v) is not None}
-        if len(merged) > 32:
-            raise Conflict(422, f"labels would be {len(merged)}; expected at most 32")
+        merged = {k: v for k, v in (job.labels | labels).items() if v is not None}
+        if len(merged) > s.LABELS_MOST:
+            raise Conflict(422, f"labels would be {len(merged)}; expected at most {s.LABELS_MOST}")
         job.labels = merged
         for slot in job.slots:
             seen = self.seen(slot)
@@ -215,12 +214,12 @@
         self.turns.queue(slot)
         self._pump_soon()
 
-    def _pump_soon(self, in_ms: float = TURN_MS) -> None:
+    def _pump_soon(self) -> None:
         if self.pumping or not self.core.opening.done:
             return
         self.pumping = True
-        self.pump_due = self.core.timing.now() + in_ms
-        self.core.timing.call_in(in_ms, self._pump)
+        self.pump_due = self.core.timing.now() + TURN_MS
+        self.core.timing.call_in(TURN_MS, self._pump)
 
     def _pump(self) -> None:
         """Gives waiting tasks their round for as long as this turn's time lasts."""
@@ -254,7 +253,7 @@
         core, job = self.core, slot.job
         left = round_ms(slot, core.now(), core.options.answer_margin_ms)
         if left <= 0.0:
-            self._refuse(slot, Answer(DROPPED, Retry.HARMLESS, RESOURCES_UNKNOWN))
+            self._refuse(slot, refusal(False))
             return
         spec, name = job.spec, slot.name()
         key = f"{spec.key}.{slot.number}" if spec.key is not None else f"{name}.{job.uid}"
@@ -286,8 +285,8 @@
             self._step(slot, Step.PLACED)
             slot.placed_once, slot.given = True, Given.SERVED
             last = call.last()
-            running = last is not None and last.step.value >= 2
-            answer = Answer(RUNNING if running else STARTING, Retry.NEVER)
+            starting = last is None or last.step is AttemptStep.ACCEPTED
+            answer = Answer(STARTING if starting else RUNNING, Retry.NEVER)
             self.seen(slot).answer = Given.SERVED.value
             self.seen(slot).tell(answer, None, last.machine if last is not None else None)
         self.mirror.touch(self.seen(slot).key)
@@ -336,7 +335,7 @@
             self._heard(what.attempt, what.outcome is api.Outcome.REFUSED)
         elif isinstance(what, Answered) and what.given is Given.SERVED:
             self._heard(what.call.last(), True)
-        if isinstance(what, Opened):
+        elif isinstance(what, Opened):
             self._pump_soon()
 
     def _heard(self, attempt: Attempt | None, answered: bool) -> None:
@@ -379,7 +378,7 @@
         elif slot.step is Step.PLACED:
             then = after_end(slot, answer)
             if then.step is Step.PAUSED:
-                self._again(slot, seen, then)
+                self._again(slot, then)
                 return
             self.mirror.told(what.call, answer, what.text)
             slot.finished = answer.state == FINISHED
@@ -389,7 +388,7 @@
         else:
             self.mirror.told(what.call, answer, what.text)  # what has become known of a failed one
 
-    def _again(self, slot: Slot, seen: Seen, then: Next) -> None:
+    def _again(self, slot: Slot, then: Next) -> None:
         """A task that was placed and lost is asked for anew, with its whole time before it."""
         now = self.core.now()
         slot.until, slot.rounds, slot.given = now + then.pause_ms + slot.job.wait_ms(), 0, None
@@ -404,7 +403,7 @@
         def expire() -> None:
             for slot in slots:
                 if slot.step in (Step.QUEUED, Step.PAUSED) and slot.until <= until:
-                    self._refuse(slot, Answer(DROPPED, Retry.HARMLESS, RESOURCES_UNKNOWN))
+                    self._refuse(slot, refusal(False))
 
         margin = self.core.options.answer_margin_ms
         self.core.timing.call_in(max(0.0, until - margin - self.core.now()), expire)
--- a/glencleat/rest/schema.py
+++ b/glencleat/rest/schema.py
@@ -16,9 +16,10 @@
 LABEL_VALUE = r"^([A-Za-z0-9]([A-Za-z0-9_.-]{0,62}[A-Za-z0-9])?)?$"
 
 Name = Annotated[str, Meta(pattern=NAME, max_length=128, description="Letters, digits, `_`, `.`, `-`.")]
-LabelKey = Annotated[str, Meta(pattern=LABEL_KEY, max_length=64)]
-LabelValue = Annotated[str, Meta(pattern=LABEL_VALUE, max_length=64)]
-Labels = Annotated[dict[LabelKey, LabelValue], Meta(max_length=32)]
+LABELS_MOST, LABEL_CHARS = 32, 64  # of one resource, and of a key or value
+LabelKey = Annotated[str, Meta(pattern=LABEL_KEY, max_length=LABEL_CHARS)]
+LabelValue = Annotated[str, Meta(pattern=LABEL_VALUE, max_length=LABEL_CHARS)]
+Labels = Annotated[dict[LabelKey, LabelValue], Meta(max_length=LABELS_MOST)]
 Text = Annotated[str, Meta(min_length=1, max_length=256)]
 Millis = Annotated[float, Meta(ge=1, le=86_400_000, description="Milliseconds.")]
 
@@ -77,7 +78,7 @@
 class LabelPatch(Strict, frozen=True, kw_only=True):
     """A merge patch (RFC 7396) of a job's labels; null takes one away."""
 
-    labels: Annotated[dict[LabelKey, LabelValue | None], Meta(max_length=32)]
+    labels: Annotated[dict[LabelKey, LabelValue | None], Meta(max_length=LABELS_MOST)]
 
 
 class Cause(Camel, frozen=True, kw_only=True):
@@ -246,3 +247,8 @@
 
 def encode(value: Any) -> bytes:
     return ENCODER.encode(value)
+
+
+def stamped(value: Any, version: str) -> bytes:
+    """A resource's JSON at a version; it is kept without one, so that equal states compare equal."""
+    return b'{"resourceVersion":"%b",%b' % (version.encode(), encode(value)[1:])
--- a/tests/test_rest_state.py
+++ b/tests/test_rest_state.py
@@ -255,7 +255,7 @@
 
 def job(effect=api.Effect.SAFE, tasks=1, wait=20_000.0, tenant="t", name="j", **more):
     spec = s.JobSpec(task_class=effect.value, service="svc", tasks=tasks, cores=1.0, memory=1.0, wait_ms=wait, **more)
-    made = Job(tenant, name, "u", spec, CLASSES[effect], {}, 0.0, 0.0)
+    made = Job(tenant, name, "u", spec, CLASSES[effect], {}, 0.0)
     made.slots = [Slot(made, i, wait, Step.ASKED, rounds=1) for i in range(tasks)]
     return made
 
