--- a/glencleat/standins/client.py
+++ b/glencleat/standins/client.py
@@ -4,8 +4,9 @@
 
 from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass, field
 from random import Random
-from typing import Protocol
+from typing import Generic, Protocol, TypeVar
 
 from glencleat.kernel import Loop, Stream, StreamClosed, Task, connect
 from glencleat.kernel.loop import Coroutine
@@ -106,26 +107,30 @@
             self.stream.close("closed")
 
 
-class Calls:
-    """Calls made one after the other on a kept connection, from a queue; each is sent once.
+@dataclass(slots=True, eq=False)
+class Answer:
+    status: int = 0  # 0: none came
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes = b""
 
-    A call whose answer did not come is not repeated: what it said is kept by its sender until
-    acknowledged."""
 
-    def __init__(self, loop: Loop, address: Address, target: str, rejected: Callable[[int], None]) -> None:
-        self.loop, self.address, self.target, self.rejected = loop, address, target, rejected
-        self.queue: deque[tuple[bytes, dict[str, str], Callable[[], None] | None]] = deque()
+Item = TypeVar("Item")
+
+
+class Exchanges(Generic[Item]):
+    """What waits to be sent, one after the other on a kept connection; a subclass says what an item is."""
+
+    def __init__(self, loop: Loop, address: Address, name: str) -> None:
+        self.loop, self.address = loop, address
+        self.queue: deque[Item] = deque()
         self.stream: Stream | None = None
         self.http = ClientConnection()
         self.waiting: Task | None = None
         self.closed = False
-        self.task = loop.spawn(self._run(), "calls")
+        self.task = loop.spawn(self._run(), name)
 
-    def send(
-        self, body: bytes, headers: dict[str, str] | None = None, wrote: Callable[[], None] | None = None
-    ) -> None:
-        """Queues a call; `wrote` is called when its bytes are handed to the socket."""
-        self.queue.append((body, JSON | (headers or {}), wrote))
+    def put(self, item: Item) -> None:
+        self.queue.append(item)
         if self.waiting is not None:
             task, self.waiting = self.waiting, None
             self.loop.wake(task)
@@ -140,38 +145,45 @@
 
     def _run(self) -> Coroutine:
         while not self.closed:
-            if not self.queue:
+            if self.queue:
+                yield from self._send(self.queue.popleft())
+            else:
                 yield self._arm
-                continue
-            body, headers, wrote = self.queue.popleft()
-            try:
-                yield from self._one(body, headers, wrote)
-            except (StreamClosed, HttpError):
-                self._drop()
-
-    def _one(self, body: bytes, headers: dict[str, str], wrote: Callable[[], None] | None) -> Coroutine:
-        if self.stream is None or self.stream.closed is not None:
-            self.http = ClientConnection()
-            self.stream = yield from connect(self.loop, self.address, CONNECT_MS)
-        if self.closed:
-            return
-        self.stream.send(self.http.request("POST", self.target, "allocator", headers, body))
-        if wrote is not None:
-            wrote()
-        status = 0
-        while True:
-            data = yield from self.stream.read()
-            for event in self.http.feed(data):
-                if isinstance(event, Head):
-                    status = event.status
-                elif isinstance(event, End):
-                    if status >= 300:
-                        self.rejected(status)
-                    return
-            if data == b"":
-                raise StreamClosed("the allocator closed the connection")
 
-    def _drop(self) -> None:
+    def _send(self, item: Item) -> Coroutine:
+        raise NotImplementedError
+
+    def exchange(
+        self, method: str, target: str, headers: dict[str, str], body: bytes, wrote: Callable[[], None]
+    ) -> Coroutine:
+        """One request and its Answer, or None where none came; `wrote` is called when its bytes are handed to
+        the socket."""
+        try:
+            if self.stream is None or self.stream.closed is not None:
+                self.http = ClientConnection()
+                self.stream = yield from connect(self.loop, self.address, CONNECT_MS)
+            if self.closed:
+                return None
+            self.stream.send(self.http.request(method, target, "allocator", headers, body))
+            wrote()
+            answer = Answer()
+            while True:
+                data = yield from self.stream.read()
+                for event in self.http.feed(data):
+                    if isinstance(event, Head):
+                        answer.status, answer.headers = event.status, event.headers
+                    elif isinstance(event, bytes):
+                        answer.body += event
+                    elif isinstance(event, End):
+                        return answer
+                if data == b"":
+                    raise StreamClosed("the allocator closed the connection")
+        except (StreamClosed, HttpError):
+            self.drop()
+            return None
+
+    def drop(self) -> None:
+        """Ends the connection; what comes next makes a new one."""
         if self.stream is not None:
             self.stream.close("dropped")
             self.stream = None
@@ -180,7 +192,30 @@
         self.closed = True
         self.queue.clear()
         self.loop.cancel(self.task)
-        self._drop()
+        self.drop()
+
+
+class Calls(Exchanges[tuple[bytes, dict[str, str], Callable[[], None]]]):
+    """Calls of the v1 API; each is sent once.
+
+    A call whose answer did not come is not repeated: what it said is kept by its sender until
+    acknowledged."""
+
+    def __init__(self, loop: Loop, address: Address, target: str, rejected: Callable[[int], None]) -> None:
+        self.target, self.rejected = target, rejected
+        super().__init__(loop, address, "calls")
+
+    def send(
+        self, body: bytes, headers: dict[str, str] | None = None, wrote: Callable[[], None] | None = None
+    ) -> None:
+        """Queues a call; `wrote` is called when its bytes are handed to the socket."""
+        self.put((body, JSON | (headers or {}), wrote or (lambda: None)))
+
+    def _send(self, item: tuple[bytes, dict[str, str], Callable[[], None]]) -> Coroutine:
+        body, headers, wrote = item
+        answer = yield from self.exchange("POST", self.target, headers, body, wrote)
+        if answer is not None and answer.status >= 300:
+            self.rejected(answer.status)
 
 
 class Reconnecting:
--- a/glencleat/standins/rest_owners.py
+++ b/glencleat/standins/rest_owners.py
@@ -6,33 +6,24 @@
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any
 from urllib.parse import quote
 
 import msgspec
 
 from glencleat.check.record import Recorder
-from glencleat.kernel import Loop, Stream, StreamClosed, Task, connect
+from glencleat.kernel import Loop
 from glencleat.kernel.loop import Coroutine
 from glencleat.mesos import messages as m
-from glencleat.mesos.http import ClientConnection, End, Head, HttpError
-from glencleat.standins.client import CONNECT_MS, Address, Lines, Subscription
+from glencleat.standins.client import Address, Answer, Exchanges, Lines, Subscription
 from glencleat.standins.owners import Job, Owner
 
 RECONCILED = "REASON_RECONCILIATION"
 REPEAT_MS = 300.0  # before a request whose answer did not come is sent again
 
 
-@dataclass(slots=True, eq=False)
-class Answer:
-    status: int = 0  # 0: none came
-    headers: dict[str, str] = field(default_factory=dict)
-    body: bytes = b""
-
-
 @dataclass(slots=True, eq=False)
 class Ask:
     method: str
@@ -44,75 +35,19 @@
     until: float = 0.0  # it is sent again till then, if no answer comes
 
 
-class Requests:
-    """Requests one after the other on a kept connection; one whose answer did not come is sent again."""
+class Requests(Exchanges[Ask]):
+    """Requests of the REST front; one whose answer did not come is sent again."""
 
     def __init__(self, loop: Loop, address: Address) -> None:
-        self.loop, self.address = loop, address
-        self.queue: deque[Ask] = deque()
-        self.http = ClientConnection()
-        self.stream: Stream | None = None
-        self.waiting: Task | None = None
-        self.task = loop.spawn(self._run(), "requests")
-
-    def send(self, ask: Ask) -> None:
-        self.queue.append(ask)
-        if self.waiting is not None:
-            task, self.waiting = self.waiting, None
-            self.loop.wake(task)
+        super().__init__(loop, address, "requests")
 
-    def _arm(self, task: Task) -> Callable[[], None]:
-        self.waiting = task
-
-        def disarm() -> None:
-            self.waiting = None
-
-        return disarm
-
-    def _run(self) -> Coroutine:
-        while True:
-            if not self.queue:
-                yield self._arm
-                continue
-            ask, answer = self.queue.popleft(), Answer()
-            while True:
-                try:
-                    answer = yield from self._one(ask)
-                    break
-                except (StreamClosed, HttpError):
-                    self._drop()
-                if self.loop.now() >= ask.until:
-                    break
-                yield from self.loop.sleep(REPEAT_MS)
-            ask.done(answer)
-
-    def _one(self, ask: Ask) -> Coroutine:
-        if self.stream is None or self.stream.closed is not None:
-            self.http = ClientConnection()
-            self.stream = yield from connect(self.loop, self.address, CONNECT_MS)
-        self.stream.send(self.http.request(ask.method, ask.target, "allocator", ask.headers, ask.body))
-        ask.wrote()
-        answer = Answer()
+    def _send(self, item: Ask) -> Coroutine:
         while True:
-            data = yield from self.stream.read()
-            for event in self.http.feed(data):
-                if isinstance(event, Head):
-                    answer.status, answer.headers = event.status, event.headers
-                elif isinstance(event, bytes):
-                    answer.body += event
-                elif isinstance(event, End):
-                    return answer
-            if data == b"":
-                raise StreamClosed("the allocator closed the connection")
-
-    def _drop(self) -> None:
-        if self.stream is not None:
-            self.stream.close("dropped")
-            self.stream = None
-
-    def close(self) -> None:
-        self.loop.cancel(self.task)
-        self._drop()
+            answer = yield from self.exchange(item.method, item.target, item.headers, item.body, item.wrote)
+            if answer is not None or self.loop.now() >= item.until:
+                break
+            yield from self.loop.sleep(REPEAT_MS)
+        item.done(answer or Answer())
 
 
 class RestOwner(Owner):
@@ -230,7 +165,7 @@
     ) -> None:
         headers = {"content-type": "application/json"} if body else {}
         headers |= more.pop("headers", {})
-        self.requests.send(Ask(method, target, body, headers, done, **more))
+        self.requests.put(Ask(method, target, body, headers, done, **more))
 
     def _post_job(self, job: Job) -> None:
         if job.state != "asked":
--- a/tests/test_rest_path.py
+++ b/tests/test_rest_path.py
@@ -251,7 +251,7 @@
         owner.ask(day.job(f"t{i}", *(("store-compact", "unsafe") if i % 3 == 0 else ("pull-front", "safe"))))
         if i == 5:
             owner.cut()
-            owner.requests._drop()
+            owner.requests.drop()
     day.until(lambda: not owner.jobs, 15_000.0)
     for i in range(12):
         states = [e.state for e in day.recorder.entries if e.kind == "answer" and e.task == f"rest:tenant/t{i}.0"]
