SIGHUP reaches every bound of the REST front, as its page says

The reload set some fields of the plane from outside and left others: events, ended tasks and how long keys are kept stayed as they were, against docs/rest.md.

--- a/glencleat/daemon.py
+++ b/glencleat/daemon.py
@@ -221,7 +221,5 @@
             server.limits = server_limits(config)
             server.listener.most, server.listener.limit = config.limit.connections, server.limits.unsent
         if self.plane is not None:
-            told = rest_limits(config)
-            self.plane.limits, self.plane.gate.limits = told, told.gate
-            self.plane.channels.limits, self.plane.keys.most = told.watch, told.keys
+            self.plane.retune(rest_limits(config))
         self.log.info("configuration read again")
--- a/glencleat/rest/plane.py
+++ b/glencleat/rest/plane.py
@@ -94,6 +94,13 @@
         core.hear(self.hear)
         core.timing.call_in(limits.sweep_ms, self._sweep)
 
+    def retune(self, limits: Limits) -> None:
+        """Other bounds from here on; what is over a lower one goes as news comes."""
+        self.limits, self.gate.limits, self.channels.limits = limits, limits.gate, limits.watch
+        self.keys.most, self.keys.keep_ms, self.mirror.ended_most = limits.keys, limits.over_ms, limits.ended
+        for kind in self.versions.kinds.values():
+            kind.most = limits.events
+
     # ---- what clients ask ----
 
     def create(self, tenant: str, new: s.NewJob, key: str | None, body: bytes) -> tuple[Job, bool]:
--- a/tests/test_rest_front.py
+++ b/tests/test_rest_front.py
@@ -511,6 +511,24 @@
     assert Origin not in front.api.peers
 
 
+def test_other_bounds_count_from_the_reload_on():
+    front = Front(0)
+    for i in range(30):
+        front.create(f"j{i}")
+    before = front.ask("GET", "/v1/jobs")[1]["resourceVersion"]
+    limits = plane.Limits(overload.Limits(waiting_each=31), WatchLimits(watchers=0), 5, 1, 1.0, 1)
+    front.plane.retune(limits)
+    assert front.create("k", key="k1")[0] == 201 and front.create("l", key="k2")[0] in (429, 503)
+    assert front.ask("GET", f"/v1/jobs?watch=1&resourceVersion={before}")[0] == 503
+    front.plane.retune(plane.Limits(events=5))
+    for i in range(3):
+        patch = {"labels": {"a": str(i)}}
+        for name in ("j0", "j1", "j2"):
+            target = f"/v1/tenants/t/jobs/{name}"
+            assert front.ask("PATCH", target, patch, content_type="application/merge-patch+json")[0] == 200
+    assert front.ask("GET", f"/v1/jobs?watch=1&resourceVersion={before}")[0] == 410
+
+
 def test_old_jobs_and_tasks_of_frameworks_go_in_time():
     front = Front(1, plane.Limits(over_ms=5_000.0, ended=2))
     front.create()
