--- a/glencleat/check/record.py
+++ b/glencleat/check/record.py
@@ -70,9 +70,18 @@
     def __init__(self, now: Callable[[], float], sink: TextIO | None = None) -> None:
         self.now, self.sink = now, sink
         self.entries: list[Entry] = []
+        self.ended = False
+
+    def end(self) -> None:
+        """What comes from here on, as when stand-ins are thrown away, is no part of the record."""
+        self.ended = True
+        if self.sink is not None:
+            self.sink.close()
 
     def add(self, kind: str, **fields: object) -> Entry:
         entry = Entry(round(self.now(), 3), kind, line=len(self.entries) + 1, **fields)  # type: ignore[arg-type]
+        if self.ended:
+            return entry
         self.entries.append(entry)
         if self.sink is not None:
             self.sink.write(ENCODER.encode(entry).decode() + "\n")
--- a/glencleat/standins/play.py
+++ b/glencleat/standins/play.py
@@ -132,8 +132,7 @@
         self.script, self.campus, self.folder = script, campus, folder
         self.loop = loop or Loop()
         self.random = Random(script.play.seed)
-        self.sink = (folder / "record.jsonl").open("w")
-        self.recorder = Recorder(self.loop.now, self.sink)
+        self.recorder = Recorder(self.loop.now, (folder / "record.jsonl").open("w"))
         self.hosts = alone.hosts(self.loop, self.recorder, script, campus, self.random)
         self.draining: set[str] = set()
         self.directory = Directory(
@@ -174,7 +173,7 @@
         finally:
             for process in self.processes:
                 process.kill()
-            self.sink.close()
+            self.recorder.end()
 
     def _day(self) -> Coroutine:
         self.loop.spawn(self._watch_lag(), "lag", self.loop.current)
--- a/glencleat/standins/rest_owners.py
+++ b/glencleat/standins/rest_owners.py
@@ -20,6 +20,7 @@
 from glencleat.standins.client import Address, Answer, Exchanges, Lines, Subscription
 from glencleat.standins.owners import Job, Owner
 
+PLACED = ("TASK_STARTING", "TASK_RUNNING")
 RECONCILED = "REASON_RECONCILIATION"
 REPEAT_MS = 300.0  # before a request whose answer did not come is sent again
 
@@ -127,6 +128,10 @@
         if self.states.get(job.id) == state:
             return
         self.states[job.id] = state
+        if task.get("answer") == "served" and job.state == "asked" and state not in PLACED:
+            # A watch tells states and not each step: one that was placed and over between two looks of the
+            # front comes as over, and `answer` says that it was placed.
+            self._answered(job, "TASK_RUNNING", "never", "", f"{task['resourceVersion']} answer")
         self._answered(job, state, retry, reason, task["resourceVersion"])
 
     def _answered(self, job: Job, state: str, retry: str, reason: str, text: str) -> None:
--- a/tests/test_rest_path.py
+++ b/tests/test_rest_path.py
@@ -260,6 +260,21 @@
     assert day.broken() == [] and day.core.figures.mismatch() == {}
 
 
+def test_a_task_placed_and_over_between_two_looks_was_answered(world):
+    """Seen in a play: a silent host told all at once when it came back, and the watch told the last state."""
+    day = world()
+    owner = RestOwner(day.loop, day.recorder, "r", "tenant", "a0", day.bound["rest"], 3)
+    day.owners.append(owner)
+    day.until(lambda: owner.live)
+    owner.jobs["t1"] = job = day.job("t1")
+    job.state = "asked"
+    told = {"job": "t1", "state": "TASK_FINISHED", "answer": "served", "retry": "never", "resourceVersion": "e-1"}
+    owner._task(told)
+    owner._task(told)
+    answers = [e.state for e in day.recorder.entries if e.kind == "answer" and e.task == "rest:tenant/t1.0"]
+    assert answers == ["TASK_RUNNING", "TASK_FINISHED"] and job.end == "placed"
+
+
 def test_the_same_unsafe_work_by_both_fronts_starts_once(world):
     """A pipeline that asks by the Scheduler API and, unsure, by REST as well, under one key, many times over."""
     day = world()
