The live path: an allocator that speaks the platform's protocol, on kernel and module

Two packages are one more way in and out: glencleat/isup without I/O (messages, set-ups, command channel, the exchange that alone knows the module) and glencleat/node with sockets, process and signals, on the kernel's loop and streams and allocator/contract.py. The kernel's connect now says by which errno it failed, since only a refused connection is the peer's machine speaking.

--- /dev/null
+++ b/glencleat/isup/channel.py
@@ -0,0 +1,165 @@
+"""The command channel: bytes to numbered events to machines; what is missing, repeated or broken.
+
+Imports the interface, the settings' names and messages' PeerError. `glencleat/node/feed.py` gives it what a
+connection brings and asks `resume` what to write on a new one."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+
+from glencleat import interface as api
+from glencleat.isup.messages import PeerError
+from glencleat.settings import PHASES
+
+MOST_LINE = 4 << 20  # bytes: a whole list of some ten thousand machines
+
+
+class Entry(msgspec.Struct, rename="camel"):
+    """A machine as an event tells it; times are Unix milliseconds."""
+
+    instance_id: str
+    host_port: str
+    zone: str
+    machine_type: str
+    lifecycle: str
+    cell: int = 0
+    started_at_ms: float = 0.0
+    free: list[float] | None = None
+
+
+class Nodes(msgspec.Struct):
+    reset: bool = False
+    instances: list[Entry] = []
+
+
+class Event(msgspec.Struct):
+    """One numbered event, or with no nodes the channel's word which number is the last."""
+
+    cursor: int
+    nodes: Nodes | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Host:
+    """A machine and where it listens; `started_ms` is Unix time, 0 for long ago."""
+
+    machine: api.Machine
+    address: tuple[str, int]
+    started_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class News:
+    """What one event changed: all of the list, or some of it."""
+
+    whole: bool
+    hosts: tuple[Host, ...]
+
+
+def address(text: str) -> tuple[str, int]:
+    """`10.1.0.9:5080` as host and port; PeerError on another form."""
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdecimal() or not 0 < int(port) < 65_536:
+        raise PeerError(f"no address: {text[:60]!r}")
+    return host, int(port)
+
+
+class Channel:
+    """The list as told so far. `ahead_ms` is Unix time less the module's clock."""
+
+    def __init__(self, ahead_ms: float) -> None:
+        self.ahead_ms = ahead_ms
+        self.cursor = 0
+        self.hosts: dict[str, Host] = {}  # those not gone
+        self.buffer = bytearray()
+        self.decoder = msgspec.json.Decoder(Event | int, strict=False)
+        self.missing = 0  # the cursor at which a gap was met: once asked for again, it is no gap any more
+
+    def resume(self) -> bytes:
+        """What a new connection begins with; what an earlier one left half said is dropped."""
+        self.buffer.clear()
+        return b"resume %d\n" % self.cursor
+
+    def begin(self, known: dict[str, Any]) -> list[News]:
+        """The events of the start, from the configuration."""
+        try:
+            events = [msgspec.convert(raw, Event, strict=False) for raw in known.get("cmds") or []]
+        except msgspec.ValidationError as error:
+            raise PeerError(f"known: {error}") from None
+        news = [self._event(event, event.nodes) for event in events if event.nodes is not None]
+        self.cursor = max(self.cursor, int(known.get("cursor") or 0))
+        return news
+
+    def feed(self, data: bytes) -> Iterable[News]:
+        """The news in what came; PeerError when the connection is of no further use."""
+        self.buffer += data
+        while (end := self.buffer.find(b"\n")) >= 0:
+            line = bytes(self.buffer[:end])
+            del self.buffer[: end + 1]
+            if line.strip():
+                yield from self._line(line)
+        if len(self.buffer) > MOST_LINE:
+            raise PeerError(f"a line of over {MOST_LINE} bytes")
+
+    def _line(self, line: bytes) -> Iterable[News]:
+        try:
+            event = self.decoder.decode(line)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            raise PeerError(f"no event: {error}") from None
+        if isinstance(event, int) or event.nodes is None:
+            last = event if isinstance(event, int) else event.cursor
+            if last > self.cursor:
+                self._gap(last)
+            return
+        if event.cursor <= self.cursor:
+            return  # told twice
+        if event.cursor > self.cursor + 1 and not event.nodes.reset:
+            self._gap(event.cursor)
+        yield self._event(event, event.nodes)
+
+    def _gap(self, told: int) -> None:
+        """Asks again for what was skipped, by a new connection; if that skips it too, there is no more."""
+        if self.missing != self.cursor + 1:
+            self.missing = self.cursor + 1
+            raise PeerError(f"the channel is at {told}, we are at {self.cursor}")
+
+    def _event(self, event: Event, nodes: Nodes) -> News:
+        hosts = tuple(self._host(entry) for entry in nodes.instances)
+        if nodes.reset:
+            self.hosts = {}
+        for host in hosts:
+            if host.machine.phase is api.Phase.GONE:
+                self.hosts.pop(host.machine.name, None)
+            else:
+                self.hosts[host.machine.name] = host
+        self.cursor = event.cursor
+        return News(nodes.reset, hosts)
+
+    def _host(self, entry: Entry) -> Host:
+        if entry.lifecycle not in PHASES:
+            raise PeerError(f"no state of a machine: {entry.lifecycle[:40]!r}")
+        known = self.hosts.get(entry.instance_id)
+        cores, memory = (known.machine.cores_left, known.machine.memory_left) if known else (0.0, 0.0)
+        if entry.free is not None and len(entry.free) == 2 and all(map(math.isfinite, entry.free)):
+            cores, memory = entry.free
+        started = entry.started_at_ms
+        ready = started - self.ahead_ms if started > 0.0 else None
+        machine = api.Machine(
+            entry.instance_id,
+            entry.machine_type,
+            entry.zone,
+            entry.cell,
+            PHASES[entry.lifecycle],
+            cores,
+            memory,
+            ready,
+        )
+        return Host(machine, address(entry.host_port), started)
+
+    def machines(self) -> tuple[api.Machine, ...]:
+        return tuple(host.machine for host in self.hosts.values())
--- /dev/null
+++ b/glencleat/isup/exchange.py
@@ -0,0 +1,470 @@
+"""Owners' and hosts' messages, the module between them: calls, attempts and tasks that stand.
+
+Imports messages, set-ups, `allocator.contract` and the interface. `glencleat/node/` tells what passed on its
+links and does what Ports says; time is an argument. The only place of the live path that knows the module.
+
+    state    begins with             ends with
+    TAKEN    a set-up                Bind -> OUT; Refuse, Fail: answered -> over; the owner leaves -> over
+    OUT      the module's Bind       an answer -> STANDS; every other end of the attempt -> TAKEN, or over
+    STANDS   a host's answer, `at`   the host's release, the owner's, a move, the host lost -> over
+
+What is over is forgotten at once: a word that comes later finds nothing and changes nothing."""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any, Protocol
+
+from glencleat import interface as api
+from glencleat.allocator.contract import Contract, Module
+from glencleat.isup import messages as m
+from glencleat.isup.channel import News
+from glencleat.isup.setups import BadSetup, Reader, Setup
+from glencleat.settings import read_report
+
+
+class State(Enum):
+    TAKEN = "taken"
+    OUT = "out"
+    STANDS = "stands"
+
+
+class Fact(Enum):
+    """What a link can tell of an attempt that came to nothing without the host's word."""
+
+    REFUSED = "the connection was refused"
+    NEVER_UP = "no connection came up in time"
+    UNSENT = "its last byte never reached the kernel"
+    BROKEN = "the connection broke after it was sent"
+    SILENT = "no answer in time after it was sent"
+
+
+# Only the first three prove that nothing ran: see interface.py, contract 7.
+FACTS = {
+    Fact.REFUSED: api.Outcome.UNREACHABLE,
+    Fact.NEVER_UP: api.Outcome.UNREACHABLE,
+    Fact.UNSENT: api.Outcome.NOT_SENT,
+    Fact.BROKEN: api.Outcome.LOST,
+    Fact.SILENT: api.Outcome.TIMED_OUT,
+}
+BEFORE = {m.FULL: api.Outcome.REFUSED, m.ERROR: api.Outcome.ERROR, m.MOOT: api.Outcome.NOT_SENT}
+AFTER = {m.ENDED: api.Outcome.ENDED, m.STOPPED: api.Outcome.STOPPED}  # every other cause: LOST
+WHYS = {
+    "no_cores": api.Why.CORES,
+    "no_memory": api.Why.MEMORY,
+    "queue_full": api.Why.LINE,
+    "not_here": api.Why.NOT_HERE,
+    "evicted": api.Why.EVICTED,
+    "pushed_out": api.Why.PUSHED_OUT,
+    "sent_away": api.Why.SENT_AWAY,
+}
+TOPICS = {
+    "runs": api.NoteKind.RUNS,
+    "cores": api.NoteKind.CORES,
+    "memory": api.NoteKind.MEMORY,
+    "served": api.NoteKind.SERVED,
+    "pressure": api.NoteKind.MACHINE_MEMORY,
+}
+FIELDS = {"util": "busy", "queue": "q"}  # names on the sockets -> in the settings, where they differ
+
+
+class Owner(Protocol):
+    """A connection of owners, as far as the exchange knows it."""
+
+    open: set[int]  # ids that an answer is owed to on it
+
+
+class Timer(Protocol):
+    def cancel(self) -> None: ...
+
+
+class Ports(Protocol):
+    """What the exchange asks of the sockets. None of these may call the exchange back before it returns."""
+
+    def to_owner(self, owner: Any, data: bytes, owed: bool) -> None:
+        """On that connection; if it is gone, what is `owed` goes by any other or by the next."""
+
+    def offer(self, attempt: Attempt) -> None:
+        """Sends `attempt.setup(now)` to its host, and tells of a failure by `failed`, later."""
+
+    def withdraw(self, attempt: Attempt) -> Fact:
+        """Takes it back: the give-up is written, or its connection closed. What is known of it."""
+
+    def cut(self, host: str, task: int) -> None:
+        """Releases a standing task at its host, at once or as soon as the host can be reached."""
+
+    def test(self, host: str, token: int) -> bool:
+        """Asks the host for its report; False if there is no way to."""
+
+    def call_in(self, in_ms: float, call: Callable[[], None]) -> Timer: ...
+    def now(self) -> float: ...
+    def log(self, text: str) -> None: ...
+
+
+@dataclass(slots=True, eq=False)
+class Call:
+    """A task from its set-up until it is over."""
+
+    number: int
+    setup: Setup
+    owner: Owner
+    state: State = State.TAKEN
+    attempts: int = 0
+    attempt: Attempt | None = None
+    since: float = 0.0  # when it came to stand
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One Bind. `link` is the sockets' own."""
+
+    call: Call
+    number: int
+    host: str
+    began: float
+    until: float
+    timer: Timer | None = None
+    link: Any = field(default=None, repr=False)
+
+    def setup_message(self, now: float) -> bytes:
+        setup = self.call.setup
+        wait = max(1, round(self.until - now))
+        parameters = {m.CLASS: setup.cls.name.encode(), m.WAIT: b"%d" % wait, m.NAME: setup.name}
+        if setup.key is not None:
+            parameters[m.KEY] = setup.key
+        parameters[m.DESCRIPTION] = setup.description
+        return m.encode(m.SETUP, setup.task, parameters)
+
+
+class Exchange:
+    """One allocator's calls. `start` before anything else; `draining` after SIGTERM."""
+
+    def __init__(self, settings: api.Settings, module: Module, ports: Ports, test_ms: float) -> None:
+        self.settings, self.ports, self.test_ms = settings, ports, test_ms
+        self.contract = Contract(module)
+        self.reader = Reader(settings)
+        self.calls: dict[int, Call] = {}  # by the module's number
+        self.tasks: dict[int, Call] = {}  # by the platform's id
+        self.standing: dict[str, dict[int, Call]] = {}  # host -> id -> call
+        self.tests: dict[int, str] = {}  # token -> host
+        self.numbers = self.tokens = 0
+        self.machines: Callable[[], tuple[api.Machine, ...]] = tuple
+        self.queue: deque[api.Event] = deque()
+        self.busy = False
+        self.bad = self.taken = self.late = 0
+        self.trace: Callable[[float, api.Event, list[api.Action]], None] | None = None
+
+    @property
+    def open(self) -> int:
+        """Calls that an answer is owed to."""
+        return sum(call.state is not State.STANDS for call in self.calls.values())
+
+    # ---- the module ----
+
+    def _feed(self, *events: api.Event) -> None:
+        """Tells the module in order; what it answers is carried out before the next event (contract 8)."""
+        self.queue.extend(events)
+        if self.busy:
+            return
+        self.busy = True
+        try:
+            while self.queue:
+                event, now = self.queue.popleft(), self.ports.now()
+                actions = self.contract.handle(now, event)
+                if self.trace is not None:
+                    self.trace(now, event, actions)
+                for action in actions:
+                    self.actors[type(action)](self, now, action)
+        finally:
+            self.busy = False
+
+    def _bind(self, now: float, action: api.Bind) -> None:
+        call = self.calls[action.call]
+        attempt = Attempt(call, call.attempts, action.machine, now, now + action.timeout_ms)
+        call.attempts, call.attempt, call.state = call.attempts + 1, attempt, State.OUT
+        attempt.timer = self.ports.call_in(action.timeout_ms, lambda: self._timed_out(attempt))
+        self.ports.offer(attempt)
+
+    def _timed_out(self, attempt: Attempt) -> None:
+        if attempt.call.attempt is attempt and attempt.call.state is State.OUT:
+            self._back(attempt, FACTS[self.ports.withdraw(attempt)])
+
+    def _refuse(self, _: float, action: api.Refuse) -> None:
+        stay = {m.STAY_AWAY: b"%d" % round(action.retry_after_ms)} if action.retry_after_ms >= 1.0 else {}
+        self._answer(self.calls[action.call], m.FULL, stay)
+
+    def _fail(self, _: float, action: api.Fail) -> None:
+        self._answer(self.calls[action.call], m.RESET, {})
+
+    def _answer(self, call: Call, cause: int, more: dict[int, bytes]) -> None:
+        """The final answer that is no placing. Nothing is kept of the call."""
+        data = m.encode(m.RELEASE, call.setup.task, {m.CAUSE: bytes((cause,)), **more})
+        self._forget(call)
+        self.ports.to_owner(call.owner, data, owed=False)
+
+    def _move(self, _: float, action: api.Move) -> None:
+        call = self.calls[action.call]
+        if call.state is State.STANDS:
+            self.ports.to_owner(call.owner, m.encode(m.MOVE, call.setup.task), owed=True)
+            self._cut(call)
+
+    def _probe(self, _: float, action: api.Probe) -> None:
+        self.tokens += 1
+        token = self.tokens
+        self.tests[token] = action.machine
+        if self.ports.test(action.machine, token):
+            self.ports.call_in(self.test_ms, lambda: self._tested(token, api.Outcome.TIMED_OUT, None))
+        else:
+            self.ports.call_in(0.0, lambda: self._tested(token, api.Outcome.UNREACHABLE, None))
+
+    def _tested(self, token: int, outcome: api.Outcome, report: api.Report | None) -> None:
+        host = self.tests.pop(token, None)
+        if host is not None:
+            self._feed(api.Probed(host, outcome, report))
+
+    def _set_timer(self, _: float, action: api.SetTimer) -> None:
+        self.ports.call_in(action.in_ms, lambda: self._feed(api.TimerDue(action.token)))
+
+    def _watch(self, _: float, __: api.Watch) -> None:
+        # The sockets hold a channel at all times: what it told is what there is.
+        self.queue.append(api.ListTold(api.ListKind.WHOLE, self.machines()))
+
+    def _log(self, _: float, action: api.Log) -> None:
+        self.ports.log(action.text)
+
+    actors: dict[type, Callable[[Exchange, float, Any], None]] = {
+        api.Bind: _bind,
+        api.Refuse: _refuse,
+        api.Fail: _fail,
+        api.Move: _move,
+        api.Probe: _probe,
+        api.SetTimer: _set_timer,
+        api.Watch: _watch,
+        api.Log: _log,
+    }
+
+    # ---- what ends an attempt ----
+
+    def _back(
+        self,
+        attempt: Attempt,
+        outcome: api.Outcome,
+        why: api.Why = api.Why.NONE,
+        report: api.Report | None = None,
+        left: bool = False,
+    ) -> None:
+        """The one end of every attempt, with the evidence as the module's outcome."""
+        call, now = attempt.call, self.ports.now()
+        if attempt.timer is not None:
+            attempt.timer.cancel()
+        stood = call.state is State.STANDS
+        call.state, call.attempt = State.TAKEN, None
+        over = stood or left
+        if over:
+            self._forget(call, attempt.host)
+        if stood and outcome is not api.Outcome.STOPPED:
+            cause = m.ENDED if outcome is api.Outcome.ENDED else m.RESET
+            self.ports.to_owner(call.owner, m.caused(m.RELEASE, call.setup.task, cause), owed=True)
+        spent = max(0.0, now - attempt.began)
+        told = api.Returned(call.number, attempt.number, attempt.host, outcome, spent, over, why, report)
+        self._feed(*([api.Left(call.number)] if left else []), told)
+
+    def _forget(self, call: Call, host: str = "") -> None:
+        self.calls.pop(call.number, None)
+        self.tasks.pop(call.setup.task, None)
+        call.owner.open.discard(call.setup.task)
+        there = self.standing.get(host)
+        if there is not None:
+            there.pop(call.setup.task, None)
+            if not there:
+                del self.standing[host]
+
+    def _stands(self, call: Call, host: str) -> None:
+        call.state, call.since = State.STANDS, self.ports.now()
+        call.owner.open.discard(call.setup.task)
+        self.standing.setdefault(host, {})[call.setup.task] = call
+
+    def _cut(self, call: Call) -> None:
+        """Ends a standing task of ours at its host: moved, or released by its owner."""
+        attempt = call.attempt
+        assert attempt is not None
+        self.ports.cut(attempt.host, call.setup.task)
+        self._back(attempt, api.Outcome.STOPPED)
+
+    def failed(self, attempt: Attempt, fact: Fact) -> None:
+        """A link's word on an attempt that is out; of one that is back already it changes nothing."""
+        if attempt.call.attempt is attempt and attempt.call.state is State.OUT:
+            self._back(attempt, FACTS[fact])
+
+    def host_lost(self, host: str, before: float = math.inf) -> int:
+        """The host's process is known to have ended: what came to stand there `before` is over."""
+        ended = [call for call in self.standing.get(host, {}).values() if call.since < before]
+        for call in ended:
+            if call.attempt is not None:
+                self._back(call.attempt, api.Outcome.LOST)
+        return len(ended)
+
+    # ---- hosts ----
+
+    def host_says(self, host: str, link: Any, message: m.Message) -> None:
+        """A whole message of a host; PeerError if it can't be read, before anything is changed."""
+        if message.kind == m.TESTED:
+            outcome = api.Outcome.ENDED if message.cause == 1 else api.Outcome.ERROR
+            report = self._report(message)
+            if self.tests.get(message.task) == host:
+                self._tested(message.task, outcome, report)
+            return
+        call = self.tasks.get(message.task)
+        attempt = call.attempt if call is not None else None
+        ours = attempt is not None and attempt.host == host
+        if message.kind == m.ANSWER:
+            if m.DESCRIPTION not in message.parameters:
+                raise m.PeerError("an answer without a description")
+            if call is not None and attempt is not None and ours and self._awaits(call, attempt, link):
+                self._accepted(call, attempt, message)
+            else:
+                self.late += 1  # after its time, a second time, or of nothing: the page says it means nothing
+        elif message.kind == m.RELEASE:
+            cause, why, report = message.cause, self._why(message), self._report(message)
+            if call is None or attempt is None or not ours:
+                return
+            if call.state is State.STANDS:
+                self._back(attempt, AFTER.get(cause, api.Outcome.LOST), why, report)
+            elif self._awaits(call, attempt, link):
+                self._back(attempt, BEFORE.get(cause, api.Outcome.LOST), why, report)
+        elif message.kind == m.NOTE:
+            self._note(call if ours else None, host, message)
+
+    @staticmethod
+    def _awaits(call: Call, attempt: Attempt, link: Any) -> bool:
+        return call.state is State.OUT and attempt.link is link
+
+    def _accepted(self, call: Call, attempt: Attempt, message: m.Message) -> None:
+        if attempt.timer is not None:
+            attempt.timer.cancel()
+        self._stands(call, attempt.host)
+        description = {m.DESCRIPTION: message.parameters[m.DESCRIPTION]}
+        self.ports.to_owner(call.owner, m.encode(m.ANSWER, call.setup.task, description), owed=False)
+        spent = max(0.0, self.ports.now() - attempt.began)
+        self._feed(api.Accepted(call.number, attempt.number, attempt.host, spent))
+
+    def _note(self, call: Call | None, host: str, message: m.Message) -> None:
+        topic, text = message.text(m.TOPIC), message.text(m.VALUE)
+        try:
+            value = float(text or 0.0)
+        except ValueError:
+            raise m.PeerError(f"no figure: {text!r}") from None
+        if not math.isfinite(value):
+            raise m.PeerError(f"no figure: {text!r}")
+        if call is not None and call.state is State.STANDS and topic in TOPICS:
+            self._feed(api.Noted(call.number, host, TOPICS[topic], value))
+
+    @staticmethod
+    def _why(message: m.Message) -> api.Why:
+        return WHYS.get(message.text(m.TOPIC) or "", api.Why.NONE)
+
+    @staticmethod
+    def _report(message: m.Message) -> api.Report | None:
+        raw = m.fields(message.text(m.REPORT) or "")
+        try:
+            values = {FIELDS.get(name, name): float(value) for name, value in raw.items()}
+        except ValueError:
+            raise m.PeerError("a report with what is no figure") from None
+        if not all(map(math.isfinite, values.values())):
+            raise m.PeerError("a report with what is no figure")
+        return read_report(values)
+
+    # ---- owners ----
+
+    def owner_asks(self, owner: Owner, message: m.Message, waited_ms: float) -> bool:
+        """A set-up that waited so long in our socket and loop; whether it could be used.
+
+        PeerError: it can't even be answered."""
+        task = message.task
+        known = self.tasks.get(task)
+        if known is not None and known.owner is owner and known.state is not State.STANDS:
+            # An answer under this number would be taken for the first one's, which is still owed.
+            raise m.PeerError("a second set-up under the number of an open one")
+        try:
+            setup = self.reader.read(message)
+        except BadSetup as error:
+            self.bad += 1
+            self._turn_away(owner, task, m.NOT_TAKEN, str(error))
+            return False
+        if setup.at is not None:
+            self._adopt(owner, setup)
+        elif known is not None:
+            self.bad += 1
+            self._turn_away(owner, task, m.NOT_TAKEN, "the number of another open set-up")
+            return False
+        elif setup.wait_ms - waited_ms <= 0.0:
+            self._turn_away(owner, task, m.MOOT, "it came after its time")
+        else:
+            self._take(owner, setup, setup.wait_ms - waited_ms)
+        return True
+
+    def _turn_away(self, owner: Owner, task: int, cause: int, why: str) -> None:
+        self.ports.log(f"turned away: {why}")
+        self.ports.to_owner(owner, m.caused(m.RELEASE, task, cause), owed=False)
+
+    def _new(self, owner: Owner, setup: Setup) -> Call:
+        self.numbers += 1
+        self.taken += 1
+        call = Call(self.numbers, setup, owner)
+        self.calls[call.number] = self.tasks[setup.task] = call
+        return call
+
+    def _asked(self, call: Call, left_ms: float) -> api.Asked:
+        s = call.setup
+        return api.Asked(
+            call.number, s.cls.name, s.service, s.cores, s.memory, left_ms, s.tenant, None, s.at, s.again
+        )
+
+    def _take(self, owner: Owner, setup: Setup, left_ms: float) -> None:
+        owner.open.add(setup.task)
+        self._feed(self._asked(self._new(owner, setup), left_ms))
+
+    def _adopt(self, owner: Owner, setup: Setup) -> None:
+        """A task that runs already. One that we hold is named again at every start, and changes nothing."""
+        if setup.task in self.tasks or setup.at is None:
+            return
+        call = self._new(owner, setup)
+        now = self.ports.now()
+        call.attempts, call.attempt = 1, Attempt(call, 0, setup.at, now, now)
+        self._stands(call, setup.at)
+        self._feed(self._asked(call, 0.0))
+
+    def owner_releases(self, owner: Owner, message: m.Message) -> None:
+        """An open set-up is given up on its own connection; what stands may be ended on any."""
+        call = self.tasks.get(message.task)
+        if call is None:
+            return
+        if call.state is State.STANDS:
+            self.ports.to_owner(owner, m.encode(m.RELEASE_HEARD, message.task), owed=False)
+            self._cut(call)
+        elif call.owner is owner:
+            self._leaves(call)
+
+    def owner_gone(self, owner: Owner) -> None:
+        """The connection has ended: nobody waits for what was open on it. What stands goes on."""
+        for task in list(owner.open):
+            self._leaves(self.tasks[task])
+
+    def _leaves(self, call: Call) -> None:
+        if call.attempt is not None and call.state is State.OUT:
+            fact = self.ports.withdraw(call.attempt)
+            outcome = api.Outcome.STOPPED if fact in (Fact.SILENT, Fact.BROKEN) else FACTS[fact]
+            self._back(call.attempt, outcome, left=True)
+        else:
+            self._forget(call)
+            self._feed(api.Left(call.number))
+
+    # ---- machines ----
+
+    def list_told(self, news: News) -> None:
+        kind = api.ListKind.WHOLE if news.whole else api.ListKind.CHANGES
+        self._feed(api.ListTold(kind, tuple(host.machine for host in news.hosts)))
--- /dev/null
+++ b/glencleat/isup/messages.py
@@ -0,0 +1,139 @@
+"""Bytes to messages and back: length, type, task, parameters; bounds on each, and whose fault an error is.
+
+Imports nothing of glencleat. The links of `glencleat/node/` feed a Decoder, the exchange reads and makes
+messages. Types and causes are named after ISUP and Q.850 where they mean the same."""
+
+from __future__ import annotations
+
+import struct
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+MOST = 16_384  # bytes of a message, its length field not counted
+HEAD = struct.Struct(">HBQ")
+PARAMETER = struct.Struct(">BH")
+
+SETUP, PROGRESS, ANSWER, RELEASE, RELEASE_HEARD = 1, 6, 9, 12, 16
+NOTE, MOVE, TEST, TESTED = 44, 51, 52, 53
+KINDS = frozenset((SETUP, PROGRESS, ANSWER, RELEASE, RELEASE_HEARD, NOTE, MOVE, TEST, TESTED))
+
+CLASS, WAIT, TENANT, RETRY, NAME, EXTRAS, STAY_AWAY = 100, 103, 106, 109, 112, 115, 118
+TOPIC, REPORT, VALUE, KEY, CAUSE, DESCRIPTION = 121, 127, 136, 139, 142, 145
+RAW = frozenset((CAUSE, DESCRIPTION))  # all other parameters are text
+
+GIVEN_UP = ENDED = 16
+STOPPED, FULL, RESET, CONGESTED, ERROR, MOOT = 31, 34, 41, 42, 47, 102
+NOT_TAKEN = 100  # ours: a set-up that can't be read or used, Q.850's invalid contents
+
+
+class PeerError(Exception):
+    """The peer's fault: bytes that are no message. The connection is of no further use."""
+
+
+class OurError(ValueError):
+    """Our fault: a message that must not be sent."""
+
+
+@dataclass(slots=True)
+class Message:
+    kind: int
+    task: int
+    parameters: dict[int, bytes]
+
+    def text(self, code: int) -> str | None:
+        """A parameter as text, None where it is absent; PeerError if it is not printable ASCII."""
+        raw = self.parameters.get(code)
+        if raw is None:
+            return None
+        text = raw.decode("latin-1")
+        if not (text.isascii() and text.isprintable()):
+            raise PeerError(f"parameter {code} of message {self.kind} is not text")
+        return text
+
+    @property
+    def cause(self) -> int:
+        """The cause's one byte; PeerError without it."""
+        raw = self.parameters.get(CAUSE)
+        if raw is None or len(raw) != 1:
+            raise PeerError(f"message {self.kind} without a cause of one byte")
+        return raw[0]
+
+
+def encode(kind: int, task: int, parameters: dict[int, bytes] | None = None) -> bytes:
+    """The bytes of one message; OurError when it passes the protocol's bound.
+
+    >>> encode(TESTED, 7, {CAUSE: b"\\x01"}).hex()
+    '000d3500000000000000078e000101'
+    """
+    body = b"".join(PARAMETER.pack(code, len(raw)) + raw for code, raw in (parameters or {}).items())
+    length = HEAD.size - 2 + len(body)
+    if length > MOST:
+        raise OurError(f"message {kind} of {length} bytes; the protocol holds {MOST}")
+    return HEAD.pack(length, kind, task) + body
+
+
+def caused(kind: int, task: int, cause: int) -> bytes:
+    """A message whose main parameter is a cause, such as a release."""
+    return encode(kind, task, {CAUSE: bytes((cause,))})
+
+
+class Decoder:
+    """Bytes in, whole messages out; keeps at most one message that is not whole yet."""
+
+    def __init__(self) -> None:
+        self.buffer = bytearray()
+
+    @property
+    def partial(self) -> bool:
+        """A message has begun and is not whole."""
+        return bool(self.buffer)
+
+    def feed(self, data: bytes) -> None:
+        self.buffer += data
+
+    def messages(self, most: int = 1 << 30) -> Iterator[Message]:
+        """Whole messages, up to `most`; PeerError at the first byte that can't be right."""
+        at = 0
+        try:
+            while most > 0 and len(self.buffer) - at >= 2:
+                length = self.buffer[at] << 8 | self.buffer[at + 1]
+                if not HEAD.size - 2 <= length <= MOST:
+                    raise PeerError(f"a message of {length} bytes")
+                if len(self.buffer) - at >= 3 and self.buffer[at + 2] not in KINDS:
+                    raise PeerError(f"a message of unknown type {self.buffer[at + 2]}")
+                if len(self.buffer) - at < length + 2:
+                    return
+                message = decode(bytes(self.buffer[at : at + length + 2]))
+                at, most = at + length + 2, most - 1
+                yield message
+        finally:
+            del self.buffer[:at]
+
+
+def decode(data: bytes) -> Message:
+    """One whole message, its length and type already looked at."""
+    _, kind, task = HEAD.unpack_from(data)
+    at, parameters = HEAD.size, dict[int, bytes]()
+    while at < len(data):
+        if len(data) - at < PARAMETER.size:
+            raise PeerError(f"message {kind} ends within a parameter")
+        code, length = PARAMETER.unpack_from(data, at)
+        at += PARAMETER.size
+        if length > len(data) - at:
+            raise PeerError(f"parameter {code} of {length} bytes in the {len(data) - at} left")
+        if code in parameters:
+            raise PeerError(f"parameter {code} twice in message {kind}")
+        parameters[code] = data[at : at + length]
+        at += length
+    return Message(kind, task, parameters)
+
+
+def fields(text: str) -> dict[str, str]:
+    """`a:1;b:2` as a mapping; PeerError on another form or a name twice."""
+    found: dict[str, str] = {}
+    for part in filter(None, text.split(";")):
+        name, colon, value = part.partition(":")
+        if not colon or name in found:
+            raise PeerError(f"no field: {part[:40]!r}")
+        found[name] = value
+    return found
--- /dev/null
+++ b/glencleat/isup/setups.py
@@ -0,0 +1,114 @@
+"""A set-up of an owner, read and checked against the settings: what is taken, and what is turned away unread.
+
+Imports messages and the interface. The exchange calls it; nothing here depends on what happened before."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+from glencleat import interface as api
+from glencleat.isup import messages as m
+
+MOST_TEXT = 128  # characters of a name, a key, a service
+MOST_WAIT_MS = 3_600_000.0
+
+
+class BadSetup(Exception):
+    """Whole, yet not to be used; the owner is answered so."""
+
+
+@dataclass(frozen=True, slots=True)
+class Setup:
+    """One set-up: what goes on to a host unchanged, and what the module is asked."""
+
+    task: int
+    cls: api.TaskClass
+    name: bytes
+    key: bytes | None
+    description: bytes
+    wait_ms: float  # from when the owner sent it
+    again: bool
+    tenant: str | None
+    service: str
+    cores: float
+    memory: float
+    at: str | None  # the machine that holds it already: no answer is owed
+
+
+class Reader:
+    """Reads set-ups under one configuration's settings."""
+
+    def __init__(self, settings: api.Settings) -> None:
+        self.classes = {c.name: c for c in settings.classes}
+        sizes = list(settings.kinds.values())
+        self.most_cores = max(s.cores for s in sizes) * settings.accept_cores
+        self.most_memory = max(s.memory for s in sizes) * settings.accept_memory
+
+    def read(self, message: m.Message) -> Setup:
+        """The set-up; BadSetup says what is wrong with it."""
+        try:
+            return self._read(message)
+        except m.PeerError as error:
+            raise BadSetup(str(error)) from None
+
+    def _read(self, message: m.Message) -> Setup:
+        if not message.task:
+            raise BadSetup("no id")
+        cls = self.classes.get(self._need(message, m.CLASS, "class"))
+        if cls is None:
+            raise BadSetup(f"no class {message.text(m.CLASS)!r}")
+        name, extras = self._need(message, m.NAME, "name"), m.fields(message.text(m.EXTRAS) or "")
+        key = message.text(m.KEY)
+        if cls.effect is api.Effect.KEYED and not key:
+            raise BadSetup("no key in a keyed class")
+        at = extras.get("at")
+        if m.DESCRIPTION not in message.parameters:
+            raise BadSetup("no description")
+        for text in (name, key, extras.get("service"), at, message.text(m.TENANT)):
+            if text is not None and len(text) > MOST_TEXT:
+                raise BadSetup("a text that is too long")
+        if not extras.get("service"):
+            raise BadSetup("no service")
+        return Setup(
+            message.task,
+            cls,
+            name.encode(),
+            key.encode() if key else None,
+            message.parameters[m.DESCRIPTION],
+            self._wait(message, at),
+            message.text(m.RETRY) == "1",
+            message.text(m.TENANT) or None,
+            extras["service"],
+            self._figure(extras, "cores", self.most_cores),
+            self._figure(extras, "memory", self.most_memory),
+            at,
+        )
+
+    @staticmethod
+    def _need(message: m.Message, code: int, what: str) -> str:
+        text = message.text(code)
+        if not text:
+            raise BadSetup(f"no {what}")
+        return text
+
+    @staticmethod
+    def _wait(message: m.Message, at: str | None) -> float:
+        text = message.text(m.WAIT)
+        if at is not None and text is None:
+            return 0.0
+        readable = text is not None and len(text) <= 10 and text.isdecimal()
+        if text is None or not readable or not (at or 0 < int(text) <= MOST_WAIT_MS):
+            raise BadSetup(f"no time to wait: {text and text[:40]!r}")
+        return float(text)
+
+    @staticmethod
+    def _figure(extras: dict[str, str], name: str, most: float) -> float:
+        """A figure that some machine could take, by the settings."""
+        try:
+            value = float(extras[name][:40])
+        except (KeyError, ValueError):
+            raise BadSetup(f"no figure for {name}") from None
+        if not math.isfinite(value) or not 0.0 < value <= most:
+            raise BadSetup(f"{name} out of range: {extras[name][:40]}")
+        return value
--- a/glencleat/kernel/__init__.py
+++ b/glencleat/kernel/__init__.py
@@ -3,12 +3,13 @@
 It imports nothing of glencleat. Clock and sockets come in from outside (`Loop(clock, poller)`)."""
 
 from glencleat.kernel.loop import Cancelled, Clock, Loop, Poller, SystemClock, Task
-from glencleat.kernel.streams import Listener, Overflow, Stream, StreamClosed, connect
+from glencleat.kernel.streams import ConnectFailed, Listener, Overflow, Stream, StreamClosed, connect
 from glencleat.kernel.timers import Timer, TimerHeap, TimerWheel
 
 __all__ = [
     "Cancelled",
     "Clock",
+    "ConnectFailed",
     "Listener",
     "Loop",
     "Overflow",
--- a/glencleat/kernel/streams.py
+++ b/glencleat/kernel/streams.py
@@ -21,6 +21,14 @@
     """The peer or we closed the stream; the text says which and why."""
 
 
+class ConnectFailed(StreamClosed):
+    """No connection came up; `code` is the errno: ECONNREFUSED is the peer's machine speaking."""
+
+    def __init__(self, address: tuple[str, int], code: int) -> None:
+        super().__init__(f"can't connect to {address[0]}:{address[1]}: {os.strerror(code)}")
+        self.code = code
+
+
 class Overflow(StreamClosed):
     """The peer reads too slowly: more than the limit waits unsent."""
 
@@ -152,14 +160,14 @@
 
 
 def connect(loop: Loop, address: tuple[str, int], timeout_ms: float, limit: int = 1 << 20) -> Coroutine:
-    """A Stream to the address; raises StreamClosed when it can't be made in time."""
+    """A Stream to the address; raises ConnectFailed when it can't be made in time."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setblocking(False)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     code = sock.connect_ex(address)
     if code not in (0, errno.EINPROGRESS):
         sock.close()
-        raise StreamClosed(f"can't connect to {address[0]}:{address[1]}: {os.strerror(code)}")
+        raise ConnectFailed(address, code)
 
     def arm(task: Task) -> Callable[[], None]:
         timer = loop.call_in(timeout_ms, lambda: told(-1))
@@ -183,7 +191,7 @@
     code = errno.ETIMEDOUT if mask == -1 else sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
     if code:
         sock.close()
-        raise StreamClosed(f"can't connect to {address[0]}:{address[1]}: {os.strerror(code)}")
+        raise ConnectFailed(address, code)
     return Stream(loop, sock, limit)
 
 
--- /dev/null
+++ b/glencleat/node/feed.py
@@ -0,0 +1,79 @@
+"""Holds a connection to the command channel, always: breaks, silence and moves end one and begin the next.
+
+Imports the kernel and `isup.channel`. What a break may cost is 2 s, a silence or a move 4 s: drains count as
+told by then."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from glencleat.isup.channel import Channel, News
+from glencleat.isup.messages import PeerError
+from glencleat.kernel import Loop, Stream, StreamClosed, connect
+from glencleat.kernel.loop import Coroutine
+
+CONNECT_MS = 500.0
+SILENT_MS = 1_800.0  # a line is due every second
+AGAIN_MS = 100.0  # between two tries: well under what a break may cost
+
+
+class Feed:
+    def __init__(
+        self,
+        loop: Loop,
+        channel: Channel,
+        place: tuple[str, int],
+        told: Callable[[News], None],
+        log: Callable[[str], None],
+    ) -> None:
+        self.loop, self.channel, self.place, self.told, self.log = loop, channel, place, told, log
+        self.stream: Stream | None = None
+        self.heard = 0.0
+        self.breaks = 0
+        loop.spawn(self._run(), "command channel")
+
+    def move(self, place: tuple[str, int]) -> None:
+        """Another address from now on; the numbers go on."""
+        if place != self.place:
+            self.place = place
+            if self.stream is not None:
+                self.stream.close("the command channel moved")
+
+    def _run(self) -> Coroutine:
+        while True:
+            try:
+                yield from self._follow()
+            except (StreamClosed, PeerError) as error:
+                self.breaks += 1
+                self.log(f"command channel: {error}; asking again from {self.channel.cursor}")
+            if self.stream is not None:
+                self.stream.close()
+                self.stream = None
+            yield from self.loop.sleep(AGAIN_MS)
+
+    def _follow(self) -> Coroutine:
+        place = self.place
+        stream: Stream = yield from connect(self.loop, place, CONNECT_MS)
+        self.stream = stream
+        if place != self.place:
+            raise StreamClosed("the command channel moved")
+        self.heard = self.loop.now()
+        self._watch(stream)
+        stream.send(self.channel.resume())
+        while True:
+            data = yield from stream.read()
+            if not data:
+                raise StreamClosed("it ended")
+            self.heard = self.loop.now()
+            for news in self.channel.feed(data):
+                self.told(news)
+
+    def _watch(self, stream: Stream) -> None:
+        """Closes the stream once no line has come for too long: one that stops may stay open."""
+        if stream.closed is not None:
+            return
+        left = self.heard + SILENT_MS - self.loop.now()
+        if left <= 0.0 and not stream.readable:
+            stream.close("it is silent")
+        else:
+            self.loop.call_in(max(left, 50.0), lambda: self._watch(stream))
--- /dev/null
+++ b/glencleat/node/owners.py
@@ -0,0 +1,153 @@
+"""Owners' connections: what is read, answered, kept and closed, for good ones and bad.
+
+Imports the kernel and `isup`. A connection that says nothing, half a message, or what can't be read is
+closed; one with nothing open on it goes when room is wanted."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+
+from glencleat.isup import messages as m
+from glencleat.isup.exchange import Exchange
+from glencleat.kernel import Listener, Loop, Stream, StreamClosed
+from glencleat.kernel.loop import Coroutine
+
+SWEEP_MS = 250.0
+SPEAK_MS = 2_000.0  # for the first whole message, and for each one begun
+TURN = 16  # messages of one connection before others have their turn
+READ = 16_384  # bytes of one connection at a time
+MOST_BAD = 50  # set-ups turned away unread on one connection before it is closed
+UNSENT = 1 << 18  # bytes that a slow reader may leave with us
+OWED, OWED_MS = 2_000, 10_000.0  # releases that wait for a connection of owners, and for how long
+
+
+class Owner:
+    """One connection. `open` holds the ids that an answer is owed to; the exchange keeps it."""
+
+    def __init__(self, stream: Stream, now: float) -> None:
+        self.stream, self.decoder = stream, m.Decoder()
+        self.open: set[int] = set()
+        self.born = self.used = now
+        self.whole = 0  # messages that came whole
+        self.good = 0  # set-ups taken
+        self.bad = 0
+        self.begun: float | None = None  # since when a message is not whole
+
+
+class Owners:
+    """The listener and all connections. `exchange` is set by whoever joins the parts."""
+
+    exchange: Exchange
+
+    def __init__(self, loop: Loop, share: int, log: Callable[[str], None]) -> None:
+        self.loop, self.share, self.log = loop, share, log
+        self.owners: dict[Owner, None] = {}  # in order of last use, but for those read since
+        self.owed: deque[tuple[float, bytes]] = deque(maxlen=OWED)
+        self.listener: Listener | None = None
+        self.leaving = False
+        loop.call_in(SWEEP_MS, self._sweep)
+
+    def listen(self, address: tuple[str, int]) -> tuple[str, int]:
+        self.listener = Listener(
+            self.loop, address, self._accepted, self.share, UNSENT, lambda why: None, self._make_room
+        )
+        return self.listener.address
+
+    def close(self) -> None:
+        if self.listener is not None:
+            self.listener.close()
+
+    # ---- connections ----
+
+    def _accepted(self, stream: Stream) -> None:
+        owner = Owner(stream, self.loop.now())
+        self.owners[owner] = None
+        self.loop.spawn(self._serve(owner), "owner")
+        while self.owed:
+            _, data = self.owed.popleft()
+            self._write(owner, data)
+
+    def _serve(self, owner: Owner) -> Coroutine:
+        try:
+            while True:
+                data = yield from owner.stream.read(READ)
+                if not data:
+                    raise StreamClosed("the owner closed it")
+                owner.used = self.loop.now()
+                owner.decoder.feed(data)
+                while self._turn(owner):
+                    yield from self.loop.sleep(0.0)
+                owner.begun = owner.used if owner.decoder.partial else None
+        except (StreamClosed, m.PeerError) as error:
+            owner.stream.close(str(error))
+            if isinstance(error, m.PeerError):
+                self.log(f"an owner's connection closed: {error}")
+        finally:
+            self.owners.pop(owner, None)
+            self.exchange.owner_gone(owner)
+
+    def _turn(self, owner: Owner) -> bool:
+        """Up to TURN messages; whether there may be more."""
+        count = 0
+        for message in owner.decoder.messages(TURN):
+            count += 1
+            self._message(owner, message)
+            if owner.stream.closed is not None:
+                raise StreamClosed(owner.stream.closed)
+        return count == TURN
+
+    def _message(self, owner: Owner, message: m.Message) -> None:
+        owner.whole += 1
+        if message.kind == m.SETUP:
+            taken = self.exchange.owner_asks(owner, message, 0.0)
+            owner.good, owner.bad = owner.good + taken, owner.bad + (not taken)
+            if owner.bad > MOST_BAD:
+                raise m.PeerError(f"{owner.bad} set-ups that can't be used")
+        elif message.kind == m.RELEASE:
+            message.cause  # noqa: B018 - it must be readable
+            self.exchange.owner_releases(owner, message)
+        elif message.kind == m.TEST:
+            passed = b"\x00" if self.leaving else b"\x01"
+            self._write(owner, m.encode(m.TESTED, message.task, {m.CAUSE: passed}))
+
+    def _write(self, owner: Owner, data: bytes) -> bool:
+        if owner.stream.closed is not None:
+            return False
+        try:
+            owner.stream.send(data)
+        except StreamClosed:
+            return False
+        return owner.stream.closed is None
+
+    def to_owner(self, owner: Owner | None, data: bytes, owed: bool) -> None:
+        if owner is not None and self._write(owner, data):
+            return
+        if not owed:
+            return
+        # Connections that brought work before others: of the rest nobody knows who listens there.
+        for other in sorted(self.owners, key=lambda o: (o.good > 0, o.used), reverse=True):
+            if other.good and self._write(other, data):
+                return
+        self.owed.append((self.loop.now(), data))
+
+    # ---- room and time ----
+
+    def _make_room(self) -> bool:
+        """Closes the connection that is least missed: nothing open, never asked, longest unused."""
+        idle = [owner for owner in self.owners if not owner.open and owner.stream.closed is None]
+        if not idle:
+            return False
+        least = min(idle, key=lambda o: (o.good > 0, o.used))
+        least.stream.close("room is wanted")
+        return True
+
+    def _sweep(self) -> None:
+        self.loop.call_in(SWEEP_MS, self._sweep)
+        now = self.loop.now()
+        for owner in list(self.owners):
+            silent = not owner.whole and now - owner.born > SPEAK_MS
+            if silent or (owner.begun is not None and now - owner.begun > SPEAK_MS):
+                owner.stream.close("no whole message in time")
+        while self.owed and now - self.owed[0][0] > OWED_MS:
+            self.owed.popleft()
--- /dev/null
+++ b/glencleat/node/process.py
@@ -0,0 +1,255 @@
+"""One allocator on the platform: configuration, joined parts, signals, the end.
+
+Started by `python -m glencleat node`, reading ROUTER_CONFIG. Exit codes: 0 after SIGTERM, 2 for a
+configuration that can't be used, 3 when the system refuses (an address in use)."""
+
+from __future__ import annotations
+
+import gc
+import json
+import os
+import signal
+import socket
+import sys
+import time
+import traceback
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from glencleat import interface as api
+from glencleat.isup.channel import Channel, News, address
+from glencleat.isup.exchange import Attempt, Exchange, Fact
+from glencleat.isup.messages import PeerError
+from glencleat.kernel import Loop, Timer
+from glencleat.kernel.loop import READ
+from glencleat.logic import Scheduler
+from glencleat.node.feed import Feed
+from glencleat.node.hosts import Hosts
+from glencleat.node.log import Log
+from glencleat.node.owners import Owners
+from glencleat.settings import read_settings
+
+TAKEN_ON_MS = 700.0  # after SIGTERM: what comes in this time is still taken and answered
+REREAD_MS, REREADS = 100.0, 20  # the file may be read while it is replaced
+STATUS_MS = 10_000.0
+SPARE = 24  # descriptors for all but owners and hosts: listener, poller, channel, logs, what Python opens
+
+
+class BadConfig(Exception):
+    """The configuration can't be used; the text says what and why."""
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    name: str
+    listen: tuple[str, int]
+    seed: int
+    descriptors: int
+    channel: tuple[str, int]
+    known: dict[str, Any]
+    settings: api.Settings
+    connect_ms: float
+    idle_ms: float
+
+
+def load(path: str) -> Config:
+    """Reads and checks the file that ROUTER_CONFIG names; raises BadConfig."""
+    try:
+        with open(path, "rb") as file:
+            raw = json.load(file)
+        limits = raw["settings"]["limits"]
+        return Config(
+            name=str(raw["name"]),
+            listen=address(raw["listen"]),
+            seed=int(str(raw["seed"]), 16),
+            descriptors=int(raw["limits"]["sockets"]),
+            channel=address(raw["channel"]),
+            known=dict(raw["known"]),
+            settings=read_settings(raw["settings"]),
+            connect_ms=float(limits["connect-timeout-ms"]),
+            idle_ms=float(limits["conn-idle-ms"]),
+        )
+    except OSError as error:
+        raise BadConfig(f"{path}: {error.strerror}") from None
+    except PeerError as error:
+        raise BadConfig(f"{path}: {error}") from None
+    except (ValueError, KeyError, TypeError, AttributeError, IndexError) as error:
+        raise BadConfig(f"{path}: {type(error).__name__}: {error}") from None
+
+
+class Process:
+    """The parts joined; the exchange's Ports."""
+
+    def __init__(self, config: Config, loop: Loop, log: Callable[[str], None], path: str) -> None:
+        self.config, self.loop, self.log, self.path = config, loop, log, path
+        self.channel = Channel(loop.clock.wall() - loop.now())
+        room = max(16, config.descriptors - SPARE)
+        self.owners = Owners(loop, room * 11 // 20, log)
+        self.hosts = Hosts(loop, self.channel, room * 9 // 20, config.connect_ms, config.idle_ms, log)
+        module = Scheduler(config.settings, config.seed)
+        self.exchange = Exchange(config.settings, module, self, config.connect_ms)
+        self.exchange.machines = self.channel.machines
+        self.owners.exchange = self.hosts.exchange = self.exchange
+        for news in self.channel.begin(config.known):
+            self.list_told(news)
+        self.feed = Feed(loop, self.channel, config.channel, self.list_told, log)
+        self.rereads = 0
+        self.faults = 0
+        self.lag = 0.0
+
+    # ---- Ports ----
+
+    def to_owner(self, owner: Any, data: bytes, owed: bool) -> None:
+        self.owners.to_owner(owner, data, owed)
+
+    def offer(self, attempt: Attempt) -> None:
+        self.hosts.offer(attempt)
+
+    def withdraw(self, attempt: Attempt) -> Fact:
+        return self.hosts.withdraw(attempt)
+
+    def cut(self, host: str, task: int) -> None:
+        self.hosts.cut(host, task)
+
+    def test(self, host: str, token: int) -> bool:
+        return self.hosts.test(host, token)
+
+    def call_in(self, in_ms: float, call: Callable[[], None]) -> Timer:
+        return self.loop.call_in(in_ms, call)
+
+    def now(self) -> float:
+        return self.loop.now()
+
+    # ---- the list ----
+
+    def list_told(self, news: News) -> None:
+        # The module first: what stood at a host that was replaced is then bound anew by the newer list.
+        self.exchange.list_told(news)
+        self.hosts.list_told(news)
+
+    # ---- signals ----
+
+    def reload(self) -> None:
+        """SIGHUP: the channel's address; anything else of the file belongs to the start."""
+        self.rereads = 0
+        self._reread()
+
+    def _reread(self) -> None:
+        try:
+            place = load(self.path).channel
+        except BadConfig as error:
+            self.rereads += 1
+            if self.rereads < REREADS:
+                self.loop.call_in(REREAD_MS, self._reread)
+            else:
+                self.log(f"the new configuration can't be used, the old one goes on: {error}")
+            return
+        self.log(f"configuration read again, command channel at {place[0]}:{place[1]}")
+        self.feed.move(place)
+
+    def stop(self) -> None:
+        """SIGTERM: what still comes is taken; the end is when all that was taken is answered."""
+        if not self.owners.leaving:
+            self.owners.leaving = True
+            self.log(f"stopping, {self.exchange.open} calls open")
+            self.loop.call_in(TAKEN_ON_MS, self._finish)
+
+    def _finish(self) -> None:
+        self.owners.close()
+        if self.exchange.open or any(owner.stream.out for owner in self.owners.owners):
+            self.loop.call_in(10.0, self._finish)
+        else:
+            self.loop.stop()
+
+    # ---- running ----
+
+    def status(self) -> None:
+        self.loop.call_in(STATUS_MS, self.status)
+        x = self.exchange
+        stood = sum(map(len, x.standing.values()))
+        self.log(
+            f"taken {x.taken} open {x.open} standing {stood} bad {x.bad} late {x.late} owners"
+            f" {len(self.owners.owners)} links {self.hosts.links} hosts {len(self.hosts.hosts)} cursor"
+            f" {self.channel.cursor} channel breaks {self.feed.breaks} longest round {self.lag:.0f} ms"
+            f" module {x.contract.module_s:.2f} s cpu {time.process_time():.2f} s faults {self.faults}"
+            f" rss {resident()}"
+        )
+        self.lag = 0.0
+
+    def run(self) -> None:
+        """Until stopped. A fault of ours in one event is told and counted; the others go on."""
+        self.loop.on_error = lambda task, error: self._fault(error)
+        self.loop.running = True
+        while self.loop.running:
+            began, idle = self.loop.now(), self.loop.poller.idle_ms
+            try:
+                self.loop.round()
+            except Exception as error:
+                self._fault(error)
+            self.lag = max(self.lag, self.loop.now() - began - (self.loop.poller.idle_ms - idle))
+
+    def _fault(self, error: BaseException) -> None:
+        self.faults += 1
+        frames = reversed(traceback.extract_tb(error.__traceback__)[-5:])
+        where = " < ".join(f"{frame.name}:{frame.lineno}" for frame in frames)
+        self.log(f"FAULT {type(error).__name__}: {error} at {where}")
+
+
+def resident() -> str:
+    """Resident size in kB, as the system tells it."""
+    with open("/proc/self/statm", "rb") as file:
+        return f"{int(file.read().split()[1]) * os.sysconf('SC_PAGE_SIZE') // 1024} kB"
+
+
+class Signals:
+    """Signals as bytes on a socket from the first moment on, so that none is missed and none interrupts."""
+
+    def __init__(self) -> None:
+        self.reader, self.writer = socket.socketpair()
+        self.reader.setblocking(False)
+        self.writer.setblocking(False)
+        signal.set_wakeup_fd(self.writer.fileno(), warn_on_full_buffer=False)
+        for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: None)
+        signal.signal(signal.SIGPIPE, signal.SIG_IGN)
+
+    def follow(self, loop: Loop, calls: dict[int, Callable[[], None]]) -> None:
+        def told(_: int) -> None:
+            for number in set(self.reader.recv(256)):
+                if number in calls:
+                    calls[number]()
+
+        loop.poller.watch(self.reader.fileno(), READ, told)
+
+
+def main() -> int:
+    signals = Signals()
+    log = Log(os.environ.get("ROUTER_NAME", "node"))
+    path = os.environ.get("ROUTER_CONFIG")
+    if path is None:
+        print("glencleat node: ROUTER_CONFIG is not set; expected the path of a file", file=sys.stderr)
+        return 2
+    try:
+        config = load(path)
+        process = Process(config, Loop(), log, path)
+    except (BadConfig, PeerError, ValueError, KeyError) as error:
+        print(f"glencleat node: {error}", file=sys.stderr)
+        return 2
+    signals.follow(
+        process.loop,
+        {signal.SIGHUP: process.reload, signal.SIGTERM: process.stop, signal.SIGINT: process.stop},
+    )
+    try:
+        bound = process.owners.listen(config.listen)
+    except OSError as error:
+        place = f"{config.listen[0]}:{config.listen[1]}"
+        print(f"glencleat node: can't listen on {place}: {error.strerror}", file=sys.stderr)
+        return 3
+    gc.collect()
+    gc.freeze()
+    log(f"listening on {bound[0]}:{bound[1]}, {len(process.channel.hosts)} hosts known, {resident()}")
+    process.status()
+    process.run()
+    log(f"stopped, {process.exchange.open} open")
+    return 0
