Tests of the live path; a release that can't be read breaks its link's attempts at once

Found by them: an answer without a description, or a release without a cause, closed the link but left its attempt waiting until its time-out, up to 2 s (Link._read took it off `out` before the message was read whole; seen as spent_ms 2001 with LOST). It now breaks with its link.

--- a/glencleat/isup/channel.py
+++ b/glencleat/isup/channel.py
@@ -61,10 +61,10 @@
     hosts: tuple[Host, ...]
 
 
-def address(text: str) -> tuple[str, int]:
-    """`10.1.0.9:5080` as host and port; PeerError on another form."""
+def address(text: str, least: int = 1) -> tuple[str, int]:
+    """`10.1.0.9:5080` as host and port; PeerError on another form or a port below `least`."""
     host, _, port = text.rpartition(":")
-    if not host or not port.isdecimal() or not 0 < int(port) < 65_536:
+    if not host or not port.isdecimal() or not least <= int(port) < 65_536:
         raise PeerError(f"no address: {text[:60]!r}")
     return host, int(port)
 
--- a/glencleat/node/hosts.py
+++ b/glencleat/node/hosts.py
@@ -117,17 +117,20 @@
             self.doubtful = False
             self.decoder.feed(data)
             for message in self.decoder.messages():
-                if message.kind in (m.ANSWER, m.RELEASE):
-                    self._done(message.task)
-                self.hosts.exchange.host_says(self.host.name, self, message)
-                if message.kind == m.RELEASE:
-                    self._write(m.encode(m.RELEASE_HEARD, message.task))
-
-    def _done(self, task: int) -> None:
-        for attempt in self.out:
-            if attempt.call.setup.task == task:
-                del self.out[attempt]
-                return
+                self._message(message)
+
+    def _message(self, message: m.Message) -> None:
+        answered = next((a for a in self.out if a.call.setup.task == message.task), None)
+        if answered is not None and message.kind in (m.ANSWER, m.RELEASE):
+            del self.out[answered]  # before the module may bind anew: this link is free again
+        try:
+            self.hosts.exchange.host_says(self.host.name, self, message)
+        except m.PeerError:
+            if answered is not None:
+                self.out[answered] = 0  # an answer that can't be read is none: it breaks with the link
+            raise
+        if message.kind == m.RELEASE:
+            self._write(m.encode(m.RELEASE_HEARD, message.task))
 
     def _end(self, why: str) -> None:
         """What was open on it comes back as what it is; what stands does not."""
--- a/glencleat/node/process.py
+++ b/glencleat/node/process.py
@@ -61,7 +61,7 @@
         limits = raw["settings"]["limits"]
         return Config(
             name=str(raw["name"]),
-            listen=address(raw["listen"]),
+            listen=address(raw["listen"], least=0),
             seed=int(str(raw["seed"]), 16),
             descriptors=int(raw["limits"]["sockets"]),
             channel=address(raw["channel"]),
--- /dev/null
+++ b/tests/live.py
@@ -0,0 +1,139 @@
+"""The exchange on a clock of its own: ports that record, owners and hosts that are lists of messages."""
+
+from glencleat import interface as api
+from glencleat.isup import messages as m
+from glencleat.isup.channel import Host, News
+from glencleat.isup.exchange import Exchange, Fact
+from glencleat.kernel import TimerHeap
+
+SAFE = api.TaskClass("safe", api.Effect.SAFE, 1000.0, 8000.0, 1.0)
+KEYED = api.TaskClass("keyed", api.Effect.KEYED, 1000.0, 8000.0, 1.0, group="all", window_ms=5000.0)
+UNSAFE = api.TaskClass("unsafe", api.Effect.UNSAFE, 1000.0, 8000.0, 1.0)
+SETTINGS = api.Settings(
+    0, 1, "a", (SAFE, KEYED, UNSAFE), {"std": api.Size(16.0, 32.0)}, max_attempts=4, view=True
+)
+
+
+def setup(
+    task, cls="safe", wait=8000, name="t", extras="cores:1;memory:2;service:web", key=None, desc=b"d", **more
+):
+    """A set-up's parameters as an owner sends them; None leaves one out."""
+    found = {
+        m.CLASS: cls, m.WAIT: wait, m.NAME: name, m.EXTRAS: extras, m.DESCRIPTION: desc,
+        m.KEY: key or ("k" if cls == "keyed" else None), **more,
+    }  # fmt: skip
+    raw = {code: v if isinstance(v, bytes) else str(v).encode() for code, v in found.items() if v is not None}
+    return m.encode(m.SETUP, task, raw)
+
+
+def read(data):
+    decoder = m.Decoder()
+    decoder.feed(data)
+    found = list(decoder.messages())
+    assert not decoder.partial
+    return found
+
+
+class Owner:
+    def __init__(self):
+        self.open, self.got, self.closed = set(), [], False
+
+    def said(self):
+        return [(x.kind, x.task, x.parameters.get(m.CAUSE, b"\0")[0]) for x in self.got]
+
+
+class Script:
+    """A module that does what the test says; events are kept."""
+
+    def __init__(self):
+        self.events, self.next = [], []
+
+    def handle(self, now, event):
+        self.events.append(event)
+        return self.next.pop(0) if self.next else []
+
+
+class World:
+    """Ports of an exchange whose module is `module`, or a Script."""
+
+    def __init__(self, module=None, settings=SETTINGS):
+        self.at, self.timers = 1000.0, TimerHeap()
+        self.module = module or Script()
+        self.offers, self.withdrawn, self.cuts, self.logs, self.tests = [], [], [], [], []
+        self.fact, self.testable = Fact.SILENT, True
+        self.exchange = Exchange(settings, self.module, self, 250.0)
+        self.owner = Owner()
+
+    # ---- Ports ----
+
+    def to_owner(self, owner, data, owed):
+        (owner if not owner.closed else self.owner).got.extend(read(data))
+
+    def offer(self, attempt):
+        attempt.link = f"link {len(self.offers)}"
+        self.offers.append(attempt)
+
+    def withdraw(self, attempt):
+        self.withdrawn.append(attempt)
+        return self.fact
+
+    def cut(self, host, task):
+        self.cuts.append((host, task))
+
+    def test(self, host, token):
+        self.tests.append((host, token))
+        return self.testable
+
+    def call_in(self, in_ms, call):
+        return self.timers.add(self.at + in_ms, call)
+
+    def now(self):
+        return self.at
+
+    def log(self, text):
+        self.logs.append(text)
+
+    # ---- what tests do ----
+
+    def advance(self, ms):
+        until = self.at + ms
+        while (due := self.timers.next_due()) is not None and due <= until:
+            self.at = max(self.at, due)
+            for timer in self.timers.pop_due(self.at):
+                if timer.call is not None:
+                    timer.call()
+        self.at = until
+
+    def asks(self, task, *actions, owner=None, waited=0.0, **fields):
+        """A set-up comes; a Script module answers it with these actions."""
+        if actions:
+            self.module.next.append(list(actions))
+        (message,) = read(setup(task, **fields))
+        return self.exchange.owner_asks(owner or self.owner, message, waited)
+
+    def host(self, kind, task, host="h1", link=None, **parameters):
+        """A host's message, by default on the link of the last offer."""
+        names = {
+            "cause": m.CAUSE,
+            "desc": m.DESCRIPTION,
+            "topic": m.TOPIC,
+            "value": m.VALUE,
+            "report": m.REPORT,
+        }
+        raw = {names[k]: bytes([v]) if k == "cause" else v for k, v in parameters.items()}
+        (message,) = read(m.encode(kind, task, raw))
+        self.exchange.host_says(host, link or self.offers[-1].link, message)
+
+    def told(self, kind):
+        return [event for event in self.module.events if isinstance(event, kind)]
+
+    def outcomes(self):
+        return [event.outcome for event in self.told(api.Returned)]
+
+
+def machine(name="h1", phase=api.Phase.SERVING, ready=None):
+    return api.Machine(name, "std", "a", 0, phase, 16.0, 32.0, ready)
+
+
+def news(*hosts, whole=True):
+    return News(whole, tuple(Host(h, ("127.0.0.1", 9), 0.0) for h in hosts))
--- /dev/null
+++ b/tests/test_isup_messages.py
@@ -0,0 +1,206 @@
+"""Bytes and messages, the command channel, and what of a set-up is usable."""
+
+import json
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from glencleat import interface as api
+from glencleat.isup import messages as m
+from glencleat.isup.channel import Channel
+from glencleat.isup.setups import BadSetup, Reader
+from tests.live import SETTINGS, read, setup
+
+PARAMETERS = st.dictionaries(st.integers(0, 255), st.binary(max_size=40), max_size=6)
+MESSAGES = st.lists(
+    st.tuples(st.sampled_from(sorted(m.KINDS)), st.integers(0, 2**64 - 1), PARAMETERS), max_size=6
+)
+
+
+@settings(max_examples=60, derandomize=True, deadline=None)
+@given(MESSAGES, st.lists(st.integers(1, 50), min_size=1, max_size=20))
+def test_messages_come_whole_in_any_cuts(told, cuts):
+    data, decoder, found = b"".join(m.encode(*one) for one in told), m.Decoder(), []
+    while data:
+        cut = cuts[len(data) % len(cuts)]
+        decoder.feed(data[:cut])
+        data = data[cut:]
+        found += [(x.kind, x.task, x.parameters) for x in decoder.messages()]
+    assert found == told and not decoder.partial
+
+
+@settings(max_examples=200, derandomize=True, deadline=None)
+@given(st.binary(max_size=200))
+def test_noise_is_the_peers_error_and_nothing_else(data):
+    decoder = m.Decoder()
+    decoder.feed(data)
+    try:
+        for message in decoder.messages():
+            m.encode(message.kind, message.task, message.parameters)
+    except m.PeerError:
+        pass
+    assert len(decoder.buffer) <= m.MOST + 2
+
+
+@pytest.mark.parametrize(
+    ("data", "why"),
+    [
+        (b"\x00\x08\x01" + b"\0" * 8, "of 8 bytes"),
+        (b"\xff\xff\x01" + b"\0" * 8, "of 65535 bytes"),
+        (b"\x40\x01", "of 16385 bytes"),
+        (b"\x00\x09\x02" + b"\0" * 8, "unknown type 2"),
+        (b"\x00\x0a\x01" + b"\0" * 9, "within a parameter"),
+        (b"\x00\x0d\x01" + b"\0" * 8 + b"\x64\x00\x05x", "parameter 100 of 5 bytes"),
+        (b"\x00\x0f\x01" + b"\0" * 8 + b"\x64\0\0\x64\0\0", "parameter 100 twice"),
+    ],
+)
+def test_what_is_no_message(data, why):
+    decoder = m.Decoder()
+    decoder.feed(data)
+    with pytest.raises(m.PeerError, match=why):
+        list(decoder.messages())
+
+
+def test_a_message_before_the_noise_is_given_first():
+    decoder = m.Decoder()
+    decoder.feed(m.encode(m.TEST, 5) + b"\xff\xff")
+    found = decoder.messages()
+    assert next(found).task == 5
+    with pytest.raises(m.PeerError):
+        next(found)
+
+
+def test_a_message_that_is_too_long_is_our_error():
+    with pytest.raises(m.OurError):
+        m.encode(m.ANSWER, 1, {m.DESCRIPTION: b"x" * m.MOST})
+
+
+# ---- set-ups ----
+
+BAD = [
+    {"task": 0}, {"cls": None}, {"cls": "nope"}, {"cls": b"\xff"}, {"name": None}, {"name": ""}, {"name": "x" * 200},
+    {"desc": None}, {"wait": None}, {"wait": 0}, {"wait": -5}, {"wait": "soon"}, {"wait": "9" * 30}, {"wait": "1e3"},
+    {"extras": ""}, {"extras": "cores:1;memory:2"}, {"extras": "x"}, {"extras": "cores:1;cores:1;memory:1;service:a"},
+    *({"extras": f"cores:{bad};memory:1;service:a"} for bad in ("nan", "inf", "-1", "0", "1e99", "17", "x", "", "9" * 99)),
+    *({"extras": f"cores:1;memory:{bad};service:a"} for bad in ("nan", "-inf", "-1", "33")),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("fields", BAD, ids=str)
+def test_a_set_up_that_cannot_be_used(fields):
+    (message,) = read(setup(**{"task": 7, **fields}))
+    with pytest.raises(BadSetup):
+        Reader(SETTINGS).read(message)
+
+
+def test_a_keyed_set_up_needs_its_key():
+    (message,) = read(setup(7, "keyed"))
+    assert Reader(SETTINGS).read(message).key == b"k"
+    del message.parameters[m.KEY]
+    with pytest.raises(BadSetup, match="no key"):
+        Reader(SETTINGS).read(message)
+
+
+def test_a_set_up_as_the_page_shows_it():
+    extras = "cores:1;memory:2;service:00000000b4d65521"
+    (message,) = read(setup(7, "safe", 1500, "7f3a9c21e0b4d655", extras, desc=b"\x00\xff", **{"109": None}))
+    message.parameters[m.RETRY] = b"1"
+    found = Reader(SETTINGS).read(message)
+    assert (found.wait_ms, found.again, found.service, found.cores) == (1500.0, True, "00000000b4d65521", 1.0)
+    assert found.description == b"\x00\xff" and found.at is None
+
+
+# ---- the command channel ----
+
+
+def entry(name, **more):
+    fields = {
+        "instanceId": name, "hostPort": "127.0.0.1:5080", "zone": "a", "machineType": "std", "cell": 2,
+        "lifecycle": "SERVING", "weight": 4, "startedAtMs": 0, "free": [3.5, 7], **more,
+    }  # fmt: skip
+    return fields
+
+
+def event(cursor, *entries, reset=False):
+    return {"cursor": cursor, "nodes": {"generation": cursor, "reset": reset, "instances": list(entries)}}
+
+
+def lines(*events):
+    return b"".join(json.dumps(e).encode() + b"\n" for e in events)
+
+
+@pytest.fixture
+def channel():
+    made = Channel(ahead_ms=1000.0)
+    made.begin({"cursor": 1, "cmds": [event(1, entry("h1"), entry("h2"), reset=True)]})
+    return made
+
+
+def test_known_is_the_list_at_the_start(channel):
+    assert channel.cursor == 1 and set(channel.hosts) == {"h1", "h2"}
+    told = channel.hosts["h1"].machine
+    assert (told.kind, told.zone, told.cell, told.cores_left, told.memory_left) == ("std", "a", 2, 3.5, 7.0)
+    assert channel.resume() == b"resume 1\n" and told.ready_at_ms is None
+
+
+def test_times_are_on_the_modules_clock(channel):
+    (told,) = channel.feed(lines(event(2, entry("h1", startedAtMs=5000))))
+    assert told.hosts[0].machine.ready_at_ms == 4000.0 and told.hosts[0].started_ms == 5000.0
+
+
+def test_events_come_once_in_any_cuts(channel):
+    data, seen = (
+        lines(
+            event(2, entry("h3")),
+            {"cursor": 2},
+            event(2, entry("h3")),
+            event(3, entry("h1", lifecycle="DELETED")),
+        ),
+        [],
+    )
+    for at in range(0, len(data), 7):
+        seen += channel.feed(data[at : at + 7])
+    assert [news.hosts[0].machine.name for news in seen] == ["h3", "h1"]
+    assert channel.cursor == 3 and set(channel.hosts) == {"h2", "h3"}
+    assert seen[1].hosts[0].machine.phase is api.Phase.GONE and not seen[1].whole
+
+
+def test_half_an_event_is_dropped_at_a_break_and_told_again(channel):
+    data = lines(event(2, entry("h3")))
+    assert list(channel.feed(data[:40])) == []
+    assert channel.resume() == b"resume 1\n"
+    assert [len(news.hosts) for news in channel.feed(data)] == [1]
+
+
+@pytest.mark.parametrize("later", [{"cursor": 5}, event(3, entry("h3")), 5])
+def test_skipped_numbers_are_asked_for_again_once(channel, later):
+    with pytest.raises(m.PeerError, match="we are at 1"):
+        list(channel.feed(lines(later)))
+    assert channel.resume() == b"resume 1\n"
+    list(channel.feed(lines(later)))  # the channel has no more to tell than that
+
+
+def test_a_whole_list_in_between_replaces_all(channel):
+    (told,) = channel.feed(lines(event(9, entry("h9"), reset=True)))
+    assert told.whole and set(channel.hosts) == {"h9"} and channel.cursor == 9
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"{]\n", b"[]\n", b'"x"\n', b"\xff\xfe\n", lines(event(2, entry("h3", lifecycle="LOST"))),
+        lines(event(2, entry("h3", hostPort="nowhere"))), lines(event(2, entry("h3", hostPort="a:99999"))),
+        lines({"cursor": 2, "nodes": {"instances": [{"zone": "a"}]}}), b"x" * ((4 << 20) + 1),
+    ],
+    ids=lambda line: str(line[:30]),
+)  # fmt: skip
+def test_what_is_no_event_changes_nothing(channel, line):
+    with pytest.raises(m.PeerError):
+        list(channel.feed(line))
+    assert channel.cursor == 1 and set(channel.hosts) == {"h1", "h2"}
+
+
+def test_free_that_is_not_told_stays(channel):
+    (told,) = channel.feed(lines(event(2, entry("h1", free=None), entry("h4", free=None))))
+    assert [host.machine.cores_left for host in told.hosts] == [3.5, 0.0]
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,468 @@
+"""Links, owners and the channel's feed on real sockets of one loop: hosts and owners are small scripts."""
+
+import json
+import socket
+
+import pytest
+
+from glencleat import interface as api
+from glencleat.isup import messages as m
+from glencleat.isup.channel import Channel, Host, News
+from glencleat.isup.exchange import Exchange
+from glencleat.kernel import Listener, Loop, StreamClosed
+from glencleat.node import feed, hosts, owners
+from tests.live import SETTINGS, Script, setup
+
+
+class Peer:
+    """A listener that keeps what each connection said; `script` answers each message."""
+
+    def __init__(self, loop, script=lambda stream, message: None, address=("127.0.0.1", 0)):
+        self.loop, self.script, self.streams, self.got = loop, script, [], []
+        self.listener = Listener(loop, address, self.accept)
+        self.address = self.listener.address
+
+    def accept(self, stream):
+        self.streams.append(stream)
+        self.loop.spawn(self.serve(stream), "peer")
+
+    def serve(self, stream):
+        decoder = m.Decoder()
+        try:
+            while data := (yield from stream.read()):
+                decoder.feed(data)
+                for message in decoder.messages():
+                    self.got.append((stream, message))
+                    self.script(stream, message)
+        except StreamClosed:
+            pass
+        stream.close()
+
+    def die(self):
+        self.listener.close()
+        for stream in self.streams:
+            stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+            stream.close()
+
+
+class World:
+    """Exchange, hosts and owners joined as the process joins them, with a scripted module."""
+
+    def __init__(self, share=20):
+        self.loop, self.module, self.logs = Loop(), Script(), []
+        self.channel = Channel(self.loop.clock.wall() - self.loop.now())
+        self.hosts = hosts.Hosts(self.loop, self.channel, share, 250.0, 30_000.0, self.logs.append)
+        self.owners = owners.Owners(self.loop, share, self.logs.append)
+        self.exchange = Exchange(SETTINGS, self.module, self, 250.0)
+        self.hosts.exchange = self.owners.exchange = self.exchange
+        self.address = self.owners.listen(("127.0.0.1", 0))
+        self.clients, self.calls = [], 0
+        self.now, self.call_in, self.log = self.loop.now, self.loop.call_in, self.logs.append
+        self.to_owner, self.offer = self.owners.to_owner, self.hosts.offer
+        self.withdraw, self.cut, self.test = self.hosts.withdraw, self.hosts.cut, self.hosts.test
+
+    def list(self, *told, whole=False, phase=api.Phase.SERVING):
+        """Machines as (name, address[, started Unix ms])."""
+        made = [
+            Host(api.Machine(x[0], "std", "a", 0, phase), x[1], x[2] if len(x) > 2 else 0.0) for x in told
+        ]
+        self.hosts.list_told(News(whole, tuple(made)))
+
+    def client(self):
+        sock = socket.create_connection(self.address)
+        sock.setblocking(False)
+        self.clients.append(sock)
+        return sock
+
+    def until(self, done, ms=4000.0):
+        end = self.loop.now() + ms
+        tick = self.loop.call_in(ms + 5.0, lambda: None)
+        while not done():
+            assert self.loop.now() < end, ("not in time", self.module.events, self.logs)
+            self.loop.call_in(5.0, lambda: None)
+            self.loop.round()
+        tick.cancel()
+
+    def ask(self, sock, task, host="h1", timeout=2000.0, **fields):
+        self.calls += 1
+        self.module.next.append([api.Bind(self.calls, host, timeout)])
+        sock.send(setup(task, **fields))
+        self.until(lambda: sum(isinstance(e, api.Asked) for e in self.module.events) == self.calls)
+
+    def back(self, count=1, ms=4000.0):
+        found = lambda: [e.outcome for e in self.module.events if isinstance(e, api.Returned)]  # noqa: E731
+        self.until(lambda: len(found()) >= count, ms)
+        return found()
+
+    def says(self, sock, size=65536, ms=4000.0):
+        """What a client reads next; b"" is a close."""
+        got = []
+
+        def done():
+            try:
+                got.append(sock.recv(size))
+            except BlockingIOError:
+                return False
+            except ConnectionResetError:
+                got.append(b"")
+            return True
+
+        self.until(done, ms)
+        return got[0]
+
+
+@pytest.fixture
+def world():
+    made = World()
+    yield made
+    for sock in made.clients:
+        sock.close()
+
+
+def stands(stream, message):
+    if message.kind == m.SETUP:
+        stream.send(m.encode(m.ANSWER, message.task, {m.DESCRIPTION: b"ok"}))
+
+
+def kinds(peer):
+    return [message.kind for _, message in peer.got]
+
+
+# ---- hosts ----
+
+
+def test_one_set_up_a_link_and_links_are_used_again(world):
+    peer = Peer(world.loop)
+    world.list(("h1", peer.address))
+    owner = world.client()
+    for task in (1, 2):
+        world.ask(owner, task)
+    world.until(lambda: len(peer.got) == 2)
+    assert len({stream for stream, _ in peer.got}) == 2
+    for stream, message in list(peer.got):
+        stands(stream, message)
+    world.until(lambda: sum(isinstance(e, api.Accepted) for e in world.module.events) == 2)
+    world.ask(owner, 3)
+    world.until(lambda: len(peer.got) == 3)
+    assert len(peer.streams) == 2
+
+
+def test_links_at_the_share_are_shared(world):
+    world.hosts.share = 2
+    peer, owner = Peer(world.loop), world.client()
+    world.list(("h1", peer.address))
+    for task in range(1, 5):
+        world.ask(owner, task)
+    world.until(lambda: len(peer.got) == 4)
+    assert len(peer.streams) == 2
+
+
+def test_a_refused_connection_proves_that_nothing_ran(world):
+    peer = Peer(world.loop)
+    peer.die()
+    world.list(("h1", peer.address))
+    world.ask(world.client(), 1)
+    assert world.back() == [api.Outcome.UNREACHABLE]
+
+
+def test_a_connection_that_never_comes_up(world):
+    full = socket.socket()
+    full.bind(("127.0.0.1", 0))
+    full.listen(0)
+    fillers = []
+    for _ in range(4):  # once its queue is full the system drops what comes, as a cut network does
+        filler = socket.socket()
+        filler.setblocking(False)
+        filler.connect_ex(full.getsockname())
+        fillers.append(filler)
+    world.list(("h1", full.getsockname()))
+    world.ask(world.client(), 1)
+    assert world.back() == [api.Outcome.UNREACHABLE]
+    for sock in (full, *fillers):
+        sock.close()
+
+
+def test_a_host_that_no_list_names_is_sent_nothing(world):
+    world.ask(world.client(), 1, host="h9")
+    assert world.back() == [api.Outcome.NOT_SENT]
+
+
+SPOILT = [
+    b"\xff\xff",
+    b"\x00\x0c\x09" + b"\0" * 7 + b"\x01\x91\x00\x05",
+    m.encode(m.ANSWER, 1),
+    m.encode(m.RELEASE, 1),
+    b"",
+]
+
+
+@pytest.mark.parametrize("data", SPOILT, ids=str)
+def test_one_bad_byte_costs_that_link_alone(world, data):
+    def script(stream, message):
+        if message.task == 1:
+            stream.send(data) if data else stream.close()
+        else:
+            stands(stream, message)
+
+    peer, owner = Peer(world.loop, script), world.client()
+    world.list(("h1", peer.address))
+    world.ask(owner, 2)
+    world.until(lambda: "h1" in world.exchange.standing)
+    world.ask(owner, 1)
+    assert world.back() == [api.Outcome.LOST]
+    assert 2 in world.exchange.standing["h1"] and world.exchange.open == 1
+    world.until(lambda: len(peer.streams) == 2)  # what stands there may be told of on the next one only
+
+
+def test_a_release_comes_on_the_next_connection_opened(world):
+    peer, owner = Peer(world.loop, stands), world.client()
+    world.list(("h1", peer.address))
+    world.ask(owner, 1)
+    world.until(lambda: "h1" in world.exchange.standing)
+    assert world.says(owner)
+    peer.streams[0].close()  # it breaks with the release on its way
+    world.until(lambda: len(peer.streams) == 2)
+    assert world.module.events[-1].__class__ is api.Accepted  # a break proves nothing
+    peer.streams[1].send(m.caused(m.RELEASE, 1, m.ENDED))
+    assert world.back() == [api.Outcome.ENDED]
+    assert world.says(owner) == m.caused(m.RELEASE, 1, m.ENDED)
+    world.until(lambda: m.RELEASE_HEARD in kinds(peer))
+
+
+def test_a_host_that_died_ends_what_stood_there(world):
+    peer, owner = Peer(world.loop, stands), world.client()
+    world.list(("h1", peer.address))
+    world.ask(owner, 1)
+    world.until(lambda: "h1" in world.exchange.standing)
+    answer = world.says(owner)
+    peer.die()
+    assert world.back() == [api.Outcome.LOST] and any("refused" in text for text in world.logs)
+    assert answer and world.says(owner) == m.caused(m.RELEASE, 1, m.RESET)
+
+
+@pytest.mark.parametrize("how", ["replaced", "restarted", "unlisted"])
+def test_what_the_list_says_of_a_hosts_end(world, monkeypatch, how):
+    monkeypatch.setattr(hosts, "UNLISTED_MS", 50.0)
+    peer, owner = Peer(world.loop, stands), world.client()
+    name = "h9" if how == "unlisted" else "h1"
+    world.list(("h1", peer.address))
+    if how == "unlisted":
+        owner.send(setup(1, extras="cores:1;memory:1;service:s;at:h9", wait=None))
+    else:
+        world.ask(owner, 1)
+    world.until(lambda: name in world.exchange.standing)
+    if how == "replaced":
+        world.list(("h2", peer.address))
+    elif how == "restarted":
+        world.list(("h1", peer.address, world.loop.clock.wall() - 60_000.0))
+        assert name in world.exchange.standing  # a start long ago ends nothing
+        world.list(("h1", peer.address, world.loop.clock.wall() + 1.0))
+    assert world.back() == [api.Outcome.LOST] and not world.exchange.standing
+
+
+def test_links_go_by_host_and_not_by_address(world):
+    peer, owner = Peer(world.loop, stands), world.client()
+    world.list(("h1", peer.address))
+    world.ask(owner, 1)
+    world.until(lambda: "h1" in world.exchange.standing)
+    world.list(("h1", peer.address), phase=api.Phase.GONE)
+    world.list(("h2", peer.address))
+    world.ask(owner, 2, host="h2")
+    world.until(lambda: "h2" in world.exchange.standing)
+    assert len(peer.streams) == 2
+    world.until(lambda: set(world.hosts.hosts) == {"h2"})  # and h1 is forgotten
+
+
+def test_a_give_up_is_written_and_its_id_not_sent_there_again(world):
+    peer, owner = Peer(world.loop), world.client()
+    world.list(("h1", peer.address))
+    world.module.next.append([api.Bind(1, "h1", 30.0)])
+    world.module.next.append([api.Bind(1, "h1", 2000.0)])
+    owner.send(setup(1))
+    world.until(lambda: len(peer.got) == 3)
+    assert kinds(peer) == [m.SETUP, m.RELEASE, m.SETUP] or kinds(peer) == [m.SETUP, m.SETUP, m.RELEASE]
+    (first, _), (second, _) = [(s, x) for s, x in peer.got if x.kind == m.SETUP]
+    (third,) = [s for s, x in peer.got if x.kind == m.RELEASE]
+    assert first is third is not second  # a late yes to the first would else answer the second
+    assert world.back() == [api.Outcome.TIMED_OUT]
+
+
+def test_a_link_with_half_an_answer_is_closed_at_the_time_out(world):
+    peer = Peer(world.loop, lambda stream, message: stream.send(b"\0\x20\x09\0"))
+    world.list(("h1", peer.address))
+    world.ask(world.client(), 1, timeout=60.0)
+    assert world.back() == [api.Outcome.TIMED_OUT]
+    world.until(lambda: peer.streams[0].closed is not None)
+
+
+def test_a_cut_waits_for_a_host_that_cannot_be_reached(world):
+    peer, owner = Peer(world.loop, stands), world.client()
+    world.list(("h1", peer.address))
+    world.ask(owner, 1)
+    world.until(lambda: "h1" in world.exchange.standing)
+    for link in list(world.hosts.hosts["h1"].links):
+        link.stream.close()
+    owner.send(m.caused(m.RELEASE, 1, 16))
+    world.until(lambda: m.RELEASE in kinds(peer))
+    assert peer.got[-1][0] is peer.streams[1] and world.back() == [api.Outcome.STOPPED]
+
+
+# ---- owners ----
+
+UNREADABLE = [
+    b"\x00\x02\x01\x00",
+    b"\xff\xff",
+    b"GET / HTTP/1.1\r\n\r\n",
+    b"\x00\x0c\x01" + b"\0" * 8 + b"\x64\x00\x09",
+    m.encode(m.RELEASE, 5),
+]
+
+
+@pytest.mark.parametrize("data", UNREADABLE, ids=str)
+def test_what_cannot_be_read_is_closed_and_costs_no_other(world, data):
+    bad, good = world.client(), world.client()
+    good.send(m.encode(m.TEST, 9, {m.CAUSE: b"\0"}))
+    bad.send(data)
+    assert world.says(bad) == b"" and world.says(good) == m.caused(m.TESTED, 9, 1)
+
+
+def test_endless_bytes_end_at_the_first_that_is_wrong(world):
+    bad = world.client()
+    bad.send(setup(1, cls="nope") + b"\xee" * 100_000)
+    assert world.says(bad) in (m.caused(m.RELEASE, 1, m.NOT_TAKEN), b"")
+    world.until(lambda: not world.owners.owners)
+
+
+@pytest.mark.parametrize("data", [b"", setup(1)[:20]], ids=["silent", "half a message"])
+def test_who_says_nothing_whole_is_closed_in_time(world, monkeypatch, data):
+    monkeypatch.setattr(owners, "SPEAK_MS", 60.0)
+    bad = world.client()
+    bad.send(data)
+    assert world.says(bad) == b"" and owners.SPEAK_MS < 3_000.0
+
+
+def test_the_same_again_after_each_refusal_ends(world):
+    bad = world.client()
+    for i in range(owners.MOST_BAD + 1):
+        bad.send(setup(i + 1, cls="nope"))
+    world.until(lambda: world.exchange.bad > owners.MOST_BAD and not world.owners.owners)
+    assert world.module.events == []
+
+
+def test_hundreds_at_once_take_turns_with_others(world):
+    flood, good = world.client(), world.client()
+    world.until(lambda: len(world.owners.owners) == 2)
+    flood.send(b"".join(m.encode(m.PROGRESS, i) for i in range(1, 500)))
+    good.send(m.encode(m.TEST, 9))
+    seen = []
+    original = world.owners._message
+    world.owners._message = lambda owner, message: (seen.append(message.kind), original(owner, message))
+    world.until(lambda: m.TEST in seen)
+    assert len(seen) <= 3 * owners.TURN
+
+
+def test_a_full_house_closes_who_has_nothing_open(world):
+    world.owners.listener.most = 3
+    quiet, busy, lasting = world.client(), world.client(), world.client()
+    world.ask(busy, 1, host="h9", timeout=3000.0)
+    world.module.next.append([])
+    world.until(lambda: len(world.owners.owners) == 3)
+    busy_owner = next(o for o in world.owners.owners if o.good)
+    busy_owner.open.add(1)
+    late = world.client()
+    late.send(m.encode(m.TEST, 9))
+    assert world.says(late) == m.caused(m.TESTED, 9, 1)
+    assert world.says(quiet) == b"" and busy_owner.stream.closed is None
+    lasting.send(m.encode(m.TEST, 9))
+    assert world.says(lasting) == m.caused(m.TESTED, 9, 1)
+
+
+def test_a_release_owed_goes_by_any_owner_and_else_by_the_next(world):
+    peer, owner, other = Peer(world.loop, stands), world.client(), world.client()
+    world.list(("h1", peer.address))
+    for task, sock in ((1, owner), (2, owner), (3, other)):
+        world.ask(sock, task)
+        assert world.says(sock)
+    world.until(lambda: len(world.exchange.standing["h1"]) == 3)
+    owner.close()
+    world.until(lambda: len(world.owners.owners) == 1)
+    peer.streams[0].send(m.caused(m.RELEASE, 1, m.ENDED))
+    assert world.says(other) == m.caused(m.RELEASE, 1, m.ENDED)
+    other.close()
+    world.until(lambda: not world.owners.owners)
+    peer.streams[0].send(m.caused(m.RELEASE, 2, m.ENDED))
+    world.back(2)
+    assert world.says(world.client()) == m.caused(m.RELEASE, 2, m.ENDED)
+
+
+def test_an_owner_that_hangs_up_has_left(world):
+    peer, owner = Peer(world.loop), world.client()
+    world.list(("h1", peer.address))
+    world.ask(owner, 1)
+    world.until(lambda: len(peer.got) == 1)
+    owner.close()
+    world.until(lambda: m.RELEASE in kinds(peer))
+    assert world.back() == [api.Outcome.STOPPED] and not world.exchange.calls
+
+
+def test_tests_are_answered_truthfully(world):
+    sock = world.client()
+    world.owners.leaving = True
+    sock.send(m.encode(m.TEST, 9, {m.CAUSE: b"\0"}))
+    assert world.says(sock) == m.caused(m.TESTED, 9, 0)
+
+
+# ---- the command channel ----
+
+
+def list_event(cursor):
+    entry = {
+        "instanceId": f"h{cursor}",
+        "hostPort": "127.0.0.1:9",
+        "zone": "a",
+        "machineType": "std",
+        "lifecycle": "SERVING",
+    }
+    return json.dumps({"cursor": cursor, "nodes": {"instances": [entry]}}).encode() + b"\n"
+
+
+class Tower(Peer):
+    """A command channel that keeps what it was asked."""
+
+    def serve(self, stream):
+        data = yield from stream.read()
+        self.got.append(data)
+        stream.send(self.script(len(self.got)))
+        try:
+            while (yield from stream.read()):
+                pass
+        except StreamClosed:
+            pass
+
+
+@pytest.mark.parametrize("trouble", ["breaks", "silent", "noise"])
+def test_the_feed_asks_again_from_where_it_was(world, monkeypatch, trouble):
+    monkeypatch.setattr(feed, "SILENT_MS", 120.0)
+    monkeypatch.setattr(feed, "AGAIN_MS", 5.0)
+    second = {"noise": b"{{\n"}.get(trouble, list_event(2)[:30])
+    tower, told = Tower(world.loop, lambda n: list_event(1) + second if n == 1 else list_event(2)), []
+    feed.Feed(world.loop, world.channel, tower.address, told.append, world.logs.append)
+    world.until(lambda: told)
+    if trouble == "breaks":
+        tower.streams[0].close()
+    world.until(lambda: len(told) == 2)
+    assert tower.got[:2] == [b"resume 0\n", b"resume 1\n"] and [x.hosts[0].machine.name for x in told] == [
+        "h1",
+        "h2",
+    ]
+
+
+def test_the_feed_moves_and_the_numbers_go_on(world, monkeypatch):
+    monkeypatch.setattr(feed, "AGAIN_MS", 5.0)
+    old, new = (Tower(world.loop, lambda n, c=c: list_event(c)) for c in (1, 2))
+    told = []
+    made = feed.Feed(world.loop, world.channel, old.address, told.append, world.logs.append)
+    world.until(lambda: told)
+    made.move(new.address)
+    world.until(lambda: len(told) == 2)
+    assert new.got == [b"resume 1\n"]
--- /dev/null
+++ b/tests/test_node_process.py
@@ -0,0 +1,178 @@
+"""One allocator as the platform starts it, with a small host, channel and owner of the page's own words."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+
+import pytest
+
+from glencleat.isup import messages as m
+from tests.live import setup
+
+SETTINGS = {
+    "az": "a",
+    "classes": [{"name": "safe", "effect": "pure", "goal-time-ms": 1000.0, "deadline-ms": 8000.0}],
+    "kinds": ["std"],
+    "domain": {"cores-by-kind": [16], "kind-memory": [32.0], "cpu-booking": 2.0, "view": True},
+    "limits": {"max-attempts": 3, "connect-timeout-ms": 250.0, "conn-idle-ms": 30000.0},
+    "peers-total": 1,
+    "discovery": "ask",
+    "rules": {"stop-sending-within-ms": 500.0, "warm-within-ms": 1.0, "overload-for-ms": 1.0},
+}
+
+
+class Peer:
+    """A listener in a thread of its own that runs `serve` for each connection."""
+
+    def __init__(self, serve):
+        self.sock = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.sock.getsockname()[1]}"
+        threading.Thread(target=self.run, args=(serve,), daemon=True).start()
+
+    def run(self, serve):
+        while True:
+            try:
+                sock, _ = self.sock.accept()
+            except OSError:
+                return
+            threading.Thread(target=serve, args=(sock,), daemon=True).start()
+
+
+class Reader:
+    def __init__(self, sock):
+        self.sock, self.decoder, self.found = sock, m.Decoder(), []
+        sock.settimeout(20.0)
+
+    def next(self):
+        while not self.found:
+            data = self.sock.recv(4096)
+            assert data, "closed"
+            self.decoder.feed(data)
+            self.found = list(self.decoder.messages())
+        return self.found.pop(0)
+
+
+class Platform:
+    """Host h1, two command channels, the configuration, the process."""
+
+    def __init__(self, folder):
+        self.hold, self.resumed = threading.Event(), [[], []]
+        self.asked = [threading.Event(), threading.Event()]
+        self.host = Peer(self.serve_host)
+        self.channels = [Peer(lambda sock, i=i: self.serve_channel(i, sock)) for i in (0, 1)]
+        self.path = folder / "config.json"
+        self.write(0)
+        variables = {"ROUTER_NAME": "n0", "ROUTER_CONFIG": str(self.path), "ROUTER_LISTEN": "127.0.0.1:0"}
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "glencleat", "node"],
+            env={**os.environ, **variables},
+            stderr=subprocess.PIPE,
+            text=True,
+        )
+        line = self.line("listening on")
+        self.address = ("127.0.0.1", int(line.split("listening on 127.0.0.1:")[1].split(",")[0]))
+
+    def line(self, text):
+        for line in self.process.stderr:
+            if text in line:
+                return line
+        raise AssertionError(f"no line with {text!r}; ended with {self.process.wait()}")
+
+    def write(self, channel):
+        entry = {"instanceId": "h1", "hostPort": self.host.address, "zone": "a", "machineType": "std", "cell": 0,
+                 "lifecycle": "SERVING", "weight": 1, "startedAtMs": 0, "free": [16.0, 32.0]}  # fmt: skip
+        event = {"cursor": 1, "nodes": {"generation": 1, "reset": True, "instances": [entry]}}
+        self.path.write_text(json.dumps({
+            "name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256}, "channel": self.channels[channel].address,
+            "known": {"cursor": 1, "cmds": [event]}, "settings": SETTINGS,
+        }))  # fmt: skip
+
+    def serve_host(self, sock):
+        reader = Reader(sock)
+        try:
+            while True:
+                message = reader.next()
+                if message.kind == m.SETUP:
+                    self.hold.wait(20.0)
+                    sock.send(m.encode(m.ANSWER, message.task, {m.DESCRIPTION: b"from h1"}))
+        except (AssertionError, OSError):
+            sock.close()
+
+    def serve_channel(self, i, sock):
+        self.resumed[i].append(sock.recv(100))
+        self.asked[i].set()
+
+    def owner(self):
+        sock = socket.create_connection(self.address)
+        return sock, Reader(sock)
+
+
+@pytest.fixture
+def platform(tmp_path):
+    made = Platform(tmp_path)
+    yield made
+    if made.process.poll() is None:
+        made.process.kill()
+    made.process.wait()
+    made.process.stderr.close()
+
+
+def test_a_day_in_short(platform):
+    """Ready, an answer, a reload, a broken file, a planned restart with a call open."""
+    sock, reader = platform.owner()
+    sock.send(m.encode(m.TEST, 1, {m.CAUSE: b"\0"}))
+    assert reader.next().cause == 1
+    platform.hold.set()
+    sock.send(setup(7))
+    answer = reader.next()
+    assert (answer.kind, answer.task, answer.parameters) == (m.ANSWER, 7, {m.DESCRIPTION: b"from h1"})
+    assert platform.asked[0].wait(20.0) and platform.resumed[0][0] == b"resume 1\n"
+
+    platform.path.write_text("{")  # while it is replaced
+    platform.process.send_signal(signal.SIGHUP)
+    platform.write(1)
+    assert platform.asked[1].wait(20.0) and platform.resumed[1][0] == b"resume 1\n"
+
+    platform.hold.clear()
+    sock.send(setup(8) + m.encode(m.TEST, 2, {m.CAUSE: b"\0"}))
+    assert reader.next().cause == 1
+    platform.process.send_signal(signal.SIGTERM)
+    platform.line("stopping, 1 calls open")
+    late, late_reader = platform.owner()
+    late.send(setup(9))
+    platform.hold.set()
+    assert reader.next().kind == m.ANSWER and late_reader.next().kind == m.ANSWER
+    assert platform.process.wait(20.0) == 0
+
+
+def test_memory_at_the_start_is_what_the_path_needs(platform):
+    with open(f"/proc/{platform.process.pid}/maps") as file:
+        loaded = file.read()
+    assert "pydantic" not in loaded
+    with open(f"/proc/{platform.process.pid}/statm") as file:
+        assert int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE") < 30 << 20
+
+
+@pytest.mark.parametrize("text", [None, "{", "{}", '{"name": "n0", "listen": 5}', "[]"])
+def test_a_configuration_that_cannot_be_used(tmp_path, text):
+    path = tmp_path / "config.json"
+    if text is not None:
+        path.write_text(text)
+    env = {**os.environ, "ROUTER_CONFIG": str(path)}
+    done = subprocess.run(
+        [sys.executable, "-m", "glencleat", "node"], env=env, capture_output=True, text=True
+    )
+    assert done.returncode == 2 and len(done.stderr.splitlines()) == 1 and "config.json" in done.stderr
+
+
+def test_it_says_what_it_needs():
+    env = {name: value for name, value in os.environ.items() if name != "ROUTER_CONFIG"}
+    done = subprocess.run(
+        [sys.executable, "-m", "glencleat", "node"], env=env, capture_output=True, text=True
+    )
+    assert done.returncode == 2 and "ROUTER_CONFIG" in done.stderr
