A refused connection ends no task while a link is open or the host drains

Logged next: those hosts had links open and had been silent for 1.5 s, so that a connection was tried; it was refused, and 0.9 s later all that stood there was called over. Ruled out: links that broke (none had). Cause: a host that drains takes no new connections while its tasks run on, and Hosts.failed took any refusal as its end. Now a refusal counts only while no link is open, for 6 s at a host that drains, at once where the list calls it gone, and for 0.1 s (two refusals) elsewhere.

--- a/glencleat/isup/exchange.py
+++ b/glencleat/isup/exchange.py
@@ -156,6 +156,7 @@
         self.queue: deque[api.Event] = deque()
         self.busy = False
         self.bad = self.taken = self.late = 0
+        self.nothing: dict[api.Outcome, int] = {}  # attempts that came to nothing
         self.trace: Callable[[float, api.Event, list[api.Action]], None] | None = None
 
     @property
@@ -270,6 +271,12 @@
             cause = m.ENDED if outcome is api.Outcome.ENDED else m.RESET
             self.ports.to_owner(call.owner, m.caused(m.RELEASE, call.setup.task, cause), owed=True)
         spent = max(0.0, now - attempt.began)
+        if not stood:
+            self.nothing[outcome] = self.nothing.get(outcome, 0) + 1
+            if outcome is not api.Outcome.REFUSED and not left:
+                self.ports.log(
+                    f"host {attempt.host}: attempt {attempt.number} {outcome.value} after {spent:.0f} ms"
+                )
         told = api.Returned(call.number, attempt.number, attempt.host, outcome, spent, over, why, report)
         self._feed(*([api.Left(call.number)] if left else []), told)
 
--- a/glencleat/node/hosts.py
+++ b/glencleat/node/hosts.py
@@ -1,8 +1,9 @@
 """Links to hosts: connections by host id, what of a set-up left, whether a host with standing tasks lives.
 
 Imports the kernel and `isup`. It tells the exchange facts, and names no outcome. A host's process is taken to
-have ended by one of: connections refused over some time, none that came up over a longer one, a later start
-in the list, another id at its address. A link that breaks proves nothing."""
+have ended by one of: connections refused for some time while no link is open, none that came up for a longer
+one, a later start in the list, another id at its address. A link that breaks proves nothing, and so does a
+refusal by a host that drains: it takes no new connections while its tasks run on."""
 
 from __future__ import annotations
 
@@ -23,8 +24,9 @@
 SWEEP_MS = 200.0
 PER_HOST = 8  # links: one open set-up each where there are enough, since one bad byte costs all on its link
 AGAIN_MS, AGAIN_MAX_MS = 100.0, 800.0  # between two connections to a host that could not be reached, doubled
-QUIET_MS = 1_500.0  # a host with standing tasks that says nothing for so long is tried by a new connection
-REFUSED_MS, NEVER_UP_MS = 900.0, 3_500.0  # tries that fail for so long end what stands there
+QUIET_MS = 2_000.0  # a host with standing tasks that says nothing for so long is tried by a new connection
+REFUSED_MS, NEVER_UP_MS = 100.0, 3_500.0  # tries that fail for so long end what stands there
+DRAIN_REFUSED_MS = 6_000.0  # at one that drains: a refusal says little, yet its process may die as any other
 UNLISTED_MS = 5_000.0  # what was handed over at a host that no list names is over after this
 MOST_CUTS = 1_000  # releases that wait for a host
 
@@ -142,7 +144,7 @@
         for attempt, end in out.items():
             self.hosts.exchange.failed(attempt, Fact.BROKEN if stream.written >= end else Fact.UNSENT)
         if not self.host.closing:
-            self.hosts.broken(self.host)
+            self.hosts.broken(self.host, why)
 
 
 class HostLinks:
@@ -152,9 +154,10 @@
         self.name, self.since = name, now
         self.address: tuple[str, int] = ("", 0)
         self.links: set[Link] = set()
-        self.gone = self.closing = False
+        self.gone = self.draining = self.closing = False
         self.heard = now
         self.refused = self.failing = float("inf")  # since when
+        self.refusing = False  # the last try: its machine is there
         self.again_at, self.again_ms = 0.0, AGAIN_MS
         self.cuts: dict[int, None] = {}
 
@@ -254,19 +257,28 @@
     def up(self, host: HostLinks, link: Link) -> None:
         host.heard, host.again_ms = self.loop.now(), AGAIN_MS
         host.refused = host.failing = float("inf")
+        host.refusing = False
         for task in host.cuts:
             link._write(m.caused(m.RELEASE, task, m.ENDED))
         host.cuts.clear()
 
     def failed(self, host: HostLinks, refused: bool) -> None:
         now = self.loop.now()
-        host.failing = min(host.failing, now)
-        host.refused = min(host.refused, now) if refused else float("inf")
+        if host.failing > now:
+            quiet, how = now - host.heard, "refused" if refused else "not up in time"
+            self.log(
+                f"host {host.name}: connection {how}, {len(host.links)} others, heard {quiet:.0f} ms ago"
+            )
+        host.failing, host.refusing = min(host.failing, now), refused
+        alone = all(link.stream is None for link in host.links)
+        host.refused = min(host.refused, now) if refused and alone else float("inf")
         host.again_at, host.again_ms = now + host.again_ms, min(AGAIN_MAX_MS, 2.0 * host.again_ms)
 
-    def broken(self, host: HostLinks) -> None:
+    def broken(self, host: HostLinks, why: str) -> None:
         """A release that was on its way comes again on the next connection opened: it is opened at once."""
-        if self.exchange.standing.get(host.name):
+        if standing := self.exchange.standing.get(host.name):
+            left = f"{len(standing)} tasks stand, {len(host.links)} links left"
+            self.log(f"host {host.name}: link ended, {why}; {left}")
             self._again(host)
 
     def _again(self, host: HostLinks) -> None:
@@ -289,6 +301,7 @@
         if host is None:
             host = self.hosts[name] = HostLinks(name, now)
         host.gone = told.machine.phase is api.Phase.GONE
+        host.draining = told.machine.phase is api.Phase.DRAINING
         if host.gone:
             return
         if told.address != host.address:
@@ -339,9 +352,9 @@
         if not host.address[1]:
             if now - host.since > UNLISTED_MS:
                 self._over(host, "no list names it")
-        elif now - host.refused > REFUSED_MS:
+        elif now - host.refused > (0.0 if host.gone else DRAIN_REFUSED_MS if host.draining else REFUSED_MS):
             self._over(host, "connections are refused")
-        elif now - host.failing > NEVER_UP_MS:
+        elif now - host.failing > NEVER_UP_MS and now - host.heard > NEVER_UP_MS and not host.refusing:
             self._over(host, "no connection comes up")
         elif now - host.heard > QUIET_MS or not host.links or host.failing < now:
             self._again(host)
--- a/glencleat/node/process.py
+++ b/glencleat/node/process.py
@@ -167,9 +167,11 @@
     def status(self) -> None:
         self.loop.call_in(STATUS_MS, self.status)
         x = self.exchange
+        nothing = ", ".join(f"{outcome.value} {count}" for outcome, count in x.nothing.items()) or "none"
         stood = sum(map(len, x.standing.values()))
         self.log(
-            f"taken {x.taken} open {x.open} standing {stood} bad {x.bad} late {x.late} owners"
+            f"taken {x.taken} open {x.open} standing {stood} bad {x.bad} late {x.late} came to"
+            f" nothing: {nothing}; owners"
             f" {len(self.owners.owners)} links {self.hosts.links} hosts {len(self.hosts.hosts)} cursor"
             f" {self.channel.cursor} channel breaks {self.feed.breaks} longest round {self.lag:.0f} ms"
             f" module {x.contract.module_s:.2f} s cpu {time.process_time():.2f} s faults {self.faults}"
