A quiet host that refuses connections is tested on an open link; releases go to proven owners

Ruled out by a trace of every message and module event: releases that went to a wrong connection of owners, tasks the exchange had forgotten, a late list. Lines at fault: Hosts.failed and _look, which had no evidence between the two.

Tried first, no help here but kept: releases owed by a connection that is gone go only to connections on which something came to stand, since a bad client may have asked last.

--- a/glencleat/isup/exchange.py
+++ b/glencleat/isup/exchange.py
@@ -88,6 +88,9 @@
     def to_owner(self, owner: Any, data: bytes, owed: bool) -> None:
         """On that connection; if it is gone, what is `owed` goes by any other or by the next."""
 
+    def proves(self, owner: Any) -> None:
+        """What came on that connection stands: no bad client's, so that releases may be told there."""
+
     def offer(self, attempt: Attempt) -> None:
         """Sends `attempt.setup(now)` to its host, and tells of a failure by `failed`, later."""
 
@@ -293,6 +296,7 @@
     def _stands(self, call: Call, host: str) -> None:
         call.state, call.since = State.STANDS, self.ports.now()
         call.owner.open.discard(call.setup.task)
+        self.ports.proves(call.owner)
         self.standing.setdefault(host, {})[call.setup.task] = call
 
     def _cut(self, call: Call) -> None:
--- a/glencleat/node/hosts.py
+++ b/glencleat/node/hosts.py
@@ -2,8 +2,9 @@
 
 Imports the kernel and `isup`. It tells the exchange facts, and names no outcome. A host's process is taken to
 have ended by one of: connections refused for some time while no link is open, none that came up for a longer
-one, a later start in the list, another id at its address. A link that breaks proves nothing, and so does a
-refusal by a host that drains: it takes no new connections while its tasks run on."""
+one, a test unanswered on an open link while new ones are refused, a later start in the list, another id at
+its address. A link that breaks proves nothing, and so does a refusal by a host that drains: it takes no new
+connections while its tasks run on."""
 
 from __future__ import annotations
 
@@ -26,8 +27,10 @@
 AGAIN_MS, AGAIN_MAX_MS = 100.0, 800.0  # between two connections to a host that could not be reached, doubled
 QUIET_MS = 2_000.0  # a host with standing tasks that says nothing for so long is tried by a new connection
 REFUSED_MS, NEVER_UP_MS = 100.0, 3_500.0  # tries that fail for so long end what stands there
-DRAIN_REFUSED_MS = 6_000.0  # at one that drains: a refusal says little, yet its process may die as any other
+DRAIN_REFUSED_MS = 2_500.0  # at one that drains: a refusal says little, yet its process may die as any other
+TEST_MS = 2_500.0  # for the answer to a test of such a host, on a link that is open
 UNLISTED_MS = 5_000.0  # what was handed over at a host that no list names is over after this
+LIVENESS = 1 << 63  # ids of our own tests, apart from those of the module's probes
 MOST_CUTS = 1_000  # releases that wait for a host
 
 
@@ -61,9 +64,9 @@
         assert self.stream is not None
         data = attempt.setup_message(self.loop.now())
         self.out[attempt] = self.stream.queued + len(data)
-        self._write(data)
+        self.write(data)
 
-    def _write(self, data: bytes) -> None:
+    def write(self, data: bytes) -> None:
         """Queues bytes; a stream that breaks on it is noticed by its reader."""
         if self.stream is not None and self.stream.closed is None:
             try:
@@ -85,7 +88,7 @@
             return Fact.BROKEN
         self.doubtful = True
         self.spent.add(attempt.call.setup.task)
-        self._write(m.caused(m.RELEASE, attempt.call.setup.task, m.GIVEN_UP))
+        self.write(m.caused(m.RELEASE, attempt.call.setup.task, m.GIVEN_UP))
         if self.stream.out or self.decoder.partial:
             self.stream.close("a give-up that can't be written, or an answer that stopped short")
         return Fact.SILENT
@@ -132,7 +135,7 @@
                 self.out[answered] = 0  # an answer that can't be read is none: it breaks with the link
             raise
         if message.kind == m.RELEASE:
-            self._write(m.encode(m.RELEASE_HEARD, message.task))
+            self.write(m.encode(m.RELEASE_HEARD, message.task))
 
     def _end(self, why: str) -> None:
         """What was open on it comes back as what it is; what stands does not."""
@@ -158,6 +161,7 @@
         self.heard = now
         self.refused = self.failing = float("inf")  # since when
         self.refusing = False  # the last try: its machine is there
+        self.tested = float("-inf")  # since when a test is out
         self.again_at, self.again_ms = 0.0, AGAIN_MS
         self.cuts: dict[int, None] = {}
 
@@ -179,6 +183,7 @@
         self.loop, self.channel, self.share, self.log = loop, channel, share, log
         self.connect_ms, self.idle_ms = connect_ms, idle_ms
         self.hosts: dict[str, HostLinks] = {}
+        self.tests = 0
         self.addresses: dict[tuple[str, int], str] = {}
         loop.call_in(SWEEP_MS, self._sweep)
 
@@ -239,7 +244,7 @@
             return
         link = next((li for li in host.links if li.stream and not li.doubtful and self._open(li)), None)
         if link is not None:
-            link._write(m.caused(m.RELEASE, task, m.ENDED))
+            link.write(m.caused(m.RELEASE, task, m.ENDED))
         elif len(host.cuts) < MOST_CUTS:
             host.cuts[task] = None
             self._again(host)
@@ -249,7 +254,7 @@
         link = next((li for li in host.links if li.stream and self._open(li)), None) if host else None
         if link is None:
             return False
-        link._write(m.caused(m.TEST, token, 1))
+        link.write(m.caused(m.TEST, token, 1))
         return True
 
     # ---- what links tell ----
@@ -259,7 +264,7 @@
         host.refused = host.failing = float("inf")
         host.refusing = False
         for task in host.cuts:
-            link._write(m.caused(m.RELEASE, task, m.ENDED))
+            link.write(m.caused(m.RELEASE, task, m.ENDED))
         host.cuts.clear()
 
     def failed(self, host: HostLinks, refused: bool) -> None:
@@ -354,11 +359,25 @@
                 self._over(host, "no list names it")
         elif now - host.refused > (0.0 if host.gone else DRAIN_REFUSED_MS if host.draining else REFUSED_MS):
             self._over(host, "connections are refused")
+        elif host.refusing and now - host.heard > QUIET_MS and self._tested(host, now):
+            self._over(host, "a test is not answered")
         elif now - host.failing > NEVER_UP_MS and now - host.heard > NEVER_UP_MS and not host.refusing:
             self._over(host, "no connection comes up")
         elif now - host.heard > QUIET_MS or not host.links or host.failing < now:
             self._again(host)
 
+    def _tested(self, host: HostLinks, now: float) -> bool:
+        """Whether a test on an open link stays unanswered; sends it first.
+
+        A process may end with a connection left open, silent, and a draining one refuses new ones while it
+        lives: only its own word tells the two apart. A test has a price, so it comes last."""
+        if host.tested < host.heard:
+            self.tests += 1
+            for link in host.links:
+                link.write(m.caused(m.TEST, LIVENESS + self.tests, 0))
+            host.tested = now
+        return now - host.tested > TEST_MS
+
     def _tidy(self, host: HostLinks, now: float) -> None:
         """Closes links that nobody needs, and forgets hosts that are gone."""
         for link in list(host.links):
--- a/glencleat/node/owners.py
+++ b/glencleat/node/owners.py
@@ -30,7 +30,7 @@
         self.open: set[int] = set()
         self.born = self.used = now
         self.whole = 0  # messages that came whole
-        self.good = 0  # set-ups taken
+        self.proven = False  # a task of its came to stand: no bad client's ever does
         self.bad = 0
         self.begun: float | None = None  # since when a message is not whole
 
@@ -64,9 +64,6 @@
         owner = Owner(stream, self.loop.now())
         self.owners[owner] = None
         self.loop.spawn(self._serve(owner), "owner")
-        while self.owed:
-            _, data = self.owed.popleft()
-            self._write(owner, data)
 
     def _serve(self, owner: Owner) -> Coroutine:
         try:
@@ -100,8 +97,7 @@
     def _message(self, owner: Owner, message: m.Message) -> None:
         owner.whole += 1
         if message.kind == m.SETUP:
-            taken = self.exchange.owner_asks(owner, message, 0.0)
-            owner.good, owner.bad = owner.good + taken, owner.bad + (not taken)
+            owner.bad += not self.exchange.owner_asks(owner, message, 0.0)
             if owner.bad > MOST_BAD:
                 raise m.PeerError(f"{owner.bad} set-ups that can't be used")
         elif message.kind == m.RELEASE:
@@ -120,25 +116,32 @@
             return False
         return owner.stream.closed is None
 
+    def proves(self, owner: Owner) -> None:
+        """A task of its stands: it is one of those that releases may be told to."""
+        if not owner.proven:
+            owner.proven = True
+            while self.owed and owner.stream.closed is None:
+                self._write(owner, self.owed.popleft()[1])
+
     def to_owner(self, owner: Owner | None, data: bytes, owed: bool) -> None:
         if owner is not None and self._write(owner, data):
             return
         if not owed:
             return
-        # Connections that brought work before others: of the rest nobody knows who listens there.
-        for other in sorted(self.owners, key=lambda o: (o.good > 0, o.used), reverse=True):
-            if other.good and self._write(other, data):
+        # Of the rest nobody knows who listens there: a release told to a bad client is told to nobody.
+        for other in sorted((o for o in self.owners if o.proven), key=lambda o: o.used, reverse=True):
+            if self._write(other, data):
                 return
         self.owed.append((self.loop.now(), data))
 
     # ---- room and time ----
 
     def _make_room(self) -> bool:
-        """Closes the connection that is least missed: nothing open, never asked, longest unused."""
+        """Closes the connection that is least missed: nothing open, nothing ever stood, longest unused."""
         idle = [owner for owner in self.owners if not owner.open and owner.stream.closed is None]
         if not idle:
             return False
-        least = min(idle, key=lambda o: (o.good > 0, o.used))
+        least = min(idle, key=lambda o: (o.proven, o.used))
         least.stream.close("room is wanted")
         return True
 
--- a/glencleat/node/process.py
+++ b/glencleat/node/process.py
@@ -103,6 +103,9 @@
     def to_owner(self, owner: Any, data: bytes, owed: bool) -> None:
         self.owners.to_owner(owner, data, owed)
 
+    def proves(self, owner: Any) -> None:
+        self.owners.proves(owner)
+
     def offer(self, attempt: Attempt) -> None:
         self.hosts.offer(attempt)
 
--- a/tests/live.py
+++ b/tests/live.py
@@ -69,6 +69,9 @@
     def to_owner(self, owner, data, owed):
         (owner if not owner.closed else self.owner).got.extend(read(data))
 
+    def proves(self, owner):
+        owner.proven = True
+
     def offer(self, attempt):
         attempt.link = f"link {len(self.offers)}"
         self.offers.append(attempt)
