An error counts against a machine once another takes the task

Ruled out: loop delay (longest round under 20 ms) and descriptors. Cause: what bad clients ask goes to machines, which answer an error; hear_outcome took each error as a sign against its machine, so one request that nobody can use barred up to four.

The old test of suspicion by errors now takes the task elsewhere; two tests are new.

--- a/glencleat/logic.py
+++ b/glencleat/logic.py
@@ -129,6 +129,7 @@
     answered: bool = False
     maybe: tuple[float, Node] | None = None  # send time and machine of the first attempt that may have run
     refused: dict[str, float] = field(default_factory=dict)
+    erred: list[Node] = field(default_factory=list)  # machines that answered it with an error
     use: Pair = (0.0, 0.0)
     peak: Pair = (0.0, 0.0)
 
@@ -552,6 +553,8 @@
             self.answered_by(node, event.spent_ms)
         if task is not None and task.node is node and event.attempt == task.attempts - 1:
             task.placed = True
+            while task.erred:
+                self.suspect(task.erred.pop(), 1)
             node.turned.pop((task.cls.name, task.tenant), None)
             if self.set.yes_means_runs:
                 self.runs(task)
@@ -654,7 +657,12 @@
             node.turned[key] = self.now + length, length
         unheard = event.outcome is Outcome.TIMED_OUT and task is not None and node.heard < task.sent
         full_line = event.outcome is Outcome.REFUSED and event.why is Why.LINE
-        if full_line or unheard or event.outcome is Outcome.ERROR:
+        erred = event.outcome is Outcome.ERROR
+        if erred and task is not None and task.cls.effect is not Effect.UNSAFE:
+            # Whose fault an error is shows elsewhere: asks that none can use would bar all. It counts once
+            # another takes the task; machines that all fail alike are not barred then, and need not be.
+            task.erred.append(node)
+        elif full_line or unheard or erred:
             # Silence, errors, a line that stays full: one kind of symptom, attempts come to nothing here.
             self.suspect(node, 1)
         elif event.outcome is Outcome.UNREACHABLE:
