Adopted tasks are in what the list tells free, and not taken off it again

A trace of every event (GLENCLEAT_TRACE=1, new, off by default) showed the module holding them in the second and a half after it had been handed 250 running tasks. Ruled out: the sockets (8 ms from set-up to Asked), late lists, health (no machine barred). Cause, in Scheduler.on_asked: a task handed over had `sent` set to now, so sums() and room() took it for newer than the list; its ask was taken off what the list tells free a second time, and counted as others' use besides our own.

The new test fails with `sent` as it was.

--- a/glencleat/logic.py
+++ b/glencleat/logic.py
@@ -469,7 +469,8 @@
         self.tasks[task.call] = task
         if event.machine is not None:
             unlisted = Node(Machine(event.machine, "", "", 0, Phase.GONE), None)
-            task.attempts, task.placed, task.sent = 1, True, self.now
+            # It ran before: what the list tells free is without it already, and is not lessened by it again.
+            task.attempts, task.placed, task.sent = 1, True, -1e18
             self.take_room(task, self.nodes.setdefault(event.machine, unlisted))
             self.runs(task)
             task.lived = False
--- a/glencleat/node/hosts.py
+++ b/glencleat/node/hosts.py
@@ -21,6 +21,7 @@
 
 if TYPE_CHECKING:
     from glencleat.isup.channel import Channel
+    from glencleat.node.trace import Trace
 
 SWEEP_MS = 200.0
 PER_HOST = 8  # links: one open set-up each where there are enough, since one bad byte costs all on its link
@@ -125,6 +126,8 @@
                 self._message(message)
 
     def _message(self, message: m.Message) -> None:
+        if self.hosts.trace is not None:
+            self.hosts.trace.message(f"host {self.host.name}", message)
         answered = next((a for a in self.out if a.call.setup.task == message.task), None)
         if answered is not None and message.kind in (m.ANSWER, m.RELEASE):
             del self.out[answered]  # before the module may bind anew: this link is free again
@@ -184,6 +187,7 @@
         self.connect_ms, self.idle_ms = connect_ms, idle_ms
         self.hosts: dict[str, HostLinks] = {}
         self.tests = 0
+        self.trace: Trace | None = None
         self.addresses: dict[tuple[str, int], str] = {}
         loop.call_in(SWEEP_MS, self._sweep)
 
--- a/glencleat/node/owners.py
+++ b/glencleat/node/owners.py
@@ -7,12 +7,16 @@
 
 from collections import deque
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 from glencleat.isup import messages as m
 from glencleat.isup.exchange import Exchange
 from glencleat.kernel import Listener, Loop, Stream, StreamClosed
 from glencleat.kernel.loop import Coroutine
 
+if TYPE_CHECKING:
+    from glencleat.node.trace import Trace
+
 SWEEP_MS = 250.0
 SPEAK_MS = 2_000.0  # for the first whole message, and for each one begun
 TURN = 16  # messages of one connection before others have their turn
@@ -46,6 +50,7 @@
         self.owed: deque[tuple[float, bytes]] = deque(maxlen=OWED)
         self.listener: Listener | None = None
         self.leaving = False
+        self.trace: Trace | None = None
         loop.call_in(SWEEP_MS, self._sweep)
 
     def listen(self, address: tuple[str, int]) -> tuple[str, int]:
@@ -96,6 +101,8 @@
 
     def _message(self, owner: Owner, message: m.Message) -> None:
         owner.whole += 1
+        if self.trace is not None:
+            self.trace.message("owner", message)
         if message.kind == m.SETUP:
             owner.bad += not self.exchange.owner_asks(owner, message, 0.0)
             if owner.bad > MOST_BAD:
--- a/glencleat/node/process.py
+++ b/glencleat/node/process.py
@@ -96,8 +96,16 @@
         self.feed = Feed(loop, self.channel, config.channel, self.list_told, log)
         self.rereads = 0
         self.faults = 0
+        if os.environ.get("GLENCLEAT_TRACE") == "1":
+            self._trace()
         self.lag = 0.0
 
+    def _trace(self) -> None:
+        from glencleat.node.trace import Trace
+
+        trace = self.owners.trace = self.hosts.trace = Trace()
+        self.exchange.trace = lambda now, event, actions: trace.module(self.exchange, now, event, actions)
+
     # ---- Ports ----
 
     def to_owner(self, owner: Any, data: bytes, owed: bool) -> None:
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -445,3 +445,15 @@
     actions = bench.ask(tenant="t")[1] + bench.run(1_500.0)
     assert binds(actions)
     assert bool(kinds(actions, api.Probe)) == bool(more.get("reports_on_probe"))
+
+
+def test_adopted_tasks_are_not_taken_off_what_the_list_tells_free_again():
+    """At a start the list tells free what they left; counted twice, their machines seemed full."""
+    told = api.Machine("m", "std", "a", 0, api.Phase.SERVING, 8.0, 16.0)  # half of it is theirs
+    bench = Bench([told], peers=2, view=True)
+    for _ in range(8):
+        bench.ask(machine="m", cores=1.0, memory=2.0)
+    node = bench.scheduler.nodes["m"]
+    assert bench.scheduler.room(node) == (24.0, 32.0)  # twice the cores, 1.5 times the memory, less the half
+    assert bench.scheduler.sums(node).others == (0.0, 0.0)
+    assert binds(bench.ask()[1])
