Unsafe tasks go to no suspect; a class stays off where an unsafe task had an error

It was barred for 1, 2 and 4 s; at each bar's end the first to try it was an unsafe task, for which the one error is final. Lines: Scheduler.allowed let any task prove a suspect, hear_outcome kept no class off after an error. Now, until its aim is over, an unsafe task goes only where the last attempt came to something, and an error that ends one keeps its class off that machine as an unexplained refusal does.

--- a/glencleat/logic.py
+++ b/glencleat/logic.py
@@ -389,6 +389,8 @@
         """Filters that no room outweighs: kind, drain, spread, key's group, health, a cold machine's part."""
         grouped = task.maybe and task.cls.effect is Effect.KEYED and task.cls.group != "all"
         spread, group = task.cls.spread, task.cls.group
+        # What has one try goes where the last one came to something; others find out if a suspect is back.
+        once = task.cls.effect is Effect.UNSAFE and self.now - task.came < task.cls.aim_ms
         return (
             node.known and node.told.phase is Phase.SERVING and task.cls.kind in (None, node.told.kind)
             and self.now - task.refused.get(node.name, -1e18) >= REFUSED_MS
@@ -397,6 +399,7 @@
             and (spread == "off" or taken.count(node.place(spread)) < task.cls.most)
             and self.now >= node.turned.get((task.cls.name, task.tenant), (0.0, 0.0))[0]
             and not SLOW_MS < self.now - node.probing < PROBE_MS
+            and not (once and (node.silent or node.bars))
             and (not self.cold(node) or self.may_start(node))
         )
 
@@ -649,17 +652,19 @@
         task = self.tasks.get(event.call)
         if event.report:
             self.hear_report(node, event.report)
+        fatal = event.outcome is Outcome.ERROR and task is not None and task.cls.effect is Effect.UNSAFE
         if event.outcome is Outcome.REFUSED and event.why in (Why.CORES, Why.MEMORY, Why.LINE):
             node.full_until = self.now + REFUSED_MS
-        elif event.outcome is Outcome.REFUSED and event.why is Why.NONE and task is not None:
+        elif task is not None and ((event.outcome is Outcome.REFUSED and event.why is Why.NONE) or fatal):
             # Full without a reason while it takes others: a limit on one class or tenant, probed back gently.
+            # So is an error that ends an unsafe task, which has no second try: its class stays off a while.
             key = task.cls.name, task.tenant
             length = min(TURNED_MAX_MS, 2.0 * node.turned.get(key, (0.0, TURNED_MS / 2.0))[1])
             node.turned[key] = self.now + length, length
         unheard = event.outcome is Outcome.TIMED_OUT and task is not None and node.heard < task.sent
         full_line = event.outcome is Outcome.REFUSED and event.why is Why.LINE
         erred = event.outcome is Outcome.ERROR
-        if erred and task is not None and task.cls.effect is not Effect.UNSAFE:
+        if erred and task is not None and not fatal:
             # Whose fault an error is shows elsewhere: asks that none can use would bar all. It counts once
             # another takes the task; machines that all fail alike are not barred then, and need not be.
             task.erred.append(node)
--- a/glencleat/node/hosts.py
+++ b/glencleat/node/hosts.py
@@ -28,6 +28,7 @@
 AGAIN_MS, AGAIN_MAX_MS = 100.0, 800.0  # between two connections to a host that could not be reached, doubled
 QUIET_MS = 2_000.0  # a host with standing tasks that says nothing for so long is tried by a new connection
 REFUSED_MS, NEVER_UP_MS = 100.0, 3_500.0  # tries that fail for so long end what stands there
+AT_ONCE_MS = 100.0  # links that break within this break together
 DRAIN_REFUSED_MS = 2_500.0  # at one that drains: a refusal says little, yet its process may die as any other
 TEST_MS = 2_500.0  # for the answer to a test of such a host, on a link that is open
 UNLISTED_MS = 5_000.0  # what was handed over at a host that no list names is over after this
@@ -165,6 +166,8 @@
         self.refused = self.failing = float("inf")  # since when
         self.refusing = False  # the last try: its machine is there
         self.tested = float("-inf")  # since when a test is out
+        self.broke: list[float] = []  # when its last links broke
+        self.fell = False  # several broke at once, the last with them
         self.again_at, self.again_ms = 0.0, AGAIN_MS
         self.cuts: dict[int, None] = {}
 
@@ -266,7 +269,7 @@
     def up(self, host: HostLinks, link: Link) -> None:
         host.heard, host.again_ms = self.loop.now(), AGAIN_MS
         host.refused = host.failing = float("inf")
-        host.refusing = False
+        host.refusing = host.fell = False
         for task in host.cuts:
             link.write(m.caused(m.RELEASE, task, m.ENDED))
         host.cuts.clear()
@@ -284,7 +287,13 @@
         host.again_at, host.again_ms = now + host.again_ms, min(AGAIN_MAX_MS, 2.0 * host.again_ms)
 
     def broken(self, host: HostLinks, why: str) -> None:
-        """A release that was on its way comes again on the next connection opened: it is opened at once."""
+        """A release that was on its way comes again on the next connection opened: it is opened at once.
+
+        All of several links at one moment is a process that ended, also where the host drains; single ones
+        break on any day, and one that was the only one tells nothing."""
+        now = self.loop.now()
+        host.broke = [at for at in host.broke if now - at < AT_ONCE_MS] + [now]
+        host.fell = len(host.broke) > 1 and all(link.stream is None for link in host.links)
         if standing := self.exchange.standing.get(host.name):
             left = f"{len(standing)} tasks stand, {len(host.links)} links left"
             self.log(f"host {host.name}: link ended, {why}; {left}")
@@ -361,7 +370,7 @@
         if not host.address[1]:
             if now - host.since > UNLISTED_MS:
                 self._over(host, "no list names it")
-        elif now - host.refused > (0.0 if host.gone else DRAIN_REFUSED_MS if host.draining else REFUSED_MS):
+        elif now - host.refused > self._proof_ms(host):
             self._over(host, "connections are refused")
         elif host.refusing and now - host.heard > QUIET_MS and self._tested(host, now):
             self._over(host, "a test is not answered")
@@ -370,6 +379,13 @@
         elif now - host.heard > QUIET_MS or not host.links or host.failing < now:
             self._again(host)
 
+    @staticmethod
+    def _proof_ms(host: HostLinks) -> float:
+        """How long connections must be refused, with no link open, to tell that its process has ended."""
+        if host.gone:
+            return 0.0
+        return DRAIN_REFUSED_MS if host.draining and not host.fell else REFUSED_MS
+
     def _tested(self, host: HostLinks, now: float) -> bool:
         """Whether a test on an open link stays unanswered; sends it first.
 
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -457,3 +457,25 @@
     assert bench.scheduler.room(node) == (24.0, 32.0)  # twice the cores, 1.5 times the memory, less the half
     assert bench.scheduler.sums(node).others == (0.0, 0.0)
     assert binds(bench.ask()[1])
+
+
+def test_an_unsafe_task_is_no_probe_of_a_suspect():
+    """A machine that answers all with errors looks empty; each bar's end cost an unsafe task."""
+    bench = Bench([machine("m")])
+    node = bench.scheduler.nodes["m"]
+    node.silent, node.bars = 2, 1
+    bench.now += 10.0
+    call, actions = bench.ask("unsafe")
+    assert not binds(actions)
+    assert binds(bench.ask()[1])  # a safe one may find out
+    bench.tell(api.Accepted(call + 1, 0, "m", 20.0))
+    assert [bind.call for bind in binds(bench.run(2.0 * PULSE_MS))] == [call]
+
+
+def test_a_class_whose_unsafe_task_had_an_error_stays_off_that_machine():
+    bench = Bench([machine("m")])
+    bench.back(bench.ask("unsafe")[0], "m", api.Outcome.ERROR)
+    safe, actions = bench.ask()
+    assert binds(actions)
+    bench.tell(api.Accepted(safe, 0, "m", 20.0))
+    assert not binds(bench.ask("unsafe")[1])
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -240,6 +240,20 @@
     assert answer and world.says(owner) == m.caused(m.RELEASE, 1, m.RESET)
 
 
+def test_all_links_at_once_tell_that_a_draining_host_ended(world):
+    peer, owner = Peer(world.loop), world.client()
+    world.list(("h1", peer.address))
+    for task in (1, 2):
+        world.ask(owner, task)
+    world.until(lambda: len(peer.got) == 2)
+    for stream, message in list(peer.got):
+        stands(stream, message)
+    world.until(lambda: len(world.exchange.standing.get("h1", ())) == 2)
+    world.list(("h1", peer.address), phase=api.Phase.DRAINING)
+    peer.die()
+    assert world.back(2, ms=0.6 * hosts.DRAIN_REFUSED_MS) == [api.Outcome.LOST] * 2
+
+
 @pytest.mark.parametrize("lives", [True, False])
 def test_a_host_that_refuses_connections_is_asked_on_an_open_link(world, monkeypatch, lives):
     """A draining host refuses them while its tasks run on; a dead one may leave a link open and silent."""
