Time that set-ups wait in our sockets is gone from what their owners wait

What waited in our socket while the process stood still, or behind a flood, came to the module with its whole time left, so that its guard for a standstill could never act here. The kernel's streams can now ask the system when it took the bytes (SO_TIMESTAMPNS; None where it can't), owners' connections do, and Asked.left_ms is what is left. A test reads a set-up 0.7 s late. `glencleat node` is a command of the command line too.

--- a/glencleat/cli/main.py
+++ b/glencleat/cli/main.py
@@ -72,6 +72,14 @@
     log.info("stopped", open=daemon.core.ledger.open, mismatch=daemon.core.figures.mismatch())
 
 
+@main.command()
+def node() -> None:
+    """Run one allocator on the operators' platform, by the file that ROUTER_CONFIG names, until SIGTERM."""
+    from glencleat.node.process import main as run
+
+    sys.exit(run())
+
+
 @main.command("check-config")
 @click.argument("conf", type=CONF)
 def check_config(conf: Path) -> None:
--- a/glencleat/kernel/streams.py
+++ b/glencleat/kernel/streams.py
@@ -9,12 +9,15 @@
 import errno
 import os
 import socket
+import struct
 from collections.abc import Callable
 from typing import Any
 
 from glencleat.kernel.loop import READ, WRITE, Coroutine, Loop, Task
 
 CHUNK = 65_536
+TIMESTAMP = 35  # Linux's SO_TIMESTAMPNS, which Python does not name: seconds, nanoseconds beside the bytes
+TIMESPEC = struct.Struct("qq")
 
 
 class StreamClosed(Exception):
@@ -47,6 +50,8 @@
         self.flusher: Task | None = None
         self.interest = 0
         self.readable = False
+        self.stamped = False
+        self.arrived: float | None = None  # when the system took the last bytes read, Unix milliseconds
         loop.poller.watch(self.fd, 0, self._told)
 
     def _want(self, interest: int) -> None:
@@ -76,7 +81,7 @@
                 yield self._arm_read
                 continue
             try:
-                data: bytes = self.sock.recv(size)
+                data: bytes = self._recv_stamped(size) if self.stamped else self.sock.recv(size)
             except (BlockingIOError, InterruptedError):
                 self.readable = False
             except OSError as error:
@@ -85,6 +90,20 @@
                 self.readable = len(data) == size  # else it is empty now, and the poller tells of more
                 return data
 
+    def stamp(self) -> None:
+        """From now on `arrived` tells how long bytes waited for us; it stays None where the system can't."""
+        with contextlib.suppress(OSError):
+            self.sock.setsockopt(socket.SOL_SOCKET, TIMESTAMP, 1)
+            self.stamped = True
+
+    def _recv_stamped(self, size: int) -> bytes:
+        data, told, _, _ = self.sock.recvmsg(size, socket.CMSG_SPACE(TIMESPEC.size))
+        for level, kind, raw in told:
+            if level == socket.SOL_SOCKET and kind == TIMESTAMP and len(raw) == TIMESPEC.size:
+                seconds, nanoseconds = TIMESPEC.unpack(raw)
+                self.arrived = seconds * 1e3 + nanoseconds / 1e6
+        return bytes(data)
+
     def _arm_read(self, task: Task) -> Callable[[], None]:
         self.reader = task
         self._want(self.interest | READ)
--- a/glencleat/node/owners.py
+++ b/glencleat/node/owners.py
@@ -22,6 +22,7 @@
 TURN = 16  # messages of one connection before others have their turn
 READ = 16_384  # bytes of one connection at a time
 MOST_BAD = 50  # set-ups turned away unread on one connection before it is closed
+MOST_WAITED_MS = 60_000.0  # a clock that was set says more
 UNSENT = 1 << 18  # bytes that a slow reader may leave with us
 OWED, OWED_MS = 2_000, 10_000.0  # releases that wait for a connection of owners, and for how long
 
@@ -66,6 +67,7 @@
     # ---- connections ----
 
     def _accepted(self, stream: Stream) -> None:
+        stream.stamp()
         owner = Owner(stream, self.loop.now())
         self.owners[owner] = None
         self.loop.spawn(self._serve(owner), "owner")
@@ -104,7 +106,7 @@
         if self.trace is not None:
             self.trace.message("owner", message)
         if message.kind == m.SETUP:
-            owner.bad += not self.exchange.owner_asks(owner, message, 0.0)
+            owner.bad += not self.exchange.owner_asks(owner, message, self._waited(owner))
             if owner.bad > MOST_BAD:
                 raise m.PeerError(f"{owner.bad} set-ups that can't be used")
         elif message.kind == m.RELEASE:
@@ -114,6 +116,13 @@
             passed = b"\x00" if self.leaving else b"\x01"
             self._write(owner, m.encode(m.TESTED, message.task, {m.CAUSE: passed}))
 
+    def _waited(self, owner: Owner) -> float:
+        """How long the last bytes waited in our socket and loop: gone from what the owner waits.
+
+        After a standstill all that waited comes at once, with deadlines that would else seem fresh."""
+        arrived = owner.stream.arrived
+        return 0.0 if arrived is None else min(MOST_WAITED_MS, max(0.0, self.loop.clock.wall() - arrived))
+
     def _write(self, owner: Owner, data: bytes) -> bool:
         if owner.stream.closed is not None:
             return False
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -443,6 +443,16 @@
         rude.recv(100)
 
 
+def test_time_in_our_socket_is_gone_from_what_the_owner_waits(world, monkeypatch):
+    owner = world.client()
+    wall = world.loop.clock.wall
+    monkeypatch.setattr(world.loop.clock, "wall", lambda: wall() + 700.0)  # as if it was read so much later
+    world.module.next.append([])
+    owner.send(setup(1, wait=8000))
+    world.until(lambda: world.module.events)
+    assert 7000.0 < world.module.events[0].left_ms <= 7300.0
+
+
 def test_an_owner_that_hangs_up_has_left(world):
     peer, owner = Peer(world.loop), world.client()
     world.list(("h1", peer.address))
