The live path read again: one Telling, one Signals, one put; dead and doubled parts out

Twins made one. Core.tell and Exchange kept the same queue for rule 8 of the module's contract: now allocator/telling.py serves both. daemon.follow_signals and the live path's Signals: now kernel/signals.py. The two guarded sends of links and owners: Stream.put. Three readings of a finite figure: messages.figure. The trace wrote to standard error beside the log: it uses Log, and stands around the module, so that the exchange has no hook for it. The stand-in clock of the exchange's tests is the one of tests/fakes.py. The configuration is read by msgspec as the channel is.

Simpler: whether an attempt is out is said in one place (Attempt.out); the exchange's second counter of calls, its unread settings and a flag in HostLinks that was always false by the time it was read are gone; docstrings that named what is not there are mended. No test's assertion is loosened; one names the queue's new place.

--- a/glencleat/allocator/core.py
+++ b/glencleat/allocator/core.py
@@ -41,6 +41,7 @@
     Sent,
     Verdict,
 )
+from glencleat.allocator.telling import Telling
 from glencleat.allocator.tables import Answer, Step
 from glencleat.mesos import messages as m
 
@@ -87,8 +88,7 @@
         self.incarnation = f"{self.random.getrandbits(40):010x}"
         self.numbers, self.probe_numbers = itertools.count(1), itertools.count(1)
         self.probes: dict[str, deque[tuple[int, Any]]] = {}  # machine -> probe number and its timer
-        self.pending: deque[api.Event] = deque()
-        self.telling = False
+        self.telling = Telling(self.module, self.now, self._act)
         self.ending = False
         self.watch: Callable[[], None] = lambda: None  # set by the directory's client
         self.on_idle: Callable[[], None] = lambda: None  # the last open call was answered while ending
@@ -140,17 +140,7 @@
 
     def tell(self, event: api.Event) -> None:
         """Tells the module, in order: what its actions cause at once is told after them."""
-        self.pending.append(event)
-        if self.telling:
-            return
-        self.telling = True
-        try:
-            while self.pending:
-                actions = self.module.handle(self.now(), self.pending.popleft())
-                for action in actions:
-                    self._act(action)
-        finally:
-            self.telling = False
+        self.telling.tell(event)
 
     def list_told(self, event: api.ListTold) -> None:
         """News of the machine list."""
--- a/glencleat/daemon.py
+++ b/glencleat/daemon.py
@@ -6,9 +6,6 @@
 from __future__ import annotations
 
 import gc
-import os
-import signal
-from collections.abc import Callable
 from pathlib import Path
 from random import SystemRandom
 from typing import Any
@@ -24,8 +21,7 @@
 from glencleat.fronts.rest_api import RestApi, problem
 from glencleat.fronts.scheduler_api import SchedulerApi
 from glencleat.fronts.server import Handler, Limits, Server, plain
-from glencleat.kernel import Loop
-from glencleat.kernel.loop import READ
+from glencleat.kernel import Loop, Signals
 from glencleat.logic import Scheduler
 from glencleat.rest import plane as rest
 from glencleat.rest.channels import Limits as WatchLimits
@@ -145,25 +141,7 @@
     # ---- signals ----
 
     def follow_signals(self) -> None:
-        """Delivers signals as bytes on a pipe, so that they are handled between two events."""
-        reader, writer = os.pipe()
-        os.set_blocking(reader, False)
-        os.set_blocking(writer, False)
-        signal.set_wakeup_fd(writer)
-        calls: dict[int, Callable[[], None]] = {
-            signal.SIGTERM: self.stop,
-            signal.SIGINT: self.stop,
-            signal.SIGHUP: self.reload,
-        }
-        for number in calls:
-            signal.signal(number, lambda *_: None)
-
-        def told(_: int) -> None:
-            for number in os.read(reader, 64):
-                if number in calls:
-                    calls[number]()
-
-        self.loop.poller.watch(reader, READ, told)
+        Signals().follow(self.loop, self.stop, self.reload)
 
     def stop(self) -> None:
         """No new tasks; ends when all that is held is answered, or its time is up."""
--- a/glencleat/isup/exchange.py
+++ b/glencleat/isup/exchange.py
@@ -13,7 +13,6 @@
 from __future__ import annotations
 
 import math
-from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
@@ -21,6 +20,7 @@
 
 from glencleat import interface as api
 from glencleat.allocator.contract import Contract, Module
+from glencleat.allocator.telling import Telling
 from glencleat.isup import messages as m
 from glencleat.isup.channel import News
 from glencleat.isup.setups import BadSetup, Reader, Setup
@@ -92,7 +92,7 @@
         """What came on that connection stands: no bad client's, so that releases may be told there."""
 
     def offer(self, attempt: Attempt) -> None:
-        """Sends `attempt.setup(now)` to its host, and tells of a failure by `failed`, later."""
+        """Sends `attempt.setup_message(now)` to its host, and tells of a failure by `failed`, later."""
 
     def withdraw(self, attempt: Attempt) -> Fact:
         """Takes it back: the give-up is written, or its connection closed. What is known of it."""
@@ -133,6 +133,11 @@
     timer: Timer | None = None
     link: Any = field(default=None, repr=False)
 
+    @property
+    def out(self) -> bool:
+        """It waits for the host's answer."""
+        return self.call.attempt is self and self.call.state is State.OUT
+
     def setup_message(self, now: float) -> bytes:
         setup = self.call.setup
         wait = max(1, round(self.until - now))
@@ -144,23 +149,21 @@
 
 
 class Exchange:
-    """One allocator's calls. `start` before anything else; `draining` after SIGTERM."""
+    """One allocator's calls. `machines` is set by whoever joins the parts."""
 
     def __init__(self, settings: api.Settings, module: Module, ports: Ports, test_ms: float) -> None:
-        self.settings, self.ports, self.test_ms = settings, ports, test_ms
+        self.ports, self.test_ms = ports, test_ms
         self.contract = Contract(module)
+        self.telling = Telling(self.contract, ports.now, self._act)
         self.reader = Reader(settings)
         self.calls: dict[int, Call] = {}  # by the module's number
         self.tasks: dict[int, Call] = {}  # by the platform's id
         self.standing: dict[str, dict[int, Call]] = {}  # host -> id -> call
         self.tests: dict[int, str] = {}  # token -> host
-        self.numbers = self.tokens = 0
+        self.tokens = 0
         self.machines: Callable[[], tuple[api.Machine, ...]] = tuple
-        self.queue: deque[api.Event] = deque()
-        self.busy = False
         self.bad = self.taken = self.late = 0
         self.nothing: dict[api.Outcome, int] = {}  # attempts that came to nothing
-        self.trace: Callable[[float, api.Event, list[api.Action]], None] | None = None
 
     @property
     def open(self) -> int:
@@ -169,54 +172,40 @@
 
     # ---- the module ----
 
-    def _feed(self, *events: api.Event) -> None:
-        """Tells the module in order; what it answers is carried out before the next event (contract 8)."""
-        self.queue.extend(events)
-        if self.busy:
-            return
-        self.busy = True
-        try:
-            while self.queue:
-                event, now = self.queue.popleft(), self.ports.now()
-                actions = self.contract.handle(now, event)
-                if self.trace is not None:
-                    self.trace(now, event, actions)
-                for action in actions:
-                    self.actors[type(action)](self, now, action)
-        finally:
-            self.busy = False
-
-    def _bind(self, now: float, action: api.Bind) -> None:
-        call = self.calls[action.call]
+    def _act(self, action: api.Action) -> None:
+        self.actors[type(action)](self, action)
+
+    def _bind(self, action: api.Bind) -> None:
+        call, now = self.calls[action.call], self.ports.now()
         attempt = Attempt(call, call.attempts, action.machine, now, now + action.timeout_ms)
         call.attempts, call.attempt, call.state = call.attempts + 1, attempt, State.OUT
         attempt.timer = self.ports.call_in(action.timeout_ms, lambda: self._timed_out(attempt))
         self.ports.offer(attempt)
 
     def _timed_out(self, attempt: Attempt) -> None:
-        if attempt.call.attempt is attempt and attempt.call.state is State.OUT:
+        if attempt.out:
             self._back(attempt, FACTS[self.ports.withdraw(attempt)])
 
-    def _refuse(self, _: float, action: api.Refuse) -> None:
+    def _refuse(self, action: api.Refuse) -> None:
         stay = {m.STAY_AWAY: b"%d" % round(action.retry_after_ms)} if action.retry_after_ms >= 1.0 else {}
         self._answer(self.calls[action.call], m.FULL, stay)
 
-    def _fail(self, _: float, action: api.Fail) -> None:
+    def _fail(self, action: api.Fail) -> None:
         self._answer(self.calls[action.call], m.RESET, {})
 
     def _answer(self, call: Call, cause: int, more: dict[int, bytes]) -> None:
         """The final answer that is no placing. Nothing is kept of the call."""
-        data = m.encode(m.RELEASE, call.setup.task, {m.CAUSE: bytes((cause,)), **more})
+        data = m.caused(m.RELEASE, call.setup.task, cause, more)
         self._forget(call)
         self.ports.to_owner(call.owner, data, owed=False)
 
-    def _move(self, _: float, action: api.Move) -> None:
+    def _move(self, action: api.Move) -> None:
         call = self.calls[action.call]
         if call.state is State.STANDS:
             self.ports.to_owner(call.owner, m.encode(m.MOVE, call.setup.task), owed=True)
             self._cut(call)
 
-    def _probe(self, _: float, action: api.Probe) -> None:
+    def _probe(self, action: api.Probe) -> None:
         self.tokens += 1
         token = self.tokens
         self.tests[token] = action.machine
@@ -228,19 +217,19 @@
     def _tested(self, token: int, outcome: api.Outcome, report: api.Report | None) -> None:
         host = self.tests.pop(token, None)
         if host is not None:
-            self._feed(api.Probed(host, outcome, report))
+            self.telling.tell(api.Probed(host, outcome, report))
 
-    def _set_timer(self, _: float, action: api.SetTimer) -> None:
-        self.ports.call_in(action.in_ms, lambda: self._feed(api.TimerDue(action.token)))
+    def _set_timer(self, action: api.SetTimer) -> None:
+        self.ports.call_in(action.in_ms, lambda: self.telling.tell(api.TimerDue(action.token)))
 
-    def _watch(self, _: float, __: api.Watch) -> None:
+    def _watch(self, _: api.Watch) -> None:
         # The sockets hold a channel at all times: what it told is what there is.
-        self.queue.append(api.ListTold(api.ListKind.WHOLE, self.machines()))
+        self.telling.tell(api.ListTold(api.ListKind.WHOLE, self.machines()))
 
-    def _log(self, _: float, action: api.Log) -> None:
+    def _log(self, action: api.Log) -> None:
         self.ports.log(action.text)
 
-    actors: dict[type, Callable[[Exchange, float, Any], None]] = {
+    actors: dict[type, Callable[[Exchange, Any], None]] = {
         api.Bind: _bind,
         api.Refuse: _refuse,
         api.Fail: _fail,
@@ -281,7 +270,7 @@
                     f"host {attempt.host}: attempt {attempt.number} {outcome.value} after {spent:.0f} ms"
                 )
         told = api.Returned(call.number, attempt.number, attempt.host, outcome, spent, over, why, report)
-        self._feed(*([api.Left(call.number)] if left else []), told)
+        self.telling.tell(*([api.Left(call.number)] if left else []), told)
 
     def _forget(self, call: Call, host: str = "") -> None:
         self.calls.pop(call.number, None)
@@ -308,7 +297,7 @@
 
     def failed(self, attempt: Attempt, fact: Fact) -> None:
         """A link's word on an attempt that is out; of one that is back already it changes nothing."""
-        if attempt.call.attempt is attempt and attempt.call.state is State.OUT:
+        if attempt.out:
             self._back(attempt, FACTS[fact])
 
     def host_lost(self, host: str, before: float = math.inf) -> int:
@@ -329,50 +318,44 @@
             if self.tests.get(message.task) == host:
                 self._tested(message.task, outcome, report)
             return
-        call = self.tasks.get(message.task)
-        attempt = call.attempt if call is not None else None
-        ours = attempt is not None and attempt.host == host
+        attempt = self._attempt(message.task, host)
+        awaited = attempt is not None and attempt.out and attempt.link is link
         if message.kind == m.ANSWER:
             if m.DESCRIPTION not in message.parameters:
                 raise m.PeerError("an answer without a description")
-            if call is not None and attempt is not None and ours and self._awaits(call, attempt, link):
-                self._accepted(call, attempt, message)
+            if attempt is not None and awaited:
+                self._accepted(attempt, message)
             else:
                 self.late += 1  # after its time, a second time, or of nothing: the page says it means nothing
         elif message.kind == m.RELEASE:
             cause, why, report = message.cause, self._why(message), self._report(message)
-            if call is None or attempt is None or not ours:
-                return
-            if call.state is State.STANDS:
+            if attempt is not None and attempt.call.state is State.STANDS:
                 self._back(attempt, AFTER.get(cause, api.Outcome.LOST), why, report)
-            elif self._awaits(call, attempt, link):
+            elif attempt is not None and awaited:
                 self._back(attempt, BEFORE.get(cause, api.Outcome.LOST), why, report)
         elif message.kind == m.NOTE:
-            self._note(call if ours else None, host, message)
+            self._note(attempt, message)
 
-    @staticmethod
-    def _awaits(call: Call, attempt: Attempt, link: Any) -> bool:
-        return call.state is State.OUT and attempt.link is link
+    def _attempt(self, task: int, host: str) -> Attempt | None:
+        """Ours at that host under the platform's id, out or standing."""
+        call = self.tasks.get(task)
+        attempt = call.attempt if call is not None else None
+        return attempt if attempt is not None and attempt.host == host else None
 
-    def _accepted(self, call: Call, attempt: Attempt, message: m.Message) -> None:
+    def _accepted(self, attempt: Attempt, message: m.Message) -> None:
+        call = attempt.call
         if attempt.timer is not None:
             attempt.timer.cancel()
         self._stands(call, attempt.host)
         description = {m.DESCRIPTION: message.parameters[m.DESCRIPTION]}
         self.ports.to_owner(call.owner, m.encode(m.ANSWER, call.setup.task, description), owed=False)
         spent = max(0.0, self.ports.now() - attempt.began)
-        self._feed(api.Accepted(call.number, attempt.number, attempt.host, spent))
+        self.telling.tell(api.Accepted(call.number, attempt.number, attempt.host, spent))
 
-    def _note(self, call: Call | None, host: str, message: m.Message) -> None:
-        topic, text = message.text(m.TOPIC), message.text(m.VALUE)
-        try:
-            value = float(text or 0.0)
-        except ValueError:
-            raise m.PeerError(f"no figure: {text!r}") from None
-        if not math.isfinite(value):
-            raise m.PeerError(f"no figure: {text!r}")
-        if call is not None and call.state is State.STANDS and topic in TOPICS:
-            self._feed(api.Noted(call.number, host, TOPICS[topic], value))
+    def _note(self, attempt: Attempt | None, message: m.Message) -> None:
+        topic, value = message.text(m.TOPIC), m.figure(message.text(m.VALUE) or "0")
+        if attempt is not None and attempt.call.state is State.STANDS and topic in TOPICS:
+            self.telling.tell(api.Noted(attempt.call.number, attempt.host, TOPICS[topic], value))
 
     @staticmethod
     def _why(message: m.Message) -> api.Why:
@@ -381,13 +364,7 @@
     @staticmethod
     def _report(message: m.Message) -> api.Report | None:
         raw = m.fields(message.text(m.REPORT) or "")
-        try:
-            values = {FIELDS.get(name, name): float(value) for name, value in raw.items()}
-        except ValueError:
-            raise m.PeerError("a report with what is no figure") from None
-        if not all(map(math.isfinite, values.values())):
-            raise m.PeerError("a report with what is no figure")
-        return read_report(values)
+        return read_report({FIELDS.get(name, name): m.figure(value) for name, value in raw.items()})
 
     # ---- owners ----
 
@@ -403,29 +380,29 @@
         try:
             setup = self.reader.read(message)
         except BadSetup as error:
-            self.bad += 1
-            self._turn_away(owner, task, m.NOT_TAKEN, str(error))
-            return False
+            return self._unusable(owner, task, str(error))
         if setup.at is not None:
             self._adopt(owner, setup)
         elif known is not None:
-            self.bad += 1
-            self._turn_away(owner, task, m.NOT_TAKEN, "the number of another open set-up")
-            return False
+            return self._unusable(owner, task, "the number of another open set-up")
         elif setup.wait_ms - waited_ms <= 0.0:
             self._turn_away(owner, task, m.MOOT, "it came after its time")
         else:
             self._take(owner, setup, setup.wait_ms - waited_ms)
         return True
 
+    def _unusable(self, owner: Owner, task: int, why: str) -> bool:
+        self.bad += 1
+        self._turn_away(owner, task, m.NOT_TAKEN, why)
+        return False
+
     def _turn_away(self, owner: Owner, task: int, cause: int, why: str) -> None:
         self.ports.log(f"turned away: {why}")
         self.ports.to_owner(owner, m.caused(m.RELEASE, task, cause), owed=False)
 
     def _new(self, owner: Owner, setup: Setup) -> Call:
-        self.numbers += 1
-        self.taken += 1
-        call = Call(self.numbers, setup, owner)
+        self.taken += 1  # the module's numbers count with it
+        call = Call(self.taken, setup, owner)
         self.calls[call.number] = self.tasks[setup.task] = call
         return call
 
@@ -437,7 +414,7 @@
 
     def _take(self, owner: Owner, setup: Setup, left_ms: float) -> None:
         owner.open.add(setup.task)
-        self._feed(self._asked(self._new(owner, setup), left_ms))
+        self.telling.tell(self._asked(self._new(owner, setup), left_ms))
 
     def _adopt(self, owner: Owner, setup: Setup) -> None:
         """A task that runs already. One that we hold is named again at every start, and changes nothing."""
@@ -447,7 +424,7 @@
         now = self.ports.now()
         call.attempts, call.attempt = 1, Attempt(call, 0, setup.at, now, now)
         self._stands(call, setup.at)
-        self._feed(self._asked(call, 0.0))
+        self.telling.tell(self._asked(call, 0.0))
 
     def owner_releases(self, owner: Owner, message: m.Message) -> None:
         """An open set-up is given up on its own connection; what stands may be ended on any."""
@@ -472,10 +449,10 @@
             self._back(call.attempt, outcome, left=True)
         else:
             self._forget(call)
-            self._feed(api.Left(call.number))
+            self.telling.tell(api.Left(call.number))
 
     # ---- machines ----
 
     def list_told(self, news: News) -> None:
         kind = api.ListKind.WHOLE if news.whole else api.ListKind.CHANGES
-        self._feed(api.ListTold(kind, tuple(host.machine for host in news.hosts)))
+        self.telling.tell(api.ListTold(kind, tuple(host.machine for host in news.hosts)))
--- a/glencleat/isup/messages.py
+++ b/glencleat/isup/messages.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 import struct
 from collections.abc import Iterator
 from dataclasses import dataclass
@@ -72,9 +73,9 @@
     return HEAD.pack(length, kind, task) + body
 
 
-def caused(kind: int, task: int, cause: int) -> bytes:
+def caused(kind: int, task: int, cause: int, more: dict[int, bytes] | None = None) -> bytes:
     """A message whose main parameter is a cause, such as a release."""
-    return encode(kind, task, {CAUSE: bytes((cause,))})
+    return encode(kind, task, {CAUSE: bytes((cause,)), **(more or {})})
 
 
 class Decoder:
@@ -128,6 +129,21 @@
     return Message(kind, task, parameters)
 
 
+def figure(text: str) -> float:
+    """A finite number; PeerError on anything else.
+
+    >>> figure("0.25")
+    0.25
+    """
+    try:
+        value = float(text)
+    except ValueError:
+        value = math.nan
+    if not math.isfinite(value):
+        raise PeerError(f"no figure: {text[:40]!r}")
+    return value
+
+
 def fields(text: str) -> dict[str, str]:
     """`a:1;b:2` as a mapping; PeerError on another form or a name twice."""
     found: dict[str, str] = {}
--- a/glencleat/isup/setups.py
+++ b/glencleat/isup/setups.py
@@ -4,7 +4,6 @@
 
 from __future__ import annotations
 
-import math
 from dataclasses import dataclass
 
 from glencleat import interface as api
@@ -105,10 +104,7 @@
     @staticmethod
     def _figure(extras: dict[str, str], name: str, most: float) -> float:
         """A figure that some machine could take, by the settings."""
-        try:
-            value = float(extras[name][:40])
-        except (KeyError, ValueError):
-            raise BadSetup(f"no figure for {name}") from None
-        if not math.isfinite(value) or not 0.0 < value <= most:
-            raise BadSetup(f"{name} out of range: {extras[name][:40]}")
+        value = m.figure(extras.get(name, "")[:40])
+        if not 0.0 < value <= most:
+            raise BadSetup(f"{name} out of range: {value}")
         return value
--- a/glencleat/kernel/__init__.py
+++ b/glencleat/kernel/__init__.py
@@ -3,6 +3,7 @@
 It imports nothing of glencleat. Clock and sockets come in from outside (`Loop(clock, poller)`)."""
 
 from glencleat.kernel.loop import Cancelled, Clock, Loop, Poller, SystemClock, Task
+from glencleat.kernel.signals import Signals
 from glencleat.kernel.streams import ConnectFailed, Listener, Overflow, Stream, StreamClosed, connect
 from glencleat.kernel.timers import Timer, TimerHeap, TimerWheel
 
@@ -14,6 +15,7 @@
     "Loop",
     "Overflow",
     "Poller",
+    "Signals",
     "Stream",
     "StreamClosed",
     "SystemClock",
--- /dev/null
+++ b/glencleat/kernel/signals.py
@@ -0,0 +1,38 @@
+"""Signals as bytes on a socket, so that they are handled between two events and none is missed.
+
+Imports the loop. Made at a process's start, whatever comes before `follow` waits on the socket."""
+
+from __future__ import annotations
+
+import signal
+import socket
+from collections.abc import Callable
+
+from glencleat.kernel.loop import READ, Loop
+
+
+class Signals:
+    """Takes SIGHUP, SIGTERM and SIGINT from the moment it is made."""
+
+    def __init__(self) -> None:
+        self.reader, self.writer = socket.socketpair()
+        self.reader.setblocking(False)
+        self.writer.setblocking(False)
+        signal.set_wakeup_fd(self.writer.fileno(), warn_on_full_buffer=False)
+        for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: None)
+
+    def follow(self, loop: Loop, stop: Callable[[], None], reload: Callable[[], None]) -> None:
+        """From now on the loop calls `stop` for SIGTERM and SIGINT, `reload` for SIGHUP."""
+        calls: dict[int, Callable[[], None]] = {
+            signal.SIGTERM: stop,
+            signal.SIGINT: stop,
+            signal.SIGHUP: reload,
+        }
+
+        def told(_: int) -> None:
+            for number in dict.fromkeys(self.reader.recv(256)):  # once each, in the order they came
+                if number in calls:
+                    calls[number]()
+
+        loop.poller.watch(self.reader.fileno(), READ, told)
--- a/glencleat/kernel/streams.py
+++ b/glencleat/kernel/streams.py
@@ -129,6 +129,14 @@
             raise Overflow(self.closed or "")
         return self.queued
 
+    def put(self, data: bytes) -> bool:
+        """`send` for who need not know why: False if the stream is closed, or was by this."""
+        try:
+            self.send(data)
+        except StreamClosed:
+            return False
+        return self.closed is None
+
     def _write(self) -> None:
         try:
             sent = self.sock.send(self.out)
--- a/glencleat/logic.py
+++ b/glencleat/logic.py
@@ -657,7 +657,8 @@
         task = self.tasks.get(event.call)
         if event.report:
             self.hear_report(node, event.report)
-        fatal = event.outcome is Outcome.ERROR and task is not None and task.cls.effect is Effect.UNSAFE
+        erred = event.outcome is Outcome.ERROR
+        fatal = erred and task is not None and task.cls.effect is Effect.UNSAFE
         if event.outcome is Outcome.REFUSED and event.why in (Why.CORES, Why.MEMORY, Why.LINE):
             node.full_until = self.now + REFUSED_MS
         elif task is not None and ((event.outcome is Outcome.REFUSED and event.why is Why.NONE) or fatal):
@@ -668,7 +669,6 @@
             node.turned[key] = self.now + length, length
         unheard = event.outcome is Outcome.TIMED_OUT and task is not None and node.heard < task.sent
         full_line = event.outcome is Outcome.REFUSED and event.why is Why.LINE
-        erred = event.outcome is Outcome.ERROR
         if erred and task is not None and not fatal:
             # Whose fault an error is shows elsewhere: asks that none can use would bar all. It counts once
             # another takes the task; machines that all fail alike are not barred then, and need not be.
--- a/glencleat/node/hosts.py
+++ b/glencleat/node/hosts.py
@@ -70,11 +70,8 @@
 
     def write(self, data: bytes) -> None:
         """Queues bytes; a stream that breaks on it is noticed by its reader."""
-        if self.stream is not None and self.stream.closed is None:
-            try:
-                self.stream.send(data)
-            except StreamClosed:
-                return
+        if self.stream is not None:
+            self.stream.put(data)
 
     def withdraw(self, attempt: Attempt) -> Fact:
         if attempt in self.waiting:
@@ -153,8 +150,7 @@
         out, self.out = self.out, {}
         for attempt, end in out.items():
             self.hosts.exchange.failed(attempt, Fact.BROKEN if stream.written >= end else Fact.UNSENT)
-        if not self.host.closing:
-            self.hosts.broken(self.host, why)
+        self.hosts.broken(self.host, why)
 
 
 class HostLinks:
@@ -164,7 +160,7 @@
         self.name, self.since = name, now
         self.address: tuple[str, int] = ("", 0)
         self.links: set[Link] = set()
-        self.gone = self.draining = self.closing = False
+        self.gone = self.draining = False
         self.heard = now
         self.refused = self.failing = float("inf")  # since when
         self.refusing = False  # the last try: its machine is there
@@ -174,6 +170,11 @@
         self.again_at, self.again_ms = 0.0, AGAIN_MS
         self.cuts: dict[int, None] = {}
 
+    @property
+    def alone(self) -> bool:
+        """No link to it is up."""
+        return all(link.stream is None for link in self.links)
+
 
 class Hosts:
     """All links. `exchange` is set by whoever joins the parts."""
@@ -190,7 +191,7 @@
         log: Callable[[str], None],
     ) -> None:
         self.loop, self.channel, self.share, self.log = loop, channel, share, log
-        self.connect_ms, self.idle_ms = connect_ms, idle_ms
+        self.connect_ms, self.idle_ms = connect_ms, 0.8 * idle_ms  # the host closes at the whole of it
         self.hosts: dict[str, HostLinks] = {}
         self.tests = 0
         self.trace: Trace | None = None
@@ -226,7 +227,7 @@
 
     def _open(self, link: Link) -> bool:
         """Usable: not closed, and not idle for so long that the host may close it as we write."""
-        fresh = self.loop.now() - link.used < 0.8 * self.idle_ms
+        fresh = self.loop.now() - link.used < self.idle_ms
         return link.stream is None or (link.stream.closed is None and fresh)
 
     def _room(self) -> bool:
@@ -285,8 +286,7 @@
                 f"host {host.name}: connection {how}, {len(host.links)} others, heard {quiet:.0f} ms ago"
             )
         host.failing, host.refusing = min(host.failing, now), refused
-        alone = all(link.stream is None for link in host.links)
-        host.refused = min(host.refused, now) if refused and alone else float("inf")
+        host.refused = min(host.refused, now) if refused and host.alone else float("inf")
         host.again_at, host.again_ms = now + host.again_ms, min(AGAIN_MAX_MS, 2.0 * host.again_ms)
 
     def broken(self, host: HostLinks, why: str) -> None:
@@ -296,7 +296,7 @@
         break on any day, and one that was the only one tells nothing."""
         now = self.loop.now()
         host.broke = [at for at in host.broke if now - at < AT_ONCE_MS] + [now]
-        host.fell = len(host.broke) > 1 and all(link.stream is None for link in host.links)
+        host.fell = len(host.broke) > 1 and host.alone
         if standing := self.exchange.standing.get(host.name):
             left = f"{len(standing)} tasks stand, {len(host.links)} links left"
             self.log(f"host {host.name}: link ended, {why}; {left}")
@@ -348,10 +348,8 @@
             self.log(f"host {host.name}: {ended} tasks over, {why}")
 
     def _drop(self, host: HostLinks, why: str) -> None:
-        host.closing = True
         for link in list(host.links):
             self._close(link, why)
-        host.closing = False
 
     # ---- now and then ----
 
@@ -404,7 +402,7 @@
     def _tidy(self, host: HostLinks, now: float) -> None:
         """Closes links that nobody needs, and forgets hosts that are gone."""
         for link in list(host.links):
-            if link.stream is not None and not link.load and now - link.used > 0.8 * self.idle_ms:
+            if link.stream is not None and not link.load and now - link.used > self.idle_ms:
                 self._close(link, "idle")
         if host.gone and host.name not in self.exchange.standing and not any(li.load for li in host.links):
             self._drop(host, "its host is gone")
--- a/glencleat/node/log.py
+++ b/glencleat/node/log.py
@@ -8,12 +8,12 @@
 import select
 import time
 
-MOST = 20  # lines a second; the rest are counted
+MOST, WIDTH = 20, 400  # lines a second, the rest are counted; characters of a line
 
 
 class Log:
-    def __init__(self, name: str, fd: int = 2) -> None:
-        self.name, self.fd = name, fd
+    def __init__(self, name: str, fd: int = 2, most: int = MOST, width: int = WIDTH) -> None:
+        self.name, self.fd, self.most, self.width = name, fd, most, width
         self.second, self.lines, self.dropped = 0, 0, 0
         self.poll = select.poll()
         self.poll.register(fd, select.POLLOUT)
@@ -23,12 +23,12 @@
         if int(now) != self.second:
             self.second, self.lines = int(now), 0
         self.lines += 1
-        if self.lines > MOST or not self.poll.poll(0):
+        if self.lines > self.most or not self.poll.poll(0):
             self.dropped += 1
             return
         more = f" (and {self.dropped} lines not written)" if self.dropped else ""
         self.dropped = 0
         try:
-            os.write(self.fd, f"{now:.3f} {self.name} {text[:400]}{more}\n".encode(errors="replace"))
+            os.write(self.fd, f"{now:.3f} {self.name} {text[: self.width]}{more}\n".encode(errors="replace"))
         except OSError:
             self.dropped += 1
--- a/glencleat/node/owners.py
+++ b/glencleat/node/owners.py
@@ -34,7 +34,7 @@
         self.stream, self.decoder = stream, m.Decoder()
         self.open: set[int] = set()
         self.born = self.used = now
-        self.whole = 0  # messages that came whole
+        self.spoke = False  # a message came whole
         self.proven = False  # a task of its came to stand: no bad client's ever does
         self.bad = 0
         self.begun: float | None = None  # since when a message is not whole
@@ -47,7 +47,7 @@
 
     def __init__(self, loop: Loop, share: int, log: Callable[[str], None]) -> None:
         self.loop, self.share, self.log = loop, share, log
-        self.owners: dict[Owner, None] = {}  # in order of last use, but for those read since
+        self.owners: dict[Owner, None] = {}  # in the order they came
         self.owed: deque[tuple[float, bytes]] = deque(maxlen=OWED)
         self.listener: Listener | None = None
         self.leaving = False
@@ -102,7 +102,7 @@
         return count == TURN
 
     def _message(self, owner: Owner, message: m.Message) -> None:
-        owner.whole += 1
+        owner.spoke = True
         if self.trace is not None:
             self.trace.message("owner", message)
         if message.kind == m.SETUP:
@@ -113,8 +113,7 @@
             message.cause  # noqa: B018 - it must be readable
             self.exchange.owner_releases(owner, message)
         elif message.kind == m.TEST:
-            passed = b"\x00" if self.leaving else b"\x01"
-            self._write(owner, m.encode(m.TESTED, message.task, {m.CAUSE: passed}))
+            self._write(owner, m.caused(m.TESTED, message.task, int(not self.leaving)))
 
     def _waited(self, owner: Owner) -> float:
         """How long the last bytes waited in our socket and loop: gone from what the owner waits.
@@ -124,13 +123,7 @@
         return 0.0 if arrived is None else min(MOST_WAITED_MS, max(0.0, self.loop.clock.wall() - arrived))
 
     def _write(self, owner: Owner, data: bytes) -> bool:
-        if owner.stream.closed is not None:
-            return False
-        try:
-            owner.stream.send(data)
-        except StreamClosed:
-            return False
-        return owner.stream.closed is None
+        return owner.stream.put(data)
 
     def proves(self, owner: Owner) -> None:
         """A task of its stands: it is one of those that releases may be told to."""
@@ -165,7 +158,7 @@
         self.loop.call_in(SWEEP_MS, self._sweep)
         now = self.loop.now()
         for owner in list(self.owners):
-            silent = not owner.whole and now - owner.born > SPEAK_MS
+            silent = not owner.spoke and now - owner.born > SPEAK_MS
             if silent or (owner.begun is not None and now - owner.begun > SPEAK_MS):
                 owner.stream.close("no whole message in time")
         while self.owed and now - self.owed[0][0] > OWED_MS:
--- a/glencleat/node/process.py
+++ b/glencleat/node/process.py
@@ -6,10 +6,7 @@
 from __future__ import annotations
 
 import gc
-import json
 import os
-import signal
-import socket
 import sys
 import time
 import traceback
@@ -17,12 +14,13 @@
 from dataclasses import dataclass
 from typing import Any
 
+import msgspec
+
 from glencleat import interface as api
 from glencleat.isup.channel import Channel, News, address
 from glencleat.isup.exchange import Attempt, Exchange, Fact
 from glencleat.isup.messages import PeerError
-from glencleat.kernel import Loop, Timer
-from glencleat.kernel.loop import READ
+from glencleat.kernel import Loop, Signals, Timer
 from glencleat.logic import Scheduler
 from glencleat.node.feed import Feed
 from glencleat.node.hosts import Hosts
@@ -57,7 +55,7 @@
     """Reads and checks the file that ROUTER_CONFIG names; raises BadConfig."""
     try:
         with open(path, "rb") as file:
-            raw = json.load(file)
+            raw = msgspec.json.decode(file.read())
         limits = raw["settings"]["limits"]
         return Config(
             name=str(raw["name"]),
@@ -82,7 +80,7 @@
     """The parts joined; the exchange's Ports."""
 
     def __init__(self, config: Config, loop: Loop, log: Callable[[str], None], path: str) -> None:
-        self.config, self.loop, self.log, self.path = config, loop, log, path
+        self.loop, self.log, self.path = loop, log, path
         self.channel = Channel(loop.clock.wall() - loop.now())
         room = max(16, config.descriptors - SPARE)
         self.owners = Owners(loop, room * 11 // 20, log)
@@ -103,8 +101,9 @@
     def _trace(self) -> None:
         from glencleat.node.trace import Trace
 
-        trace = self.owners.trace = self.hosts.trace = Trace()
-        self.exchange.trace = lambda now, event, actions: trace.module(self.exchange, now, event, actions)
+        line, contract = Log("trace", most=1 << 30, width=500), self.exchange.contract
+        contract.module = trace = Trace(contract.module, self.exchange.calls, line)
+        self.owners.trace = self.hosts.trace = trace
 
     # ---- Ports ----
 
@@ -215,27 +214,6 @@
         return f"{int(file.read().split()[1]) * os.sysconf('SC_PAGE_SIZE') // 1024} kB"
 
 
-class Signals:
-    """Signals as bytes on a socket from the first moment on, so that none is missed and none interrupts."""
-
-    def __init__(self) -> None:
-        self.reader, self.writer = socket.socketpair()
-        self.reader.setblocking(False)
-        self.writer.setblocking(False)
-        signal.set_wakeup_fd(self.writer.fileno(), warn_on_full_buffer=False)
-        for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, lambda *_: None)
-        signal.signal(signal.SIGPIPE, signal.SIG_IGN)
-
-    def follow(self, loop: Loop, calls: dict[int, Callable[[], None]]) -> None:
-        def told(_: int) -> None:
-            for number in set(self.reader.recv(256)):
-                if number in calls:
-                    calls[number]()
-
-        loop.poller.watch(self.reader.fileno(), READ, told)
-
-
 def main() -> int:
     signals = Signals()
     log = Log(os.environ.get("ROUTER_NAME", "node"))
@@ -249,10 +227,7 @@
     except (BadConfig, PeerError, ValueError, KeyError) as error:
         print(f"glencleat node: {error}", file=sys.stderr)
         return 2
-    signals.follow(
-        process.loop,
-        {signal.SIGHUP: process.reload, signal.SIGTERM: process.stop, signal.SIGINT: process.stop},
-    )
+    signals.follow(process.loop, process.stop, process.reload)
     try:
         bound = process.owners.listen(config.listen)
     except OSError as error:
--- a/glencleat/node/trace.py
+++ b/glencleat/node/trace.py
@@ -5,37 +5,34 @@
 
 from __future__ import annotations
 
-import os
-import select
-import time
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from glencleat import interface as api
+from glencleat.allocator.contract import Module
 from glencleat.isup import messages as m
 
 if TYPE_CHECKING:
-    from glencleat.isup.exchange import Exchange
+    from glencleat.isup.exchange import Call
 
 DULL = (api.TimerDue, api.ListTold, api.Noted)  # told only where the module answers with more than a timer
 
 
 class Trace:
-    def __init__(self, fd: int = 2) -> None:
-        self.fd = fd
-        self.poll = select.poll()
-        self.poll.register(fd, select.POLLOUT)
+    """A module around the real one, which it asks; `message` is for what passes on the sockets."""
 
-    def line(self, text: str) -> None:
-        if self.poll.poll(0):
-            os.write(self.fd, f"{time.time():.3f} {text[:500]}\n".encode(errors="replace"))
+    def __init__(self, module: Module, calls: dict[int, Call], line: Callable[[str], None]) -> None:
+        self.module, self.calls, self.line = module, calls, line
 
-    def module(self, exchange: Exchange, now: float, event: api.Event, actions: list[api.Action]) -> None:
+    def handle(self, now_ms: float, event: api.Event) -> list[api.Action]:
+        actions = self.module.handle(now_ms, event)
         if isinstance(event, DULL) and all(isinstance(action, api.SetTimer) for action in actions):
-            return
-        calls = [exchange.calls.get(getattr(said, "call", -1)) for said in (event, *actions)]
+            return actions
+        calls = [self.calls.get(getattr(said, "call", -1)) for said in (event, *actions)]
         pairs = {f"{call.setup.task:016x}" for call in calls if call is not None}
         told = type(event).__name__ if isinstance(event, api.ListTold) else event
-        self.line(f"module {now:.0f} pair {' '.join(sorted(pairs))}: {told} -> {actions}")
+        self.line(f"module {now_ms:.0f} pair {' '.join(sorted(pairs))}: {told} -> {actions}")
+        return actions
 
     def message(self, where: str, message: m.Message) -> None:
         self.line(f"{where} pair {message.task:016x}: {message.kind} {message.parameters}")
--- a/tests/live.py
+++ b/tests/live.py
@@ -4,7 +4,7 @@
 from glencleat.isup import messages as m
 from glencleat.isup.channel import Host, News
 from glencleat.isup.exchange import Exchange, Fact
-from glencleat.kernel import TimerHeap
+from tests.fakes import Timing
 
 SAFE = api.TaskClass("safe", api.Effect.SAFE, 1000.0, 8000.0, 1.0)
 KEYED = api.TaskClass("keyed", api.Effect.KEYED, 1000.0, 8000.0, 1.0, group="all", window_ms=5000.0)
@@ -53,11 +53,11 @@
         return self.next.pop(0) if self.next else []
 
 
-class World:
+class World(Timing):
     """Ports of an exchange whose module is `module`, or a Script."""
 
     def __init__(self, module=None, settings=SETTINGS):
-        self.at, self.timers = 1000.0, TimerHeap()
+        super().__init__()
         self.module = module or Script()
         self.offers, self.withdrawn, self.cuts, self.logs, self.tests = [], [], [], [], []
         self.fact, self.testable = Fact.SILENT, True
@@ -87,26 +87,11 @@
         self.tests.append((host, token))
         return self.testable
 
-    def call_in(self, in_ms, call):
-        return self.timers.add(self.at + in_ms, call)
-
-    def now(self):
-        return self.at
-
     def log(self, text):
         self.logs.append(text)
 
     # ---- what tests do ----
 
-    def advance(self, ms):
-        until = self.at + ms
-        while (due := self.timers.next_due()) is not None and due <= until:
-            self.at = max(self.at, due)
-            for timer in self.timers.pop_due(self.at):
-                if timer.call is not None:
-                    timer.call()
-        self.at = until
-
     def asks(self, task, *actions, owner=None, waited=0.0, **fields):
         """A set-up comes; a Script module answers it with these actions."""
         if actions:
--- a/tests/test_isup_exchange.py
+++ b/tests/test_isup_exchange.py
@@ -27,7 +27,7 @@
 
 def empty(world):
     x = world.exchange
-    return not (x.calls or x.tasks or x.standing or x.contract.calls or any(x.queue)) and not world.owner.open
+    return not (x.calls or x.tasks or x.standing or x.contract.calls or any(x.telling.pending)) and not world.owner.open
 
 
 # ---- before the answer ----
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -54,11 +54,11 @@
         self.channel = Channel(self.loop.clock.wall() - self.loop.now())
         self.hosts = hosts.Hosts(self.loop, self.channel, share, 250.0, 30_000.0, self.logs.append)
         self.owners = owners.Owners(self.loop, share, self.logs.append)
+        self.now, self.call_in, self.log = self.loop.now, self.loop.call_in, self.logs.append
         self.exchange = Exchange(SETTINGS, self.module, self, 250.0)
         self.hosts.exchange = self.owners.exchange = self.exchange
         self.address = self.owners.listen(("127.0.0.1", 0))
         self.clients, self.calls = [], 0
-        self.now, self.call_in, self.log = self.loop.now, self.loop.call_in, self.logs.append
         self.to_owner, self.proves, self.offer = self.owners.to_owner, self.owners.proves, self.hosts.offer
         self.withdraw, self.cut, self.test = self.hosts.withdraw, self.hosts.cut, self.hosts.test
 
