--- /dev/null
+++ b/glencleat/descriptors.py
@@ -0,0 +1,158 @@
+"""Who holds the process's file descriptors, and who gives one up: a bounded resource with one owner.
+
+No I/O and no clock; imports nothing of the project. `glencleat/node/` asks before it makes a connection or
+keeps one, and files what it holds by worth. What is worth least goes first, whichever host or owner it is of;
+of one worth the one that was filed first, so longest unused. Guards against: a connect or accept that fails
+for want of descriptors, which reads like a fault of the peer, and loops that try it again and again."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from enum import Enum, IntEnum
+from typing import Protocol
+
+ASIDE = 32  # of the limit: 11 always open (standard, poller, signals, listener and its spare, channel, a file
+# that is read), LEAVING, and 13 that nothing of ours takes, so that the limit is never reached
+LEAVING = 8  # links that we end wait, unread, for their peer's end; more at once are closed without
+
+
+class Side(Enum):
+    OWNERS = "owners"
+    LINKS = "links"
+
+
+class Worth(IntEnum):
+    """What a descriptor is held for, cheapest first."""
+
+    SPARE = 0  # a link with nothing open: nothing stands at its host, or another link is up there
+    STRANGER = 1  # an owners' connection with nothing open, on which nothing ever stood
+    FRIEND = 2  # an owners' connection with nothing open
+    LISTENED = 3  # the only link to a host where tasks stand, up for long enough to hear what it owed
+    LISTENING = 4  # the same, newer
+    HELD = 5  # something is open, coming up or irreplaceable: never given up
+
+
+class Demand(Enum):
+    """What a descriptor is wanted for."""
+
+    OWNER = "an owner comes"
+    ATTEMPT = "an attempt, a release: its host has no link"
+    EXTRA = "a further link, for one more set-up"
+    LISTEN = "to hear from a host where tasks stand"
+
+
+# What may go for it, in this order; first where its side holds less than its right, then where it does not.
+# Both sides can't be short of theirs while nothing is free, so one that is finds the other above its own.
+GIVEN: dict[Demand, tuple[tuple[Worth, ...], tuple[Worth, ...]]] = {
+    Demand.OWNER: (
+        (Worth.SPARE, Worth.STRANGER, Worth.FRIEND, Worth.LISTENED, Worth.LISTENING),
+        (Worth.STRANGER, Worth.FRIEND),
+    ),
+    Demand.ATTEMPT: (
+        (Worth.STRANGER, Worth.SPARE, Worth.FRIEND, Worth.LISTENED, Worth.LISTENING),
+        (Worth.SPARE, Worth.LISTENED, Worth.LISTENING),
+    ),
+    Demand.EXTRA: ((Worth.STRANGER, Worth.SPARE), (Worth.SPARE,)),
+    Demand.LISTEN: (
+        (Worth.STRANGER, Worth.SPARE, Worth.FRIEND, Worth.LISTENED),
+        (Worth.SPARE, Worth.LISTENED),
+    ),
+}
+
+
+class Holder(Protocol):
+    side: Side
+
+    def worth(self) -> Worth:
+        """As it is now."""
+
+    def give_up(self) -> None:
+        """Ends it; `free` or `leave` is called before this returns."""
+
+
+class Descriptors:
+    """Every descriptor of owners and links. `limit` is the process's. OWNERS have a right to a third of it,
+    since the protocol page says that they hold no more, LINKS to the rest."""
+
+    def __init__(self, limit: int) -> None:
+        self.room = max(8, limit - ASIDE)
+        owners = min(limit // 3, self.room // 2)
+        self.rights = {Side.OWNERS: owners, Side.LINKS: self.room - owners}
+        self.count = {Side.OWNERS: 0, Side.LINKS: 0}
+        self.filed: dict[Holder, Worth] = {}
+        self.order: tuple[dict[Holder, None], ...] = tuple({} for _ in Worth)
+        self.leaving: set[Holder] = set()
+        self.most = self.turned_away = 0
+        self.freed: Callable[[], None] = lambda: None  # one is free, or worth less than it was
+
+    @property
+    def held(self) -> int:
+        return len(self.filed)
+
+    def make_room(self, demand: Demand) -> bool:
+        """Whether one more may be opened; ends what is worth less where nothing is free."""
+        if self.held < self.room:
+            return True
+        side = Side.OWNERS if demand is Demand.OWNER else Side.LINKS
+        within = self.count[side] < self.rights[side]
+        victim = self._least(GIVEN[demand][0 if within else 1])
+        if victim is None:
+            self.turned_away += 1
+            return False
+        victim.give_up()
+        return self.held < self.room
+
+    def _least(self, worths: tuple[Worth, ...]) -> Holder | None:
+        """The first that is still worth what it was filed under; what is not is filed anew on the way."""
+        for worth in worths:
+            line = self.order[worth]
+            while line:
+                holder = next(iter(line))
+                now = holder.worth()
+                if now is worth:
+                    return holder
+                self._move(holder, now)
+        return None
+
+    def hold(self, holder: Holder) -> None:
+        self.count[holder.side] += 1
+        self._move(holder, holder.worth())
+        self.most = max(self.most, self.held)
+
+    def file(self, holder: Holder, used: bool = False) -> None:
+        """Its worth may have changed; `used` puts it last among its equals. One not held is let be."""
+        before = self.filed.get(holder)
+        if before is None:
+            return
+        now = holder.worth()
+        if now is not before or used:
+            self._move(holder, now)
+            if now < before:
+                self.freed()
+
+    def _move(self, holder: Holder, worth: Worth) -> None:
+        before = self.filed.get(holder)
+        if before is not None:
+            del self.order[before][holder]
+        self.filed[holder] = worth
+        self.order[worth][holder] = None
+
+    def leave(self, holder: Holder) -> bool:
+        """It ends by itself in a moment and counts as free; False if too many do: close it now."""
+        if len(self.leaving) >= LEAVING:
+            return False
+        if holder in self.filed:
+            self._drop(holder)
+            self.leaving.add(holder)
+        return True
+
+    def free(self, holder: Holder) -> None:
+        """Its descriptor is closed."""
+        self.leaving.discard(holder)
+        if holder in self.filed:
+            self._drop(holder)
+
+    def _drop(self, holder: Holder) -> None:
+        del self.order[self.filed.pop(holder)][holder]
+        self.count[holder.side] -= 1
+        self.freed()
--- a/glencleat/kernel/signals.py
+++ b/glencleat/kernel/signals.py
@@ -1,11 +1,11 @@
-"""Signals as bytes on a socket, so that they are handled between two events and none is missed.
+"""Signals as bytes in a pipe, so that they are handled between two events and none is missed.
 
-Imports the loop. Made at a process's start, whatever comes before `follow` waits on the socket."""
+Imports the loop. Made at a process's start, whatever comes before `follow` waits in the pipe."""
 
 from __future__ import annotations
 
+import os
 import signal
-import socket
 from collections.abc import Callable
 
 from glencleat.kernel.loop import READ, Loop
@@ -15,10 +15,9 @@
     """Takes SIGHUP, SIGTERM and SIGINT from the moment it is made."""
 
     def __init__(self) -> None:
-        self.reader, self.writer = socket.socketpair()
-        self.reader.setblocking(False)
-        self.writer.setblocking(False)
-        signal.set_wakeup_fd(self.writer.fileno(), warn_on_full_buffer=False)
+        # A pipe and not a pair of sockets: that would be a Unix socket, which not every platform lets be.
+        self.reader, self.writer = os.pipe2(os.O_NONBLOCK | os.O_CLOEXEC)
+        signal.set_wakeup_fd(self.writer, warn_on_full_buffer=False)
         for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
             signal.signal(number, lambda *_: None)
 
@@ -31,8 +30,8 @@
         }
 
         def told(_: int) -> None:
-            for number in dict.fromkeys(self.reader.recv(256)):  # once each, in the order they came
+            for number in dict.fromkeys(os.read(self.reader, 256)):  # once each, in the order they came
                 if number in calls:
                     calls[number]()
 
-        loop.poller.watch(self.reader.fileno(), READ, told)
+        loop.poller.watch(self.reader, READ, told)
--- a/glencleat/kernel/streams.py
+++ b/glencleat/kernel/streams.py
@@ -16,6 +16,7 @@
 from glencleat.kernel.loop import READ, WRITE, Coroutine, Loop, Task
 
 CHUNK = 65_536
+PAUSE_MS = 50.0  # before a listener without any descriptor looks again
 TIMESTAMP = 35  # Linux's SO_TIMESTAMPNS, which Python does not name: seconds, nanoseconds beside the bytes
 TIMESPEC = struct.Struct("qq")
 
@@ -242,7 +243,7 @@
         make_room: Callable[[], bool] = lambda: False,
     ) -> None:
         self.loop, self.accept, self.most, self.limit, self.dropped = loop, accept, most, limit, dropped
-        self.make_room = make_room  # may close a connection to let a newcomer in; False: it did not
+        self.make_room = make_room  # asked from `most` on: may a newcomer come in? Closes another for it
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
@@ -267,6 +268,7 @@
                 if error.errno not in (errno.EMFILE, errno.ENFILE):
                     raise
                 if not self._shed():
+                    self._pause()
                     return
                 continue
             if len(self.open) >= self.most and not self.make_room():
@@ -281,15 +283,24 @@
 
     def _shed(self) -> bool:
         self.dropped("out of file descriptors")
-        if self.spare is None:
-            return False
-        os.close(self.spare)
-        self.spare = None
-        with contextlib.suppress(OSError):
-            self.sock.accept()[0].close()
+        if self.spare is not None:
+            os.close(self.spare)
+            self.spare = None
+            with contextlib.suppress(OSError):
+                self.sock.accept()[0].close()
         with contextlib.suppress(OSError):
             self.spare = os.open(os.devnull, os.O_RDONLY)
-        return True
+        return self.spare is not None
+
+    def _pause(self) -> None:
+        """Nothing can be taken or shed: the queue stays full, and would wake the loop without end."""
+        fd = self.sock.fileno()
+        self.loop.poller.change(fd, 0)
+        self.loop.call_in(PAUSE_MS, lambda: self._resume(fd))
+
+    def _resume(self, fd: int) -> None:
+        if self.sock.fileno() == fd:
+            self.loop.poller.change(fd, READ)
 
     def close(self) -> None:
         if self.sock.fileno() >= 0:
--- a/glencleat/node/hosts.py
+++ b/glencleat/node/hosts.py
@@ -1,31 +1,33 @@
-"""Links to hosts: connections by host id, what of a set-up left, whether a host with standing tasks lives.
+"""All links to hosts: which one an attempt goes by, which are kept, whether a host with standing tasks lives.
 
-Imports the kernel and `isup`. It tells the exchange facts, and names no outcome. A host's process is taken to
-have ended by one of: connections refused for some time while no link is open, none that came up for a longer
-one, a test unanswered on an open link while new ones are refused, a later start in the list, another id at
-its address. A link that breaks proves nothing, and so does a refusal by a host that drains: it takes no new
-connections while its tasks run on."""
+Imports the kernel, `isup` and `descriptors`. It tells the exchange facts, and names no outcome. A host's
+process is taken to have ended by one of: connections refused for some time while no link is open, none that
+came up for a longer one, a test unanswered on an open link while new ones are refused, a later start in the
+list, another id at its address. A link that breaks proves nothing, and so does a refusal by a host that
+drains: it takes no new connections while its tasks run on."""
 
 from __future__ import annotations
 
-import errno
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from glencleat import interface as api
+from glencleat.descriptors import Demand, Descriptors
 from glencleat.isup import messages as m
 from glencleat.isup.channel import Host, News
 from glencleat.isup.exchange import Attempt, Exchange, Fact
-from glencleat.kernel import ConnectFailed, Loop, Stream, StreamClosed, connect
-from glencleat.kernel.loop import Coroutine
+from glencleat.kernel import Loop
+from glencleat.node.links import AGAIN_MAX_MS, AGAIN_MS, VISIT_MS, HostLinks, Link
 
 if TYPE_CHECKING:
     from glencleat.isup.channel import Channel
     from glencleat.node.trace import Trace
 
 SWEEP_MS = 200.0
-PER_HOST = 8  # links: one open set-up each where there are enough, since one bad byte costs all on its link
-AGAIN_MS, AGAIN_MAX_MS = 100.0, 800.0  # between two connections to a host that could not be reached, doubled
+PER_HOST = 8  # links: one open set-up each where there is room, since one bad byte costs all on its link
+SURPLUS_MS = 4_000.0  # a link not needed for so long goes if another is up; owners keep theirs as long
+HEAR_MS = 3_000.0  # then a host without a link is heard again: its releases are due 8 s after the end
+MOST_LINE = 500  # attempts that wait for a descriptor
 QUIET_MS = 2_000.0  # a host with standing tasks that says nothing for so long is tried by a new connection
 REFUSED_MS, NEVER_UP_MS = 100.0, 3_500.0  # tries that fail for so long end what stands there
 AT_ONCE_MS = 100.0  # links that break within this break together
@@ -36,146 +38,6 @@
 MOST_CUTS = 1_000  # releases that wait for a host
 
 
-class Link:
-    """One connection to a host, from before it is up."""
-
-    def __init__(self, hosts: Hosts, host: HostLinks) -> None:
-        self.hosts, self.host, self.loop = hosts, host, hosts.loop
-        self.stream: Stream | None = None
-        self.decoder = m.Decoder()
-        self.waiting: list[Attempt] = []  # until it is up
-        self.out: dict[Attempt, int] = {}  # sent; where their bytes end
-        self.spent: set[int] = set()  # ids given up here: a late answer would be taken for that of a next try
-        self.doubtful = False  # an attempt had no answer here, and nothing was heard since
-        self.used = self.loop.now()
-        self.loop.spawn(self._run(), "host link")
-
-    @property
-    def load(self) -> int:
-        return len(self.waiting) + len(self.out)
-
-    def take(self, attempt: Attempt) -> None:
-        attempt.link = self
-        self.used = self.loop.now()
-        if self.stream is None:
-            self.waiting.append(attempt)
-        else:
-            self._send(attempt)
-
-    def _send(self, attempt: Attempt) -> None:
-        assert self.stream is not None
-        data = attempt.setup_message(self.loop.now())
-        self.out[attempt] = self.stream.queued + len(data)
-        self.write(data)
-
-    def write(self, data: bytes) -> None:
-        """Queues bytes; a stream that breaks on it is noticed by its reader."""
-        if self.stream is not None:
-            self.stream.put(data)
-
-    def withdraw(self, attempt: Attempt) -> Fact:
-        if attempt in self.waiting:
-            self.waiting.remove(attempt)
-            return Fact.NEVER_UP
-        end = self.out.pop(attempt, None)
-        if end is None or self.stream is None:
-            return Fact.BROKEN
-        if self.stream.written < end:
-            self.stream.close("a set-up given up before it was sent whole")
-            return Fact.UNSENT
-        if self.stream.closed is not None:
-            return Fact.BROKEN
-        self.doubtful = True
-        self.spent.add(attempt.call.setup.task)
-        self.write(m.caused(m.RELEASE, attempt.call.setup.task, m.GIVEN_UP))
-        if self.stream.out or self.decoder.partial:
-            self.stream.close("a give-up that can't be written, or an answer that stopped short")
-        return Fact.SILENT
-
-    def _run(self) -> Coroutine:
-        try:
-            self.stream = yield from connect(self.loop, self.host.address, self.hosts.connect_ms)
-        except ConnectFailed as error:
-            self.host.links.discard(self)
-            if error.code in (errno.EMFILE, errno.ENFILE):
-                fact = Fact.UNSENT  # our own want of descriptors says nothing of the host
-            else:
-                self.hosts.failed(self.host, error.code == errno.ECONNREFUSED)
-                fact = Fact.REFUSED if error.code == errno.ECONNREFUSED else Fact.NEVER_UP
-            for attempt in self.waiting:
-                self.hosts.exchange.failed(attempt, fact)
-            return
-        assert self.stream is not None
-        self.hosts.up(self.host, self)
-        for attempt in self.waiting:
-            self._send(attempt)
-        self.waiting.clear()
-        try:
-            yield from self._read(self.stream)
-        except (StreamClosed, m.PeerError) as error:
-            self._end(str(error))
-
-    def _read(self, stream: Stream) -> Coroutine:
-        while True:
-            data = yield from stream.read()
-            if not data:
-                raise StreamClosed("the host closed it")
-            self.host.heard = self.used = self.loop.now()
-            self.doubtful = False
-            self.decoder.feed(data)
-            for message in self.decoder.messages():
-                self._message(message)
-
-    def _message(self, message: m.Message) -> None:
-        if self.hosts.trace is not None:
-            self.hosts.trace.message(f"host {self.host.name}", message)
-        answered = next((a for a in self.out if a.call.setup.task == message.task), None)
-        if answered is not None and message.kind in (m.ANSWER, m.RELEASE):
-            del self.out[answered]  # before the module may bind anew: this link is free again
-        try:
-            self.hosts.exchange.host_says(self.host.name, self, message)
-        except m.PeerError:
-            if answered is not None:
-                self.out[answered] = 0  # an answer that can't be read is none: it breaks with the link
-            raise
-        if message.kind == m.RELEASE:
-            self.write(m.encode(m.RELEASE_HEARD, message.task))
-
-    def _end(self, why: str) -> None:
-        """What was open on it comes back as what it is; what stands does not."""
-        stream = self.stream
-        assert stream is not None
-        stream.close(why)
-        self.host.links.discard(self)
-        out, self.out = self.out, {}
-        for attempt, end in out.items():
-            self.hosts.exchange.failed(attempt, Fact.BROKEN if stream.written >= end else Fact.UNSENT)
-        self.hosts.broken(self.host, why)
-
-
-class HostLinks:
-    """A host, its links, and what is known of whether it lives."""
-
-    def __init__(self, name: str, now: float) -> None:
-        self.name, self.since = name, now
-        self.address: tuple[str, int] = ("", 0)
-        self.links: set[Link] = set()
-        self.gone = self.draining = False
-        self.heard = now
-        self.refused = self.failing = float("inf")  # since when
-        self.refusing = False  # the last try: its machine is there
-        self.tested = float("-inf")  # since when a test is out
-        self.broke: list[float] = []  # when its last links broke
-        self.fell = False  # several broke at once, the last with them
-        self.again_at, self.again_ms = 0.0, AGAIN_MS
-        self.cuts: dict[int, None] = {}
-
-    @property
-    def alone(self) -> bool:
-        """No link to it is up."""
-        return all(link.stream is None for link in self.links)
-
-
 class Hosts:
     """All links. `exchange` is set by whoever joins the parts."""
 
@@ -185,17 +47,21 @@
         self,
         loop: Loop,
         channel: Channel,
-        share: int,
+        descriptors: Descriptors,
         connect_ms: float,
         idle_ms: float,
         log: Callable[[str], None],
     ) -> None:
-        self.loop, self.channel, self.share, self.log = loop, channel, share, log
+        self.loop, self.channel, self.descriptors, self.log = loop, channel, descriptors, log
         self.connect_ms, self.idle_ms = connect_ms, 0.8 * idle_ms  # the host closes at the whole of it
         self.hosts: dict[str, HostLinks] = {}
         self.tests = 0
         self.trace: Trace | None = None
         self.addresses: dict[tuple[str, int], str] = {}
+        self.line: dict[Attempt, None] = {}  # their hosts have no link, and nothing could be given up for one
+        self.waited = 0  # attempts that came into it
+        self.serving = False
+        descriptors.freed = self._freed
         loop.call_in(SWEEP_MS, self._sweep)
 
     @property
@@ -209,19 +75,59 @@
         if host is None or not host.address[1]:
             self.loop.call_in(0.0, lambda: self.exchange.failed(attempt, Fact.UNSENT))
             return
-        self._pick(host, attempt.call.setup.task).take(attempt)
+        if not self._send(host, attempt):
+            self._wait(attempt)
 
     def withdraw(self, attempt: Attempt) -> Fact:
         link: Link | None = attempt.link
-        return Fact.UNSENT if link is None else link.withdraw(attempt)
+        if link is None:
+            self.line.pop(attempt, None)
+            return Fact.UNSENT
+        return link.withdraw(attempt)
+
+    def _wait(self, attempt: Attempt) -> None:
+        """For a descriptor, within its time: a connect that fails would be tried again at once."""
+        if len(self.line) >= MOST_LINE:
+            self.loop.call_in(0.0, lambda: self.exchange.failed(attempt, Fact.UNSENT))
+            return
+        self.line[attempt] = None
+        self.waited += 1
+
+    def _freed(self) -> None:
+        if self.line and not self.serving:
+            self.serving = True
+            self.loop.call_in(0.0, self._serve_line)
+
+    def _serve_line(self) -> None:
+        """Those who wait, in their order; once nothing is free only those whose host has a link by now."""
+        self.serving, full = False, False
+        for attempt in list(self.line):
+            host = self.hosts.get(attempt.host)
+            if host is None or not host.address[1]:
+                del self.line[attempt]
+                self.exchange.failed(attempt, Fact.UNSENT)
+            elif self._send(host, attempt, full):
+                del self.line[attempt]
+            else:
+                full = True
 
-    def _pick(self, host: HostLinks, task: int) -> Link:
-        """A link with nothing open if there is one, else a new one, else that with the least."""
+    def _send(self, host: HostLinks, attempt: Attempt, full: bool = False) -> bool:
+        link = self._pick(host, attempt.call.setup.task, full)
+        if link is None:
+            return False
+        link.take(attempt)
+        self.descriptors.file(link)
+        return True
+
+    def _pick(self, host: HostLinks, task: int, full: bool) -> Link | None:
+        """A link with nothing open if there is one, else a new one, else that with the least, else none."""
         usable = [li for li in host.links if not li.doubtful and task not in li.spent and self._open(li)]
         free = [link for link in usable if not link.load]
         if free:
-            return max(free, key=lambda link: (link.stream is not None, link.used))
-        if not usable or (len(host.links) < PER_HOST and self._room()):
+            return max(free, key=lambda link: (link.stream is not None, not link.visit, link.used))
+        if not usable:
+            return self._new(host) if not full and self.descriptors.make_room(Demand.ATTEMPT) else None
+        if len(host.links) < PER_HOST and not full and self.descriptors.make_room(Demand.EXTRA):
             return self._new(host)
         return min(usable, key=lambda link: link.load)
 
@@ -230,25 +136,12 @@
         fresh = self.loop.now() - link.used < self.idle_ms
         return link.stream is None or (link.stream.closed is None and fresh)
 
-    def _room(self) -> bool:
-        if self.links < self.share:
-            return True
-        several = (host.links for host in self.hosts.values() if len(host.links) > 1)
-        idle = [link for links in several for link in links if link.stream and not link.load]
-        if not idle:
-            return False
-        self._close(min(idle, key=lambda link: link.used), "room is wanted")
-        return True
-
-    def _new(self, host: HostLinks) -> Link:
-        link = Link(self, host)
+    def _new(self, host: HostLinks, visit: bool = False) -> Link:
+        link = Link(self, host, visit)
         host.links.add(link)
+        self.descriptors.hold(link)
         return link
 
-    def _close(self, link: Link, why: str) -> None:
-        if link.stream is not None:
-            link.stream.close(why)
-
     def cut(self, name: str, task: int) -> None:
         host = self.hosts.get(name)
         if host is None:
@@ -258,7 +151,7 @@
             link.write(m.caused(m.RELEASE, task, m.ENDED))
         elif len(host.cuts) < MOST_CUTS:
             host.cuts[task] = None
-            self._again(host)
+            self._again(host, Demand.ATTEMPT)
 
     def test(self, name: str, token: int) -> bool:
         host = self.hosts.get(name)
@@ -273,10 +166,29 @@
     def up(self, host: HostLinks, link: Link) -> None:
         host.heard, host.again_ms = self.loop.now(), AGAIN_MS
         host.refused = host.failing = float("inf")
-        host.refusing = host.fell = False
+        host.refusing = host.fell = host.given_up = False
+        if link.visit:
+            self.loop.call_in(VISIT_MS, lambda: self._visited(host, link))
         for task in host.cuts:
             link.write(m.caused(m.RELEASE, task, m.ENDED))
         host.cuts.clear()
+        self._file(host)
+
+    def _visited(self, host: HostLinks, link: Link) -> None:
+        """The host lives and has told what it owed; the link that was there goes on, unless it is too old.
+
+        Which of the two is kept decides what a life test costs: one that carries nothing has no price."""
+        if link.visit and link in host.links:
+            link.visit = False
+            if any(li is not link and self._kept(li) for li in host.links):
+                link.leave("the host lives")
+
+    def _kept(self, link: Link) -> bool:
+        return link.stream is not None and not link.doubtful and self._open(link)
+
+    def _file(self, host: HostLinks) -> None:
+        for link in list(host.links):
+            self.descriptors.file(link)
 
     def failed(self, host: HostLinks, refused: bool) -> None:
         now = self.loop.now()
@@ -302,10 +214,12 @@
             self.log(f"host {host.name}: link ended, {why}; {left}")
             self._again(host)
 
-    def _again(self, host: HostLinks) -> None:
+    def _again(self, host: HostLinks, demand: Demand = Demand.LISTEN) -> None:
         connecting = any(link.stream is None for link in host.links)
-        if not connecting and host.address[1] and self.loop.now() >= host.again_at:
-            self._new(host)
+        if connecting or not host.address[1] or self.loop.now() < host.again_at:
+            return
+        if self.descriptors.make_room(demand):
+            self._new(host, visit=bool(host.links))
 
     # ---- the list ----
 
@@ -349,7 +263,9 @@
 
     def _drop(self, host: HostLinks, why: str) -> None:
         for link in list(host.links):
-            self._close(link, why)
+            if link.stream is not None:
+                link.left = True
+                link.stream.close(why)
 
     # ---- now and then ----
 
@@ -359,12 +275,14 @@
         for name in [name for name in self.exchange.standing if name not in self.hosts]:
             self.hosts[name] = HostLinks(name, now)
             self.hosts[name].gone = True
-        for host in list(self.hosts.values()):
+        # The longest unheard first: where there are more hosts than descriptors they take turns.
+        for host in sorted(self.hosts.values(), key=lambda host: host.heard):
             if host.name in self.exchange.standing:
                 self._look(host, now)
             elif host.cuts:
-                self._again(host)
+                self._again(host, Demand.ATTEMPT)
             self._tidy(host, now)
+            self._file(host)
 
     def _look(self, host: HostLinks, now: float) -> None:
         """Whether a host with standing tasks lives."""
@@ -377,6 +295,9 @@
             self._over(host, "a test is not answered")
         elif now - host.failing > NEVER_UP_MS and now - host.heard > NEVER_UP_MS and not host.refusing:
             self._over(host, "no connection comes up")
+        elif host.given_up and host.failing > now:
+            if now - host.heard > HEAR_MS:
+                self._again(host)
         elif now - host.heard > QUIET_MS or not host.links or host.failing < now:
             self._again(host)
 
@@ -385,7 +306,8 @@
         """How long connections must be refused, with no link open, to tell that its process has ended."""
         if host.gone:
             return 0.0
-        return DRAIN_REFUSED_MS if host.draining and not host.fell else REFUSED_MS
+        # One that began to drain after we gave up its link refuses as well, and the list may not tell it yet.
+        return DRAIN_REFUSED_MS if host.given_up or (host.draining and not host.fell) else REFUSED_MS
 
     def _tested(self, host: HostLinks, now: float) -> bool:
         """Whether a test on an open link stays unanswered; sends it first.
@@ -400,10 +322,16 @@
         return now - host.tested > TEST_MS
 
     def _tidy(self, host: HostLinks, now: float) -> None:
-        """Closes links that nobody needs, and forgets hosts that are gone."""
-        for link in list(host.links):
-            if link.stream is not None and not link.load and now - link.used > self.idle_ms:
-                self._close(link, "idle")
+        """Ends links that nobody needs, and forgets hosts that are gone."""
+        stands = host.name in self.exchange.standing
+        for link in sorted(host.links, key=lambda link: (not link.doubtful, link.used)):
+            idle = 0.0 if link.stream is None or link.load or link.visit else now - link.used
+            if idle > SURPLUS_MS and any(li is not link and self._kept(li) for li in host.links):
+                link.leave("another is enough")
+            elif idle > self.idle_ms and not stands:
+                link.leave("idle")
+            elif idle > self.idle_ms and not host.draining:
+                self._again(host)  # a new one first: the host would close this with a release on its way
         if host.gone and host.name not in self.exchange.standing and not any(li.load for li in host.links):
             self._drop(host, "its host is gone")
             del self.hosts[host.name]
--- /dev/null
+++ b/glencleat/node/links.py
@@ -0,0 +1,209 @@
+"""One link to a host, and what is kept of a host: connections by host id, what of a set-up left.
+
+Imports the kernel, `isup` and `descriptors`; `node/hosts.py` makes them. A link tells facts and names no
+outcome."""
+
+from __future__ import annotations
+
+import errno
+from typing import TYPE_CHECKING
+
+from glencleat.descriptors import Side, Worth
+from glencleat.isup import messages as m
+from glencleat.isup.exchange import Attempt, Fact
+from glencleat.kernel import ConnectFailed, Stream, StreamClosed, connect
+from glencleat.kernel.loop import Coroutine
+
+if TYPE_CHECKING:
+    from glencleat.node.hosts import Hosts
+
+AGAIN_MS, AGAIN_MAX_MS = 100.0, 800.0  # between two connections to a host that could not be reached, doubled
+VISIT_MS = 500.0  # after coming up: what a host still owed us has come by then
+LEAVE_MS = 500.0  # for a host to close a link that we end
+
+
+class Link:
+    """One connection to a host, from before it is up until it has ended or is left to end."""
+
+    side = Side.LINKS
+
+    def __init__(self, hosts: Hosts, host: HostLinks, visit: bool) -> None:
+        self.hosts, self.host, self.loop = hosts, host, hosts.loop
+        self.visit = visit  # opened beside another to see whether the host lives: not kept unless used
+        self.left = False  # we end it: nothing more is sent, and its end says nothing of the host
+        self.since = 0.0  # when it came up
+        self.stream: Stream | None = None
+        self.decoder = m.Decoder()
+        self.waiting: list[Attempt] = []  # until it is up
+        self.out: dict[Attempt, int] = {}  # sent; where their bytes end
+        self.spent: set[int] = set()  # ids given up here: a late answer would be taken for that of a next try
+        self.doubtful = False  # an attempt had no answer here, and nothing was heard since
+        self.used = self.loop.now()
+        self.loop.spawn(self._run(), "host link")
+
+    @property
+    def load(self) -> int:
+        return len(self.waiting) + len(self.out)
+
+    # ---- its descriptor ----
+
+    def worth(self) -> Worth:
+        host = self.host
+        if self.stream is None or self.load:
+            return Worth.HELD
+        others = any(li is not self and li.stream is not None and not li.doubtful for li in host.links)
+        if others or not (host.cuts or self.hosts.exchange.standing.get(host.name)):
+            return Worth.SPARE
+        if host.draining:
+            return Worth.HELD  # it takes no new connection while its tasks run: there is no way back
+        return Worth.LISTENED if self.loop.now() - self.since > VISIT_MS else Worth.LISTENING
+
+    def give_up(self) -> None:
+        self.host.given_up = len(self.host.links) == 1
+        self.leave("room is wanted")
+
+    def leave(self, why: str) -> None:
+        """Ends it from our side, with nothing open on it.
+
+        Where tasks stand a release may be on its way: our half is closed, and what comes is read until the
+        host closes the other. A close at once would lose it, and the second in which it must be told on."""
+        assert self.stream is not None
+        self.left = True
+        self.host.links.discard(self)
+        stands = self.hosts.exchange.standing.get(self.host.name)
+        if stands and self.stream.closed is None and self.hosts.descriptors.leave(self):
+            stream = self.stream
+            stream.shut()
+            self.loop.call_in(LEAVE_MS, lambda: stream.close(why))
+        else:
+            self.stream.close(why)
+
+    # ---- attempts ----
+
+    def take(self, attempt: Attempt) -> None:
+        attempt.link, self.visit = self, False
+        self.used = self.loop.now()
+        if self.stream is None:
+            self.waiting.append(attempt)
+        else:
+            self._send(attempt)
+
+    def _send(self, attempt: Attempt) -> None:
+        assert self.stream is not None
+        data = attempt.setup_message(self.loop.now())
+        self.out[attempt] = self.stream.queued + len(data)
+        self.write(data)
+
+    def write(self, data: bytes) -> None:
+        """Queues bytes; a stream that breaks on it is noticed by its reader."""
+        if self.stream is not None:
+            self.stream.put(data)
+
+    def withdraw(self, attempt: Attempt) -> Fact:
+        if attempt in self.waiting:
+            self.waiting.remove(attempt)
+            return Fact.NEVER_UP
+        end = self.out.pop(attempt, None)
+        if end is None or self.stream is None:
+            return Fact.BROKEN
+        if self.stream.written < end:
+            self.stream.close("a set-up given up before it was sent whole")
+            return Fact.UNSENT
+        if self.stream.closed is not None:
+            return Fact.BROKEN
+        self.doubtful = True
+        self.spent.add(attempt.call.setup.task)
+        self.write(m.caused(m.RELEASE, attempt.call.setup.task, m.GIVEN_UP))
+        if self.stream.out or self.decoder.partial:
+            self.stream.close("a give-up that can't be written, or an answer that stopped short")
+        return Fact.SILENT
+
+    def _run(self) -> Coroutine:
+        try:
+            self.stream = yield from connect(self.loop, self.host.address, self.hosts.connect_ms)
+        except ConnectFailed as error:
+            self.host.links.discard(self)
+            self.hosts.descriptors.free(self)
+            if error.code in (errno.EMFILE, errno.ENFILE):
+                # Ours: it says nothing of the host. A sweep would try again at once, and all the others too.
+                fact, self.host.again_at = Fact.UNSENT, self.loop.now() + AGAIN_MAX_MS
+            else:
+                self.hosts.failed(self.host, error.code == errno.ECONNREFUSED)
+                fact = Fact.REFUSED if error.code == errno.ECONNREFUSED else Fact.NEVER_UP
+            for attempt in self.waiting:
+                self.hosts.exchange.failed(attempt, fact)
+            return
+        assert self.stream is not None
+        self.since = self.loop.now()
+        self.stream.on_close.append(lambda _: self.hosts.descriptors.free(self))
+        self.hosts.up(self.host, self)
+        for attempt in self.waiting:
+            self._send(attempt)
+        self.waiting.clear()
+        try:
+            yield from self._read(self.stream)
+        except (StreamClosed, m.PeerError) as error:
+            self._end(str(error))
+
+    def _read(self, stream: Stream) -> Coroutine:
+        while True:
+            data = yield from stream.read()
+            if not data:
+                raise StreamClosed("the host closed it")
+            self.host.heard = self.used = self.loop.now()
+            self.doubtful = False
+            self.decoder.feed(data)
+            for message in self.decoder.messages():
+                self._message(message)
+            self.hosts.descriptors.file(self, used=True)
+
+    def _message(self, message: m.Message) -> None:
+        if self.hosts.trace is not None:
+            self.hosts.trace.message(f"host {self.host.name}", message)
+        answered = next((a for a in self.out if a.call.setup.task == message.task), None)
+        if answered is not None and message.kind in (m.ANSWER, m.RELEASE):
+            del self.out[answered]  # before the module may bind anew: this link is free again
+        try:
+            self.hosts.exchange.host_says(self.host.name, self, message)
+        except m.PeerError:
+            if answered is not None:
+                self.out[answered] = 0  # an answer that can't be read is none: it breaks with the link
+            raise
+        if message.kind == m.RELEASE and not self.left:
+            self.write(m.encode(m.RELEASE_HEARD, message.task))
+
+    def _end(self, why: str) -> None:
+        """What was open on it comes back as what it is; what stands does not."""
+        stream = self.stream
+        assert stream is not None
+        stream.close(why)
+        self.host.links.discard(self)
+        out, self.out = self.out, {}
+        for attempt, end in out.items():
+            self.hosts.exchange.failed(attempt, Fact.BROKEN if stream.written >= end else Fact.UNSENT)
+        if not self.left:
+            self.hosts.broken(self.host, why)
+
+
+class HostLinks:
+    """A host, its links, and what is known of whether it lives."""
+
+    def __init__(self, name: str, now: float) -> None:
+        self.name, self.since = name, now
+        self.address: tuple[str, int] = ("", 0)
+        self.links: set[Link] = set()
+        self.gone = self.draining = False
+        self.heard = now
+        self.refused = self.failing = float("inf")  # since when
+        self.refusing = False  # the last try: its machine is there
+        self.tested = float("-inf")  # since when a test is out
+        self.broke: list[float] = []  # when its last links broke
+        self.fell = False  # several broke at once, the last with them
+        self.again_at, self.again_ms = 0.0, AGAIN_MS
+        self.cuts: dict[int, None] = {}
+        self.given_up = False  # its only link was, for want of descriptors
+
+    @property
+    def alone(self) -> bool:
+        """No link to it is up."""
+        return all(link.stream is None for link in self.links)
--- a/glencleat/node/owners.py
+++ b/glencleat/node/owners.py
@@ -1,7 +1,7 @@
 """Owners' connections: what is read, answered, kept and closed, for good ones and bad.
 
-Imports the kernel and `isup`. A connection that says nothing, half a message, or what can't be read is
-closed; one with nothing open on it goes when room is wanted."""
+Imports the kernel, `isup` and `descriptors`. A connection that says nothing, half a message, or what can't be
+read is closed; one with nothing open on it goes when its descriptor is wanted."""
 
 from __future__ import annotations
 
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+from glencleat.descriptors import Demand, Descriptors, Side, Worth
 from glencleat.isup import messages as m
 from glencleat.isup.exchange import Exchange
 from glencleat.kernel import Listener, Loop, Stream, StreamClosed
@@ -30,8 +31,10 @@
 class Owner:
     """One connection. `open` holds the ids that an answer is owed to; the exchange keeps it."""
 
-    def __init__(self, stream: Stream, now: float) -> None:
-        self.stream, self.decoder = stream, m.Decoder()
+    side = Side.OWNERS
+
+    def __init__(self, owners: Owners, stream: Stream, now: float) -> None:
+        self.owners, self.stream, self.decoder = owners, stream, m.Decoder()
         self.open: set[int] = set()
         self.born = self.used = now
         self.spoke = False  # a message came whole
@@ -39,24 +42,34 @@
         self.bad = 0
         self.begun: float | None = None  # since when a message is not whole
 
+    def worth(self) -> Worth:
+        if self.open or (self.proven and self.owners.proven == 1):
+            return Worth.HELD  # an answer is owed on it, or it is the last one that releases can go by
+        return Worth.FRIEND if self.proven else Worth.STRANGER
+
+    def give_up(self) -> None:
+        self.stream.close("room is wanted")
+
 
 class Owners:
     """The listener and all connections. `exchange` is set by whoever joins the parts."""
 
     exchange: Exchange
 
-    def __init__(self, loop: Loop, share: int, log: Callable[[str], None]) -> None:
-        self.loop, self.share, self.log = loop, share, log
+    def __init__(self, loop: Loop, descriptors: Descriptors, log: Callable[[str], None]) -> None:
+        self.loop, self.descriptors, self.log = loop, descriptors, log
         self.owners: dict[Owner, None] = {}  # in the order they came
         self.owed: deque[tuple[float, bytes]] = deque(maxlen=OWED)
         self.listener: Listener | None = None
         self.leaving = False
+        self.proven = 0  # of those connected
         self.trace: Trace | None = None
         loop.call_in(SWEEP_MS, self._sweep)
 
     def listen(self, address: tuple[str, int]) -> tuple[str, int]:
+        # With 0 that are let in unasked, the descriptors' owner decides of each.
         self.listener = Listener(
-            self.loop, address, self._accepted, self.share, UNSENT, lambda why: None, self._make_room
+            self.loop, address, self._accepted, 0, UNSENT, lambda why: None, self._make_room
         )
         return self.listener.address
 
@@ -68,10 +81,16 @@
 
     def _accepted(self, stream: Stream) -> None:
         stream.stamp()
-        owner = Owner(stream, self.loop.now())
+        owner = Owner(self, stream, self.loop.now())
         self.owners[owner] = None
+        self.descriptors.hold(owner)
+        stream.on_close.append(lambda _: self._closed(owner))
         self.loop.spawn(self._serve(owner), "owner")
 
+    def _closed(self, owner: Owner) -> None:
+        self.proven -= owner.proven
+        self.descriptors.free(owner)
+
     def _serve(self, owner: Owner) -> Coroutine:
         try:
             while True:
@@ -83,6 +102,7 @@
                 while self._turn(owner):
                     yield from self.loop.sleep(0.0)
                 owner.begun = owner.used if owner.decoder.partial else None
+                self.descriptors.file(owner, used=True)
         except (StreamClosed, m.PeerError) as error:
             owner.stream.close(str(error))
             if isinstance(error, m.PeerError):
@@ -129,11 +149,14 @@
         """A task of its stands: it is one of those that releases may be told to."""
         if not owner.proven:
             owner.proven = True
+            self.proven += owner.stream.closed is None
+            self.descriptors.file(owner)
             while self.owed and owner.stream.closed is None:
                 self._write(owner, self.owed.popleft()[1])
 
     def to_owner(self, owner: Owner | None, data: bytes, owed: bool) -> None:
         if owner is not None and self._write(owner, data):
+            self.descriptors.file(owner)
             return
         if not owed:
             return
@@ -146,13 +169,7 @@
     # ---- room and time ----
 
     def _make_room(self) -> bool:
-        """Closes the connection that is least missed: nothing open, nothing ever stood, longest unused."""
-        idle = [owner for owner in self.owners if not owner.open and owner.stream.closed is None]
-        if not idle:
-            return False
-        least = min(idle, key=lambda o: (o.proven, o.used))
-        least.stream.close("room is wanted")
-        return True
+        return self.descriptors.make_room(Demand.OWNER)
 
     def _sweep(self) -> None:
         self.loop.call_in(SWEEP_MS, self._sweep)
@@ -161,5 +178,6 @@
             silent = not owner.spoke and now - owner.born > SPEAK_MS
             if silent or (owner.begun is not None and now - owner.begun > SPEAK_MS):
                 owner.stream.close("no whole message in time")
+            self.descriptors.file(owner)
         while self.owed and now - self.owed[0][0] > OWED_MS:
             self.owed.popleft()
--- a/glencleat/node/process.py
+++ b/glencleat/node/process.py
@@ -17,6 +17,7 @@
 import msgspec
 
 from glencleat import interface as api
+from glencleat.descriptors import Descriptors
 from glencleat.isup.channel import Channel, News, address
 from glencleat.isup.exchange import Attempt, Exchange, Fact
 from glencleat.isup.messages import PeerError
@@ -31,7 +32,6 @@
 TAKEN_ON_MS = 700.0  # after SIGTERM: what comes in this time is still taken and answered
 REREAD_MS, REREADS = 100.0, 20  # the file may be read while it is replaced
 STATUS_MS = 10_000.0
-SPARE = 24  # descriptors for all but owners and hosts: listener, poller, channel, logs, what Python opens
 
 
 class BadConfig(Exception):
@@ -82,9 +82,9 @@
     def __init__(self, config: Config, loop: Loop, log: Callable[[str], None], path: str) -> None:
         self.loop, self.log, self.path = loop, log, path
         self.channel = Channel(loop.clock.wall() - loop.now())
-        room = max(16, config.descriptors - SPARE)
-        self.owners = Owners(loop, room * 11 // 20, log)
-        self.hosts = Hosts(loop, self.channel, room * 9 // 20, config.connect_ms, config.idle_ms, log)
+        self.descriptors = Descriptors(config.descriptors)
+        self.owners = Owners(loop, self.descriptors, log)
+        self.hosts = Hosts(loop, self.channel, self.descriptors, config.connect_ms, config.idle_ms, log)
         module = Scheduler(config.settings, config.seed)
         self.exchange = Exchange(config.settings, module, self, config.connect_ms)
         self.exchange.machines = self.channel.machines
@@ -178,11 +178,12 @@
         self.loop.call_in(STATUS_MS, self.status)
         x = self.exchange
         nothing = ", ".join(f"{outcome.value} {count}" for outcome, count in x.nothing.items()) or "none"
-        stood = sum(map(len, x.standing.values()))
+        stood, d = sum(map(len, x.standing.values())), self.descriptors
         self.log(
             f"taken {x.taken} open {x.open} standing {stood} bad {x.bad} late {x.late} came to"
             f" nothing: {nothing}; owners"
-            f" {len(self.owners.owners)} links {self.hosts.links} hosts {len(self.hosts.hosts)} cursor"
+            f" {len(self.owners.owners)} links {self.hosts.links} hosts {len(self.hosts.hosts)} descriptors"
+            f" {d.held} most {d.most} of {d.room} refused {d.turned_away} waited {self.hosts.waited} cursor"
             f" {self.channel.cursor} channel breaks {self.feed.breaks} longest round {self.lag:.0f} ms"
             f" module {x.contract.module_s:.2f} s cpu {time.process_time():.2f} s faults {self.faults}"
             f" rss {resident()}"
--- /dev/null
+++ b/tests/test_deploy.py
@@ -0,0 +1,120 @@
+"""What the platform asks of `build` and `run`: one process, nothing that its filter refuses; no kit needed."""
+
+import json
+import os
+import re
+import signal
+import socket
+import struct
+import subprocess
+import sys
+import tomllib
+from pathlib import Path
+
+import pytest
+
+from tests.live import setup
+from tests.test_node_process import Platform
+
+ROOT = Path(__file__).parent.parent
+DEPLOY = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
+PT_INTERP = 3
+# Told by the interpreter itself, of whatever code asks for it.
+HOOK = """
+import json, os, sys
+out = os.open(os.environ["AUDIT"], os.O_WRONLY | os.O_APPEND | os.O_CREAT)
+WANTED = ("socket.__new__", "os.fork", "os.forkpty", "os.exec", "os.posix_spawn", "os.system",
+          "subprocess.Popen", "pty.spawn", "socket.bind", "socket.connect")
+def told(event, args):
+    if event in WANTED:
+        plain = [x if isinstance(x, (str, int, tuple, list)) else str(type(x)) for x in args]
+        os.write(out, (json.dumps([event, plain], default=str) + "\\n").encode())
+sys.addaudithook(told)
+"""
+
+
+def test_run_ends_in_one_process_by_exec():
+    assert re.fullmatch(r"exec \.venv/bin/python -m glencleat node", DEPLOY["run"])
+    assert "glencleat" in DEPLOY["build"] and not re.search(r"https?://|curl|wget|git ", DEPLOY["build"])
+
+
+def test_everything_named_is_there():
+    for name in DEPLOY["node"] + DEPLOY["policy"]:
+        assert (ROOT / name).exists(), name
+
+
+def test_the_interpreter_is_linked_dynamically():
+    """The bench loads a small library into the process: a static one would not take it."""
+    data = Path(os.path.realpath(sys.executable)).read_bytes()
+    assert data[:4] == b"\x7fELF" and data[4] == 2
+    (start,) = struct.unpack_from("<Q", data, 32)
+    size, count = struct.unpack_from("<HH", data, 54)
+    kinds = [struct.unpack_from("<I", data, start + i * size)[0] for i in range(count)]
+    assert PT_INTERP in kinds
+
+
+@pytest.fixture
+def audited(tmp_path, monkeypatch):
+    hook = tmp_path / "hook"
+    hook.mkdir()
+    (hook / "sitecustomize.py").write_text(HOOK)
+    monkeypatch.setenv("PYTHONPATH", str(hook))
+    monkeypatch.setenv("AUDIT", str(tmp_path / "audit"))
+    made = Platform(tmp_path)
+    yield made, tmp_path / "audit"
+    if made.process.poll() is None:
+        made.process.kill()
+    made.process.wait()
+    made.process.stderr.close()
+
+
+def test_run_opens_tcp_alone_and_starts_no_program(audited):
+    """Through a whole short life: ready, asked, reloaded, stopped."""
+    platform, told = audited
+    sock, reader = platform.owner()
+    platform.hold.set()
+    sock.send(setup(7))
+    assert reader.next().task == 7
+    platform.write(1)
+    platform.process.send_signal(signal.SIGHUP)
+    assert platform.asked[1].wait(20.0)
+    proc = Path(f"/proc/{platform.process.pid}")
+    children = (proc / "task" / proc.name / "children").read_text()
+    held = {os.readlink(fd) for fd in (proc / "fd").iterdir()}
+    unix = {line.split()[6] for line in Path("/proc/net/unix").read_text().splitlines()[1:]}
+    platform.process.send_signal(signal.SIGTERM)
+    assert platform.process.wait(20.0) == 0 and not children.strip()
+    events = [json.loads(line) for line in told.read_text().splitlines()]
+    made = [args for event, args in events if event == "socket.__new__"]
+    assert made and {(args[1], args[2]) for args in made} <= {(socket.AF_INET, socket.SOCK_STREAM), (-1, -1)}
+    assert {event for event, _ in events} <= {"socket.__new__", "socket.bind", "socket.connect"}
+    assert sum(event == "socket.bind" for event, _ in events) == 1
+    assert not {link[8:-1] for link in held if link.startswith("socket:[")} & unix - inherited()
+
+
+def inherited():
+    """Standard streams may be Unix sockets of whoever runs the tests."""
+    found = set()
+    for fd in (0, 1, 2):
+        link = os.readlink(f"/proc/self/fd/{fd}")
+        if link.startswith("socket:["):
+            found.add(link[8:-1])
+    return found
+
+
+def test_run_imports_nothing_that_the_page_refuses():
+    """No fronts, stand-ins or tools; nothing that forks, splices or has a loop of its own."""
+    code = "import sys, glencleat.node.process; print('\\n'.join(sys.modules))"
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, cwd=ROOT, check=True)
+    loaded = set(done.stdout.split())
+    refused = {"asyncio", "subprocess", "multiprocessing", "concurrent.futures", "ssl", "pydantic", "structlog",
+               "click", "h11", "prometheus_client"}  # fmt: skip
+    assert not loaded & refused
+    ours = {name for name in loaded if name.startswith("glencleat.")}
+    packages = {name.split(".")[1] for name in ours}
+    allowed = {"node", "isup", "kernel", "allocator", "interface", "logic", "settings", "descriptors"}
+    assert packages <= allowed
+    assert {name for name in ours if name.startswith("glencleat.allocator.")} <= {
+        "glencleat.allocator.contract",
+        "glencleat.allocator.telling",
+    }
--- /dev/null
+++ b/tests/test_descriptors.py
@@ -0,0 +1,128 @@
+"""Who holds a descriptor and who gives one up: the whole table, and random histories."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from glencleat.descriptors import ASIDE, GIVEN, LEAVING, Demand, Descriptors, Side, Worth
+
+LINK_WORTHS = (Worth.SPARE, Worth.LISTENED, Worth.LISTENING, Worth.HELD)
+OWNER_WORTHS = (Worth.STRANGER, Worth.FRIEND, Worth.HELD)
+
+
+class Holder:
+    def __init__(self, pool, side, worth):
+        self.pool, self.side, self.now = pool, side, worth
+
+    def worth(self):
+        return self.now
+
+    def give_up(self):
+        self.pool.free(self)
+
+
+def full(*worths, limit=256):
+    """A pool in which everything is HELD but for these."""
+    pool, made = Descriptors(limit), []
+    pool.freed = lambda: None
+    for worth in worths:
+        side = Side.OWNERS if worth in (Worth.STRANGER, Worth.FRIEND) else Side.LINKS
+        made.append(Holder(pool, side, worth))
+        pool.hold(made[-1])
+    while pool.held < pool.room:
+        short = min(pool.count, key=lambda side: pool.count[side] - pool.rights[side])
+        pool.hold(Holder(pool, short, Worth.HELD))
+    return pool, made
+
+
+@pytest.mark.parametrize("demand", Demand, ids=lambda d: d.name)
+@pytest.mark.parametrize("within", [True, False])
+def test_what_goes_for_what(demand, within):
+    """Every worth alone: it goes if the table names it, else nobody does and no room is made."""
+    side = Side.OWNERS if demand is Demand.OWNER else Side.LINKS
+    for worth in Worth:
+        pool, (one,) = full(worth)
+        pool.rights = {x: pool.count[x] + (1 if within and x is side else 0) for x in Side}
+        may = worth in GIVEN[demand][0 if within else 1]
+        assert pool.make_room(demand) is may and (one not in pool.filed) is may
+    assert Worth.HELD not in GIVEN[demand][0] + GIVEN[demand][1]
+
+
+def test_a_side_beyond_its_right_never_takes_from_one_within():
+    """A crowd of silent owners may not close the links on which tasks are heard, nor the reverse."""
+    owners, links = ({Worth.STRANGER, Worth.FRIEND}, {Worth.SPARE, Worth.LISTENED, Worth.LISTENING})
+    for demand, (_, beyond) in GIVEN.items():
+        assert set(beyond) <= (owners if demand is Demand.OWNER else links)
+
+
+def test_the_least_worth_goes_first_and_of_one_worth_the_longest_unused():
+    pool, made = full(Worth.LISTENED, Worth.SPARE, Worth.SPARE, Worth.LISTENED)
+    pool.file(made[1], used=True)
+    gone = []
+    for holder in made:
+        holder.give_up = lambda holder=holder: (gone.append(made.index(holder)), pool.free(holder))
+    for _ in range(4):
+        assert pool.make_room(Demand.ATTEMPT)
+        pool.hold(Holder(pool, Side.LINKS, Worth.HELD))
+    assert gone == [2, 1, 0, 3] and not pool.make_room(Demand.ATTEMPT) and pool.turned_away == 1
+
+
+def test_what_is_worth_more_by_now_stays():
+    """Worth changes between two sweeps: a set-up goes out on a link that was filed as spare."""
+    pool, made = full(Worth.SPARE, Worth.SPARE)
+    made[0].now = Worth.HELD
+    assert pool.make_room(Demand.ATTEMPT) and made[0] in pool.filed and made[1] not in pool.filed
+
+
+def test_who_waits_is_told_when_something_is_free_or_worth_less():
+    pool, (link,) = full(Worth.HELD)
+    told = []
+    pool.freed = lambda: told.append(pool.held)
+    link.now = Worth.SPARE
+    pool.file(link)
+    assert told == [pool.room]
+    pool.free(link)
+    assert told == [pool.room, pool.room - 1]
+
+
+def test_only_so_many_leave_at_once():
+    pool, made = full(*[Worth.LISTENED] * (LEAVING + 1))
+    assert [pool.leave(holder) for holder in made] == [True] * LEAVING + [False]
+    assert pool.held + len(pool.leaving) <= pool.room + LEAVING < pool.room + ASIDE
+    pool.free(made[0])
+    assert pool.leave(made[-1])
+
+
+@given(
+    limit=st.integers(48, 1024),
+    steps=st.lists(st.tuples(st.integers(0, 9), st.integers(0, 1 << 30)), max_size=400),
+)
+@settings(max_examples=60, deadline=None)
+def test_random_histories_keep_the_distance(limit, steps):
+    """Counts, order and the bound agree with a plain account after every step."""
+    pool, alive = Descriptors(limit), set()
+
+    def gone(holder):
+        alive.discard(holder)
+        pool.free(holder)
+
+    for kind, pick in steps * 3:
+        chosen = sorted(alive, key=id)[pick % len(alive)] if alive else None
+        if kind < 6 or chosen is None:
+            demand = list(Demand)[pick % 4]
+            side = Side.OWNERS if demand is Demand.OWNER else Side.LINKS
+            if pool.make_room(demand):
+                worths = OWNER_WORTHS if side is Side.OWNERS else LINK_WORTHS
+                holder = Holder(pool, side, worths[pick // 7 % len(worths)])
+                holder.give_up = lambda holder=holder: gone(holder)
+                alive.add(holder)
+                pool.hold(holder)
+        elif kind < 8:
+            chosen.now = (OWNER_WORTHS if chosen.side is Side.OWNERS else LINK_WORTHS)[pick % 3]
+            if pick % 2:  # else it is noticed late
+                pool.file(chosen)
+        else:
+            gone(chosen)
+        assert set(pool.filed) == alive and len(alive) <= pool.room <= limit - ASIDE
+        assert pool.count == {side: sum(h.side is side for h in alive) for side in Side}
+        assert sum(map(len, pool.order)) == len(alive)
--- a/tests/test_kernel.py
+++ b/tests/test_kernel.py
@@ -16,6 +16,7 @@
     TimerHeap,
     TimerWheel,
     connect,
+    streams,
 )
 
 # ---- timers ----
@@ -239,3 +240,36 @@
     loop.round(wait=False)
     assert len(accepted) == 3
     listener.close()
+
+
+def test_a_listener_that_can_shed_nobody_rests(monkeypatch):
+    """Without even the spare descriptor the queue stays full: the loop was told of it at once, without end."""
+    loop, accepted = Loop(), []
+    listener = Listener(loop, ("127.0.0.1", 0), accepted.append)
+    real, tries = listener.sock, []
+
+    class Full:
+        def accept(self):
+            tries.append(loop.now())
+            raise OSError(24, "Too many open files")
+
+        def __getattr__(self, name):
+            return getattr(real, name)
+
+    def none_left(*_):
+        raise OSError(24, "Too many open files")
+
+    client = socket.create_connection(listener.address)
+    listener.sock = Full()
+    with monkeypatch.context() as patch:
+        patch.setattr(streams.os, "open", none_left)
+        end = loop.now() + 4.0 * streams.PAUSE_MS
+        loop.call_in(4.0 * streams.PAUSE_MS, lambda: None)
+        while loop.now() < end:
+            loop.round()
+    assert 2 <= len(tries) <= 12  # twice at each look: the queue, and the one to shed
+    listener.sock = real
+    while not accepted:
+        loop.round()
+    client.close()
+    listener.close()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -7,11 +7,12 @@
 import pytest
 
 from glencleat import interface as api
+from glencleat.descriptors import ASIDE, Descriptors, Side
 from glencleat.isup import messages as m
 from glencleat.isup.channel import Channel, Host, News
 from glencleat.isup.exchange import Exchange
 from glencleat.kernel import Listener, Loop, StreamClosed, streams
-from glencleat.node import feed, hosts, owners
+from glencleat.node import feed, hosts, links, owners
 from tests.live import SETTINGS, Script, setup
 
 
@@ -49,11 +50,14 @@
 class World:
     """Exchange, hosts and owners joined as the process joins them, with a scripted module."""
 
-    def __init__(self, share=20):
+    def __init__(self, room=40):
         self.loop, self.module, self.logs = Loop(), Script(), []
         self.channel = Channel(self.loop.clock.wall() - self.loop.now())
-        self.hosts = hosts.Hosts(self.loop, self.channel, share, 250.0, 30_000.0, self.logs.append)
-        self.owners = owners.Owners(self.loop, share, self.logs.append)
+        self.descriptors = Descriptors(room + ASIDE)
+        self.hosts = hosts.Hosts(
+            self.loop, self.channel, self.descriptors, 250.0, 30_000.0, self.logs.append
+        )
+        self.owners = owners.Owners(self.loop, self.descriptors, self.logs.append)
         self.now, self.call_in, self.log = self.loop.now, self.loop.call_in, self.logs.append
         self.exchange = Exchange(SETTINGS, self.module, self, 250.0)
         self.hosts.exchange = self.owners.exchange = self.exchange
@@ -149,9 +153,10 @@
 
 
 def test_links_at_the_share_are_shared(world):
-    world.hosts.share = 2
     peer, owner = Peer(world.loop), world.client()
     world.list(("h1", peer.address))
+    world.until(lambda: world.owners.owners)
+    world.descriptors.room = 3
     for task in range(1, 5):
         world.ask(owner, task)
     world.until(lambda: len(peer.got) == 4)
@@ -366,6 +371,208 @@
     assert peer.got[-1][0] is peer.streams[1] and world.back() == [api.Outcome.STOPPED]
 
 
+# ---- descriptors ----
+
+
+def standing(world, count):
+    """`count` hosts with a task that stands at each; their peers."""
+    peers, owner = [Peer(world.loop, stands) for _ in range(count)], world.client()
+    for i, peer in enumerate(peers):
+        world.list((f"h{i}", peer.address))
+        world.ask(owner, i + 1, host=f"h{i}")
+    world.until(lambda: len(world.exchange.standing) == count)
+    return peers, owner
+
+
+def live(world, host="h0"):
+    return [link for link in world.hosts.hosts[host].links if link.stream is not None]
+
+
+def test_an_attempt_waits_for_a_descriptor_within_its_time(world):
+    """A connect without one fails at once, as if the host were at fault, and is tried again without end."""
+    peers, owner = [Peer(world.loop) for _ in range(3)], world.client()
+    world.list(*((f"h{i}", peer.address) for i, peer in enumerate(peers)))
+    world.ask(owner, 1, host="h0")
+    world.descriptors.room = world.descriptors.held  # the owner's and the link that is in use
+    world.ask(owner, 2, host="h1")
+    world.ask(owner, 3, host="h2", timeout=30.0)
+    assert len(world.hosts.line) == 2 and world.back() == [api.Outcome.NOT_SENT]
+    assert len(world.hosts.line) == 1 and not peers[1].streams
+    world.until(lambda: peers[0].got)
+    stands(*peers[0].got[0])
+    peers[0].streams[0].send(m.caused(m.RELEASE, 1, m.ENDED))
+    world.until(lambda: peers[1].got)
+    assert world.back(1) == [api.Outcome.NOT_SENT, api.Outcome.ENDED] and not world.hosts.line
+    assert world.descriptors.most == world.descriptors.room
+
+
+def test_the_line_is_bounded(world, monkeypatch):
+    monkeypatch.setattr(hosts, "MOST_LINE", 1)
+    peer, owner = Peer(world.loop), world.client()
+    world.list(("h1", peer.address))
+    world.until(lambda: world.owners.owners)
+    world.descriptors.room = 1
+    world.ask(owner, 1)
+    world.ask(owner, 2)
+    assert world.back() == [api.Outcome.NOT_SENT] and len(world.hosts.line) == 1
+
+
+def test_what_nobody_needs_goes_first_whichever_host_it_is(world):
+    """Room was made among hosts with several links only; one link each for 400 hosts did not fit."""
+    (first, second), owner = standing(world, 2)
+    first.streams[0].send(m.caused(m.RELEASE, 1, m.ENDED))
+    world.back()
+    world.descriptors.room = world.descriptors.held
+    third = Peer(world.loop, stands)
+    world.list(("h2", third.address))
+    world.ask(owner, 9, host="h2")
+    world.until(lambda: "h2" in world.exchange.standing)
+    assert not live(world, "h0") and live(world, "h1") and live(world, "h2")
+
+
+def test_more_hosts_than_descriptors_take_turns(world, monkeypatch):
+    """Every release is heard, though two links serve six hosts."""
+    for name, ms in (("HEAR_MS", 100.0), ("SWEEP_MS", 10.0)):
+        monkeypatch.setattr(hosts, name, ms)
+    monkeypatch.setattr(links, "VISIT_MS", 20.0)
+    world.descriptors.room, world.descriptors.rights = 3, {Side.OWNERS: 1, Side.LINKS: 2}
+    peers, owner = standing(world, 6)
+    owed = {}
+
+    def accept(peer, task):
+        taken = peer.accept
+
+        def told(stream):  # as the page says: a release comes also on the next connection opened
+            taken(stream)
+            if task in owed:
+                stream.send(owed[task])
+
+        peer.listener.accept = told
+
+    for task, peer in enumerate(peers, 1):
+        accept(peer, task)
+        owed[task] = m.caused(m.RELEASE, task, m.ENDED)
+    world.back(6)
+    assert not world.exchange.standing and world.descriptors.most <= 3
+
+
+def test_a_life_test_leaves_one_link(world, monkeypatch):
+    """A quiet host is tried by a new connection each time; they were kept until nothing was free."""
+    monkeypatch.setattr(hosts, "QUIET_MS", 30.0)
+    monkeypatch.setattr(hosts, "VISIT_MS", 10.0)
+    (peer,), _ = standing(world, 1)
+    (first,) = live(world)
+    world.until(lambda: len(peer.streams) >= 4)
+    assert len(live(world)) <= 2 and first in live(world)  # the one that is paid for stays
+    world.until(lambda: sum(stream.closed is None for stream in peer.streams) <= 2)
+
+
+def test_a_release_on_its_way_is_heard_on_a_link_that_we_end(world):
+    (peer,), owner = standing(world, 1)
+    assert world.says(owner)
+    (link,) = live(world)
+    link.leave("room is wanted")
+    peer.streams[0].send(m.caused(m.RELEASE, 1, m.ENDED))
+    assert world.back() == [api.Outcome.ENDED] and world.says(owner) == m.caused(m.RELEASE, 1, m.ENDED)
+    world.until(lambda: not world.descriptors.leaving)
+
+
+def test_a_host_that_never_closes_a_link_that_we_end(world, monkeypatch):
+    monkeypatch.setattr(links, "LEAVE_MS", 30.0)
+    (peer,), _ = standing(world, 1)
+    peer.serve = lambda stream: iter(())
+    (link,) = live(world)
+    monkeypatch.setattr(link.stream, "shut", lambda: None)
+    link.leave("room is wanted")
+    assert world.descriptors.leaving == {link}
+    world.until(lambda: link.stream.closed == "room is wanted" and not world.descriptors.leaving)
+
+
+def test_links_that_we_end_do_not_tell_that_a_host_ended(world):
+    """Two closed at one moment made a draining host pass for ended after 0.1 s of refusals."""
+    peer, owner = Peer(world.loop), world.client()
+    world.list(("h0", peer.address))
+    for task in (1, 2):
+        world.ask(owner, task, host="h0")
+    world.until(lambda: len(peer.got) == 2)
+    for stream, message in list(peer.got):
+        stands(stream, message)
+    world.until(lambda: len(world.exchange.standing.get("h0", ())) == 2)
+    world.list(("h0", peer.address), phase=api.Phase.DRAINING)
+    peer.listener.close()
+    host = world.hosts.hosts["h0"]
+    for link in live(world):
+        link.leave("for the test")
+    world.until(lambda: not world.descriptors.leaving and host.refused < world.loop.now() - 200.0)
+    assert not host.fell and "h0" in world.exchange.standing
+
+
+def test_the_only_link_to_a_draining_host_is_never_given_up(world):
+    (peer,), owner = standing(world, 1)
+    world.list(("h0", peer.address), phase=api.Phase.DRAINING)
+    world.descriptors.room = world.descriptors.held
+    other = Peer(world.loop, stands)
+    world.list(("h1", other.address))
+    world.ask(owner, 2, host="h1", timeout=300.0)
+    assert world.back() == [api.Outcome.NOT_SENT] and live(world, "h0")
+
+
+def test_a_host_whose_link_we_gave_up_may_have_begun_to_drain(world, monkeypatch):
+    """The list may not tell it yet, and it refuses new connections while its tasks run."""
+    monkeypatch.setattr(hosts, "HEAR_MS", 50.0)
+    (peer,), _ = standing(world, 1)
+    live(world)[0].give_up()
+    peer.listener.close()
+    host = world.hosts.hosts["h0"]
+    world.until(lambda: host.refused < world.loop.now() - 5.0 * hosts.REFUSED_MS)
+    assert "h0" in world.exchange.standing
+    assert world.back(ms=2.0 * hosts.DRAIN_REFUSED_MS) == [api.Outcome.LOST]
+
+
+def test_the_last_owner_that_releases_can_go_by_stays(world):
+    """A crowd of new connections may not close the one way to tell owners that their tasks are over."""
+    (peer,), owner = standing(world, 1)
+    assert world.says(owner)
+    world.descriptors.room, world.descriptors.rights = 2, {Side.OWNERS: 1, Side.LINKS: 1}
+    crowd = [world.client() for _ in range(5)]
+    assert [world.says(sock) for sock in crowd] == [b""] * 5
+    peer.streams[0].send(m.caused(m.RELEASE, 1, m.ENDED))
+    assert world.says(owner) == m.caused(m.RELEASE, 1, m.ENDED)
+
+
+def test_a_further_link_goes_once_it_is_not_needed(world, monkeypatch):
+    monkeypatch.setattr(hosts, "SURPLUS_MS", 50.0)
+    peer, owner = Peer(world.loop, stands), world.client()
+    world.list(("h0", peer.address))
+    held = []
+    peer.script = lambda stream, message: held.append((stream, message))
+    for task in (1, 2, 3):
+        world.ask(owner, task, host="h0")
+    world.until(lambda: len(held) == 3)
+    assert len(live(world)) == 3
+    for stream, message in held:
+        stands(stream, message)
+    world.until(lambda: len(live(world)) == 1)
+    assert len(world.exchange.standing["h0"]) == 3
+
+
+def test_at_the_limit_no_sweep_tries_again_at_once(world, monkeypatch):
+    """Each sweep tried a connection for every host without one: half a core for nothing."""
+    (peer,), _ = standing(world, 1)
+    tried = []
+
+    def none_left(*_):
+        tried.append(world.loop.now())
+        raise OSError(errno.EMFILE, "too many open files")
+
+    monkeypatch.setattr(streams.socket, "socket", none_left)
+    peer.streams[0].close()
+    world.until(lambda: tried)
+    end = world.loop.now() + 1_000.0
+    world.until(lambda: world.loop.now() > end)
+    assert len(tried) <= 3
+
+
 # ---- owners ----
 
 UNREADABLE = [
@@ -421,7 +628,8 @@
 
 
 def test_a_full_house_closes_who_has_nothing_open(world):
-    world.owners.listener.most = 3
+    world.descriptors.room = 3
+    world.descriptors.rights = {Side.OWNERS: 3, Side.LINKS: 0}
     lasting = world.client()
     world.until(lambda: len(world.owners.owners) == 1)
     world.owners.proves(next(iter(world.owners.owners)))  # the longest unused, yet one that tasks came by
