Silence ends standing tasks only when their release is nearly due, not after 3.5 s

Now each quiet host is tried, so _look() (hosts.py) ended every task behind a cut of 6 s after 2 + 0.25 + 3.5 s; owners of 16 allocators asked anew at once, of the hosts left.

Changed: the verdict falls 7 s after the host was last heard (a release is due 8 s after the end) and only if a try begun after that fails too; a quiet host with standing tasks is heard every second.

--- a/glencleat/node/hosts.py
+++ b/glencleat/node/hosts.py
@@ -28,8 +28,12 @@
 SURPLUS_MS = 4_000.0  # a link not needed for so long goes if another is up; owners keep theirs as long
 HEAR_MS = 3_000.0  # then a host without a link is heard again: its releases are due 8 s after the end
 MOST_LINE = 500  # attempts that wait for a descriptor
-QUIET_MS = 2_000.0  # a host with standing tasks that says nothing for so long is tried by a new connection
-REFUSED_MS, NEVER_UP_MS = 100.0, 3_500.0  # tries that fail for so long end what stands there
+QUIET_MS = 1_000.0  # a host with standing tasks that says nothing for so long is tried by a new connection
+REFUSED_MS = 100.0  # connections refused for so long end what stands there
+# So does silence since a host was last heard, while no connection comes up. Its tasks may run on behind a
+# cut, and their owners would ask for second ones: so it is as long as the page allows. A release is due 8 s
+# after a task's end, which may have come as soon as we last heard; less a sweep, a try and the lag of a loop.
+NEVER_UP_MS = 7_000.0
 AT_ONCE_MS = 100.0  # links that break within this break together
 DRAIN_REFUSED_MS = 2_500.0  # at one that drains: a refusal says little, yet its process may die as any other
 TEST_MS = 2_500.0  # for the answer to a test of such a host, on a link that is open
@@ -197,7 +201,7 @@
             self.log(
                 f"host {host.name}: connection {how}, {len(host.links)} others, heard {quiet:.0f} ms ago"
             )
-        host.failing, host.refusing = min(host.failing, now), refused
+        host.failing, host.failed_at, host.refusing = min(host.failing, now), now, refused
         host.refused = min(host.refused, now) if refused and host.alone else float("inf")
         host.again_at, host.again_ms = now + host.again_ms, min(AGAIN_MAX_MS, 2.0 * host.again_ms)
 
@@ -293,8 +297,12 @@
             self._over(host, "connections are refused")
         elif host.refusing and now - host.heard > QUIET_MS and self._tested(host, now):
             self._over(host, "a test is not answered")
-        elif now - host.failing > NEVER_UP_MS and now - host.heard > NEVER_UP_MS and not host.refusing:
-            self._over(host, "no connection comes up")
+        elif host.failing < now and now - host.heard > NEVER_UP_MS and not host.refusing:
+            if host.failed_at - host.heard > NEVER_UP_MS:
+                self._over(host, "no connection comes up")
+            else:
+                host.again_at = now  # the last try decides: one before it may be nearly a second old
+                self._again(host)
         elif host.given_up and host.failing > now:
             if now - host.heard > HEAR_MS:
                 self._again(host)
--- a/glencleat/node/links.py
+++ b/glencleat/node/links.py
@@ -195,6 +195,7 @@
         self.gone = self.draining = False
         self.heard = now
         self.refused = self.failing = float("inf")  # since when
+        self.failed_at = float("-inf")  # the last try that failed
         self.refusing = False  # the last try: its machine is there
         self.tested = float("-inf")  # since when a test is out
         self.broke: list[float] = []  # when its last links broke
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -11,7 +11,7 @@
 from glencleat.isup import messages as m
 from glencleat.isup.channel import Channel, Host, News
 from glencleat.isup.exchange import Exchange
-from glencleat.kernel import Listener, Loop, StreamClosed, streams
+from glencleat.kernel import ConnectFailed, Listener, Loop, StreamClosed, streams
 from glencleat.node import feed, hosts, links, owners
 from tests.live import SETTINGS, Script, setup
 
@@ -205,6 +205,33 @@
         sock.close()
 
 
+@pytest.mark.parametrize("heals", [True, False])
+def test_a_cut_ends_what_stands_only_when_its_release_is_nearly_due(world, monkeypatch, heals):
+    """3.5 s of failed connections ended thousands of tasks that ran on behind a cut of 6 s."""
+    for name, ms in (("QUIET_MS", 20.0), ("SWEEP_MS", 5.0), ("NEVER_UP_MS", 900.0)):
+        monkeypatch.setattr(hosts, name, ms)
+    (peer,), _ = standing(world, 1)
+    real, cut, host = links.connect, [True], world.hosts.hosts["h0"]
+    heard = host.heard
+
+    def connect(loop, address, timeout_ms):
+        if cut[0]:
+            yield from loop.sleep(10.0)
+            raise ConnectFailed(address, errno.ETIMEDOUT)
+        return (yield from real(loop, address, timeout_ms))
+
+    monkeypatch.setattr(links, "connect", connect)
+    world.until(lambda: host.failing < world.loop.now() - 200.0)
+    assert "h0" in world.exchange.standing
+    if heals:
+        cut[0] = False
+        world.until(lambda: host.heard > heard)
+        world.until(lambda: world.loop.now() > heard + 1_300.0)
+        assert "h0" in world.exchange.standing
+    else:
+        assert world.back() == [api.Outcome.LOST] and world.loop.now() >= heard + 900.0
+
+
 def test_a_host_that_no_list_names_is_sent_nothing(world):
     world.ask(world.client(), 1, host="h9")
     assert world.back() == [api.Outcome.NOT_SENT]
