The list is asked again with jitter, growth and a memory of what lasted

Need: a list service that takes connections and closes them was asked 9.8 times a second by each allocator, by all in the same 100 ms, for as long as it lasted (feed.py, a fixed step of 100 ms).

--- /dev/null
+++ b/glencleat/fleet/asking.py
@@ -0,0 +1,64 @@
+"""When to ask a party again that could not be had, so that many who ask at once do not keep it down.
+
+No I/O: time is an argument, the random numbers are the caller's. Used for the machine list and for hosts.
+Three things keep a crowd from going in step and from growing: a first wait drawn from a whole span, since all
+saw the same break; waits that grow; and a memory of how long the last connection lasted, since one that is
+taken and ended at once is no success. `docs/design-fleet.md` derives the constants."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from random import Random
+
+
+@dataclass(frozen=True, slots=True)
+class Pace:
+    """Milliseconds. Waits are drawn from [0, first], then from the upper half of a span up to `most`."""
+
+    first_ms: float
+    most_ms: float
+    steady_ms: float  # a connection that lasted so long was one
+    growth: float = 2.0
+
+    def __post_init__(self) -> None:
+        if not (0.0 < self.first_ms <= self.most_ms and self.growth >= 1.0 and self.steady_ms >= 0.0):
+            raise ValueError(f"a pace that can't be kept: {self}")
+
+
+# What a break of the list may cost is 2 s (protocol page); the first two waits and what comes between keep to
+# it where the service is well again. Under a service that stays down each asks every 1.5 s on average.
+LIST = Pace(first_ms=600.0, most_ms=2_000.0, steady_ms=2_000.0)
+# A host that can't be had: within the 0.1 s that refusals must last to prove an end, and as often as before.
+HOST = Pace(first_ms=100.0, most_ms=800.0, steady_ms=0.0)
+
+
+class Asking:
+    """One party that is asked.
+
+    >>> asking = Asking(LIST, Random(1))
+    >>> waits = [asking.again() for _ in range(5)]
+    >>> 0.0 <= waits[0] <= 600.0 and all(1000.0 <= wait <= 2000.0 for wait in waits[2:])
+    True
+    """
+
+    def __init__(self, pace: Pace, random: Random) -> None:
+        self.pace, self.random = pace, random
+        self.tries = 0  # since the last connection that was one
+        self.span = pace.first_ms
+
+    def again(self, lasted_ms: float = 0.0, told_ms: float = 0.0) -> float:
+        """How long to wait now that a try, or a connection that lasted so long, has ended.
+
+        `told_ms` is the other side's own word (Retry-After): never less, and spread beyond it by as much as a
+        wait of ours would be, as it told all of them the same."""
+        if lasted_ms >= self.pace.steady_ms and lasted_ms > 0.0:
+            self.well()
+        least = 0.0 if self.tries == 0 else 0.5 * self.span
+        wait = self.random.uniform(least, self.span)
+        self.tries += 1
+        self.span = min(self.pace.most_ms, self.span * self.pace.growth)
+        return wait if told_ms <= 0.0 else told_ms + wait
+
+    def well(self) -> None:
+        """It is there, as far as can be told: the next break is a first one."""
+        self.tries, self.span = 0, self.pace.first_ms
--- a/glencleat/node/feed.py
+++ b/glencleat/node/feed.py
@@ -1,12 +1,13 @@
 """Holds a connection to the command channel, always: breaks, silence and moves end one and begin the next.
 
-Imports the kernel and `isup.channel`. What a break may cost is 2 s, a silence or a move 4 s: drains count as
-told by then."""
+Imports the kernel, `isup.channel` and `fleet.asking`. What a break may cost is 2 s, a silence or a move 4 s:
+drains count as told by then."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
 
+from glencleat.fleet.asking import Asking
 from glencleat.isup.channel import Channel, News
 from glencleat.isup.messages import PeerError
 from glencleat.kernel import Loop, Stream, StreamClosed, connect
@@ -14,7 +15,6 @@
 
 CONNECT_MS = 500.0
 SILENT_MS = 1_800.0  # a line is due every second
-AGAIN_MS = 100.0  # between two tries: well under what a break may cost
 
 
 class Feed:
@@ -22,13 +22,16 @@
         self,
         loop: Loop,
         channel: Channel,
+        asking: Asking,
         place: tuple[str, int],
         told: Callable[[News], None],
         log: Callable[[str], None],
     ) -> None:
-        self.loop, self.channel, self.place, self.told, self.log = loop, channel, place, told, log
+        self.loop, self.channel, self.asking, self.place = loop, channel, asking, place
+        self.told, self.log = told, log
         self.stream: Stream | None = None
         self.heard = 0.0
+        self.up_at: float | None = None  # since when this connection tells something
         self.breaks = 0
         loop.spawn(self._run(), "command channel")
 
@@ -49,10 +52,11 @@
             if self.stream is not None:
                 self.stream.close()
                 self.stream = None
-            yield from self.loop.sleep(AGAIN_MS)
+            lasted = 0.0 if self.up_at is None else self.loop.now() - self.up_at
+            yield from self.loop.sleep(self.asking.again(lasted))
 
     def _follow(self) -> Coroutine:
-        place = self.place
+        place, self.up_at = self.place, None
         stream: Stream = yield from connect(self.loop, place, CONNECT_MS)
         self.stream = stream
         if place != self.place:
@@ -65,6 +69,8 @@
             if not data:
                 raise StreamClosed("it ended")
             self.heard = self.loop.now()
+            if self.up_at is None:
+                self.up_at = self.heard
             for news in self.channel.feed(data):
                 self.told(news)
 
--- a/glencleat/node/process.py
+++ b/glencleat/node/process.py
@@ -12,12 +12,14 @@
 import traceback
 from collections.abc import Callable
 from dataclasses import dataclass
+from random import Random
 from typing import Any
 
 import msgspec
 
 from glencleat import interface as api
 from glencleat.descriptors import Descriptors
+from glencleat.fleet.asking import LIST, Asking
 from glencleat.isup.channel import Channel, News, address
 from glencleat.isup.exchange import Attempt, Exchange, Fact
 from glencleat.isup.messages import PeerError
@@ -91,7 +93,8 @@
         self.owners.exchange = self.hosts.exchange = self.exchange
         for news in self.channel.begin(config.known):
             self.list_told(news)
-        self.feed = Feed(loop, self.channel, config.channel, self.list_told, log)
+        asking = Asking(LIST, Random(config.seed))
+        self.feed = Feed(loop, self.channel, asking, config.channel, self.list_told, log)
         self.rereads = 0
         self.faults = 0
         if os.environ.get("GLENCLEAT_TRACE") == "1":
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -3,10 +3,12 @@
 import errno
 import json
 import socket
+from random import Random
 
 import pytest
 
 from glencleat import interface as api
+from glencleat.fleet.asking import Asking, Pace
 from glencleat.descriptors import ASIDE, Descriptors, Side
 from glencleat.isup import messages as m
 from glencleat.isup.channel import Channel, Host, News
@@ -743,6 +745,10 @@
     return json.dumps({"cursor": cursor, "nodes": {"instances": [entry]}}).encode() + b"\n"
 
 
+def asking(first=5.0, most=20.0, steady=1_000.0):
+    return Asking(Pace(first, most, steady), Random(1))
+
+
 class Tower(Peer):
     """A command channel that keeps what it was asked."""
 
@@ -760,10 +766,9 @@
 @pytest.mark.parametrize("trouble", ["breaks", "silent", "noise"])
 def test_the_feed_asks_again_from_where_it_was(world, monkeypatch, trouble):
     monkeypatch.setattr(feed, "SILENT_MS", 120.0)
-    monkeypatch.setattr(feed, "AGAIN_MS", 5.0)
     second = {"noise": b"{{\n"}.get(trouble, list_event(2)[:30])
     tower, told = Tower(world.loop, lambda n: list_event(1) + second if n == 1 else list_event(2)), []
-    feed.Feed(world.loop, world.channel, tower.address, told.append, world.logs.append)
+    feed.Feed(world.loop, world.channel, asking(), tower.address, told.append, world.logs.append)
     world.until(lambda: told)
     if trouble == "breaks":
         tower.streams[0].close()
@@ -774,11 +779,10 @@
     ]
 
 
-def test_the_feed_moves_and_the_numbers_go_on(world, monkeypatch):
-    monkeypatch.setattr(feed, "AGAIN_MS", 5.0)
+def test_the_feed_moves_and_the_numbers_go_on(world):
     old, new = (Tower(world.loop, lambda n, c=c: list_event(c)) for c in (1, 2))
     told = []
-    made = feed.Feed(world.loop, world.channel, old.address, told.append, world.logs.append)
+    made = feed.Feed(world.loop, world.channel, asking(), old.address, told.append, world.logs.append)
     world.until(lambda: told)
     made.move(new.address)
     world.until(lambda: len(told) == 2)
