A relay between processes: cuts, delays, losses, doors, resets, by script and seed

Need: traffic was recorded at the stand-ins' own sockets only, and no fault could lie between two processes.

Changed: standins/wire.py decides without I/O what a wire does to each piece and datagram (overlapping faults add up; a change of the weather moves no later draw of the seed); standins/relay.py carries TCP and UDP on the kernel's loop and tells of all that passes. Not yet words of a play's script, and no play uses it yet.

--- /dev/null
+++ b/glencleat/standins/relay.py
@@ -0,0 +1,259 @@
+"""A relay between two parties, known to neither: it passes bytes on as its wire lets it, and tells of them.
+
+TCP and UDP on loopback, on the kernel's loop; what arrives when is `wire.py`'s. Many relays may share a
+process. `told` hears of every connection and piece, so that what passed is known from between the parties and
+not from their own account. A cut through a relay is one that swallows: connections come up at the relay, as
+they would at a host whose process stands still, and say nothing."""
+
+from __future__ import annotations
+
+import socket
+import struct
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+from glencleat.kernel import ConnectFailed, Listener, Loop, Stream, StreamClosed, connect
+from glencleat.kernel.loop import READ, Coroutine
+from glencleat.standins.wire import Datagrams, Door, Flow, Way, Weather
+
+HELD = 1 << 20  # bytes that one direction holds back before it stops reading
+PIECE = 16_384
+DATAGRAM = 65_507
+PEERS = 4_096  # who send datagrams through one relay
+CONNECT_MS = 5_000.0
+RESET = struct.pack("ii", 1, 0)  # linger for no time: a close is a reset
+
+
+@dataclass(frozen=True, slots=True)
+class Passed:
+    """What a relay saw: `kind` of opened, refused, piece, ended, reset, datagram, lost; `size` in bytes."""
+
+    at_ms: float
+    relay: str
+    kind: str
+    number: int = 0  # of the connection, or of the sender
+    way: Way = Way.THERE
+    size: int = 0
+
+
+Told = Callable[[Passed], None]
+
+
+class Pair:
+    """One connection through the relay: two streams, a flow each way."""
+
+    def __init__(self, relay: Relay, number: int, near: Stream, far: Stream) -> None:
+        self.relay, self.number, self.loop = relay, number, relay.loop
+        self.sides = {Way.THERE: (near, far), Way.BACK: (far, near)}
+        self.held = {Way.THERE: 0, Way.BACK: 0}
+        for way in Way:
+            seed = f"{relay.seed} {relay.name} {number} {way.value}"
+            flow = Flow(relay.weather, way, Random(seed))
+            self.loop.spawn(self._pump(way, flow), f"relay {relay.name} {way.value}")
+
+    def _pump(self, way: Way, flow: Flow) -> Coroutine:
+        source, sink = self.sides[way]
+        try:
+            while data := (yield from source.read(PIECE)):
+                self.relay.tell("piece", self.number, way, len(data))
+                self._pass(way, flow, bytes(data))
+                while self.held[way] > HELD and source.closed is None:
+                    yield from self.loop.sleep(10.0)
+            self._later(flow, 0, lambda: self._ended(sink))
+        except StreamClosed:
+            self._later(flow, 0, lambda: self.end(reset=True))
+
+    def _pass(self, way: Way, flow: Flow, data: bytes) -> None:
+        sink = self.sides[way][1]
+        self.held[way] += len(data)
+
+        def arrive() -> None:
+            self.held[way] -= len(data)
+            sink.put(data)
+
+        self._later(flow, len(data), arrive)
+
+    def _later(self, flow: Flow, size: int, call: Callable[[], None]) -> None:
+        """What never arrives stays held: the other party is not told of it either."""
+        at = flow.arrives(self.relay.now(), size)
+        if at is not None:
+            self.loop.call_in(max(0.0, at - self.relay.now()), call)
+
+    def _ended(self, sink: Stream) -> None:
+        """One side has said its last; the other may go on."""
+        if sink.closed is None:
+            sink.shut()
+        if all(stream.closed is not None or not stream.out for stream, _ in self.sides.values()):
+            self.relay.tell("ended", self.number)
+
+    def end(self, reset: bool = False) -> None:
+        """Both sides at once; with `reset` as a machine that went."""
+        if self.relay.pairs.pop(self.number, None) is not None and reset:
+            self.relay.tell("reset", self.number)
+        for stream, _ in self.sides.values():
+            if stream.closed is None:
+                if reset:
+                    stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+                stream.close("the relay ended it")
+
+    def half_open(self) -> None:
+        """The far party goes; the near one is not told, and what it sends goes nowhere."""
+        near, far = self.sides[Way.THERE]
+        far.close("half-open")
+        near.on_close.append(lambda _: self.end())
+
+
+class Relay:
+    """TCP from its own address to `target`."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        name: str,
+        target: tuple[str, int],
+        weather: Weather,
+        seed: int,
+        told: Told,
+        address: tuple[str, int] = ("127.0.0.1", 0),
+        began_ms: float | None = None,
+    ) -> None:
+        self.loop, self.name, self.target, self.weather = loop, name, target, weather
+        self.seed, self.told = seed, told
+        self.began = loop.now() if began_ms is None else began_ms
+        self.pairs: dict[int, Pair] = {}
+        self.idle: set[Stream] = set()  # taken and never answered
+        self.count = self.opening = 0
+        self.listener = Listener(loop, address, self._accepted)
+        self.address = self.listener.address
+
+    def now(self) -> float:
+        """Milliseconds since the play began: the weather's time."""
+        return self.loop.now() - self.began
+
+    def tell(self, kind: str, number: int = 0, way: Way = Way.THERE, size: int = 0) -> None:
+        self.told(Passed(self.now(), self.name, kind, number, way, size))
+
+    def _accepted(self, near: Stream) -> None:
+        state = self.weather.at(self.now())
+        self.count += 1
+        full = state.most and len(self.pairs) + self.opening >= state.most
+        if full or state.door is Door.CLOSES:
+            self.tell("refused", self.count)
+            near.close("the relay lets nobody in")
+        elif state.door is Door.SILENT or Way.THERE in state.cut:
+            self.tell("opened", self.count)
+            self.idle.add(near)
+            near.on_close.append(lambda _: self.idle.discard(near))
+            self.loop.spawn(self._swallow(near), f"relay {self.name}")
+        else:
+            self.opening += 1
+            self.loop.spawn(self._open(self.count, near), f"relay {self.name}")
+
+    def _open(self, number: int, near: Stream) -> Coroutine:
+        self.tell("opened", number)
+        try:
+            far = yield from connect(self.loop, self.target, CONNECT_MS)
+        except ConnectFailed:
+            self.tell("refused", number)
+            near.close("its target is not there")
+            return
+        finally:
+            self.opening -= 1
+        self.pairs[number] = pair = Pair(self, number, near, far)
+        for stream in (near, far):
+            stream.on_close.append(lambda _: self._over(pair))
+
+    def _over(self, pair: Pair) -> None:
+        if all(stream.closed is not None for stream, _ in pair.sides.values()):
+            self.pairs.pop(pair.number, None)
+
+    def _swallow(self, near: Stream) -> Coroutine:
+        try:
+            while data := (yield from near.read(PIECE)):
+                self.tell("piece", self.count, Way.THERE, len(data))
+        except StreamClosed:
+            return
+        near.close("it ended")
+
+    def reset(self) -> None:
+        """Every connection that is open now."""
+        for pair in list(self.pairs.values()):
+            pair.end(reset=True)
+
+    def close(self) -> None:
+        self.listener.close()
+        for pair in list(self.pairs.values()):
+            pair.end()
+        for stream in list(self.idle):
+            stream.close("the relay ended")
+
+
+class DatagramRelay:
+    """UDP from its own address to `target`; each sender gets a socket, so that answers find back."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        name: str,
+        target: tuple[str, int],
+        weather: Weather,
+        seed: int,
+        told: Told,
+        began_ms: float | None = None,
+    ) -> None:
+        self.loop, self.name, self.target, self.told = loop, name, target, told
+        self.began = loop.now() if began_ms is None else began_ms
+        self.flows = {way: Datagrams(weather, way, Random(f"{seed} {name} {way.value}")) for way in Way}
+        self.senders: dict[tuple[str, int], socket.socket] = {}
+        self.sock = self._socket()
+        self.address: tuple[str, int] = self.sock.getsockname()
+        loop.poller.watch(self.sock.fileno(), READ, lambda _: self._there())
+
+    def _socket(self) -> socket.socket:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        sock.setblocking(False)
+        sock.bind(("127.0.0.1", 0))
+        return sock
+
+    def _there(self) -> None:
+        while True:
+            try:
+                data, sender = self.sock.recvfrom(DATAGRAM)
+            except OSError:
+                return
+            out = self.senders.get(sender)
+            if out is None:
+                if len(self.senders) >= PEERS:
+                    continue
+                out = self.senders[sender] = self._socket()
+                self.loop.poller.watch(out.fileno(), READ, lambda _, s=sender, o=out: self._back(s, o))  # type: ignore[misc]
+            self._pass(Way.THERE, data, out, self.target)
+
+    def _back(self, sender: tuple[str, int], out: socket.socket) -> None:
+        while True:
+            try:
+                data, _ = out.recvfrom(DATAGRAM)
+            except OSError:
+                return
+            self._pass(Way.BACK, data, self.sock, sender)
+
+    def _pass(self, way: Way, data: bytes, sock: socket.socket, to: tuple[str, int]) -> None:
+        now = self.loop.now() - self.began
+        times = self.flows[way].arrive(now)
+        number = list(self.senders).index(to) + 1 if way is Way.BACK else 0
+        self.told(Passed(now, self.name, "datagram" if times else "lost", number, way, len(data)))
+        for at in times:
+            self.loop.call_in(max(0.0, at - now), lambda: self._send(sock, data, to))
+
+    @staticmethod
+    def _send(sock: socket.socket, data: bytes, to: tuple[str, int]) -> None:
+        try:
+            sock.sendto(data, to)
+        except OSError:
+            return  # closed meanwhile, or a full buffer: lost, as datagrams are
+
+    def close(self) -> None:
+        for sock in (self.sock, *self.senders.values()):
+            self.loop.poller.forget(sock.fileno())
+            sock.close()
--- /dev/null
+++ b/glencleat/standins/wire.py
@@ -0,0 +1,128 @@
+"""What lies between two processes, as a decision: when a piece arrives, whether it does, who is let in.
+
+No I/O: time is an argument, random numbers come from the seed. `relay.py` moves the bytes. A stream loses
+nothing and keeps its order, so a cut holds it back until the way is open again, as sent-again segments would;
+a datagram is lost, late, repeated or overtaken."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, replace
+from enum import Enum
+from random import Random
+from typing import Any
+
+
+class Way(Enum):
+    THERE = "there"  # from who connects
+    BACK = "back"
+
+
+class Door(Enum):
+    """What becomes of a new connection."""
+
+    OPEN = "open"
+    SILENT = "silent"  # taken, nothing is ever said
+    CLOSES = "closes"  # taken, and closed at once
+
+
+@dataclass(frozen=True, slots=True)
+class State:
+    """Of a wire at one time. Milliseconds, bytes a second, shares of datagrams."""
+
+    cut: frozenset[Way] = frozenset()
+    delay_ms: float = 0.0
+    spread_ms: float = 0.0  # beyond the delay, even over this
+    rate: float = 0.0  # of each direction of each connection; 0: no bound
+    loss: float = 0.0
+    repeat: float = 0.0
+    reorder: float = 0.0  # held back by up to `hold_ms`, so that later ones overtake it
+    hold_ms: float = 50.0
+    door: Door = Door.OPEN
+    most: int = 0  # connections at a time, others are closed at once; 0: no bound
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """From `at_ms` for `for_ms` these fields of the state are others."""
+
+    at_ms: float
+    for_ms: float
+    fields: Mapping[str, Any]
+
+    @property
+    def end_ms(self) -> float:
+        return self.at_ms + self.for_ms
+
+
+class Weather:
+    """The states of one wire over time: a calm one, and faults; where they overlap cuts add up, else the last
+    holds.
+
+    >>> weather = Weather(State(), [Fault(5.0, 10.0, {"cut": frozenset({Way.BACK})})])
+    >>> weather.at(4.0).cut, weather.open_at(Way.BACK, 6.0), weather.open_at(Way.THERE, 6.0)
+    (frozenset(), 15.0, 6.0)
+    """
+
+    def __init__(self, calm: State | None = None, faults: Iterable[Fault] = ()) -> None:
+        self.calm = calm or State()
+        self.faults = sorted(faults, key=lambda fault: fault.at_ms)
+        for fault in self.faults:
+            replace(self.calm, **fault.fields)  # a field that no state has is told now, not at its time
+
+    def at(self, now: float) -> State:
+        state = self.calm
+        for fault in self.faults:
+            if fault.at_ms <= now < fault.end_ms:
+                fields = dict(fault.fields)
+                fields["cut"] = state.cut | fields.get("cut", frozenset())
+                state = replace(state, **fields)
+        return state
+
+    def open_at(self, way: Way, now: float) -> float | None:
+        """When that way is next open: now, later, or never."""
+        if way not in self.at(now).cut:
+            return now
+        ends = sorted(fault.end_ms for fault in self.faults if now < fault.end_ms < float("inf"))
+        return next((end for end in ends if way not in self.at(end).cut), None)
+
+
+class Flow:
+    """One direction of one connection: when each piece arrives, in order."""
+
+    def __init__(self, weather: Weather, way: Way, random: Random) -> None:
+        self.weather, self.way, self.random = weather, way, random
+        self.last = 0.0  # nothing arrives before what came earlier
+        self.free_at = 0.0  # when the bandwidth has passed on what it had
+
+    def arrives(self, now: float, size: int) -> float | None:
+        """Of a piece of `size` bytes read now; None: never, as the way is cut for good."""
+        open_at = self.weather.open_at(self.way, now)
+        if open_at is None:
+            return None
+        state = self.weather.at(open_at)
+        start = max(open_at, self.free_at) if state.rate else open_at
+        passed = start + (1e3 * size / state.rate if state.rate else 0.0)
+        self.free_at = passed
+        self.last = max(self.last, passed + state.delay_ms + self.random.uniform(0.0, state.spread_ms))
+        return self.last
+
+
+class Datagrams:
+    """One direction of datagrams: each arrives never, once or twice, at these times."""
+
+    def __init__(self, weather: Weather, way: Way, random: Random) -> None:
+        self.weather, self.way, self.random = weather, way, random
+
+    def arrive(self, now: float) -> list[float]:
+        state, random = self.weather.at(now), self.random
+        # As many draws for each, whatever the state: a change of the weather moves no later draw.
+        lost, again, late, *parts = (random.random() for _ in range(7))
+        if self.way in state.cut or lost < state.loss:
+            return []
+        held = state.hold_ms * parts[0] if late < state.reorder else 0.0
+        times = [now + state.delay_ms + state.spread_ms * parts[1] + held]
+        if again < state.repeat:
+            times.append(times[0] + state.hold_ms * parts[2])
+        return times
+
