A host that refuses connections is tested after 4 s of silence, not after one

Cause: one constant for both (_look, hosts.py). A test has a price, a connection that carries nothing has none.

Changed: ASK_MS, 4 s of silence plus 2.5 s for the answer keep within the 8 s in which a release is due.

--- a/glencleat/node/hosts.py
+++ b/glencleat/node/hosts.py
@@ -36,7 +36,8 @@
 NEVER_UP_MS = 7_000.0
 AT_ONCE_MS = 100.0  # links that break within this break together
 DRAIN_REFUSED_MS = 2_500.0  # at one that drains: a refusal says little, yet its process may die as any other
-TEST_MS = 2_500.0  # for the answer to a test of such a host, on a link that is open
+# A host that refuses connections is tested on an open link: that has a price, so as late as the 8 s allow.
+ASK_MS, TEST_MS = 4_000.0, 2_500.0  # silent for so long; for the answer
 UNLISTED_MS = 5_000.0  # what was handed over at a host that no list names is over after this
 LIVENESS = 1 << 63  # ids of our own tests, apart from those of the module's probes
 MOST_CUTS = 1_000  # releases that wait for a host
@@ -295,7 +296,7 @@
                 self._over(host, "no list names it")
         elif now - host.refused > self._proof_ms(host):
             self._over(host, "connections are refused")
-        elif host.refusing and now - host.heard > QUIET_MS and self._tested(host, now):
+        elif host.refusing and now - host.heard > ASK_MS and self._tested(host, now):
             self._over(host, "a test is not answered")
         elif host.failing < now and now - host.heard > NEVER_UP_MS and not host.refusing:
             if host.failed_at - host.heard > NEVER_UP_MS:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -310,6 +310,7 @@
 def test_a_host_that_refuses_connections_is_asked_on_an_open_link(world, monkeypatch, lives):
     """A draining host refuses them while its tasks run on; a dead one may leave a link open and silent."""
     monkeypatch.setattr(hosts, "QUIET_MS", 50.0)
+    monkeypatch.setattr(hosts, "ASK_MS", 50.0)
     monkeypatch.setattr(hosts, "TEST_MS", 250.0)
 
     def script(stream, message):
