Nothing is sent on a link left over from before a cut: a new one proves what did not run

Checked: the log by second and kind. The attempts went to hosts whose last try had failed, on links that were up from before the cut: _pick() (hosts.py) looked at the link alone. Such a link takes the bytes and keeps silent; a time-out may have run, so unsafe tasks ended there, while a connection that does not come up proves that nothing ran.

Changed: where nothing was heard since a failed try began, an attempt goes by a new connection, joins one that is coming up, or hears at once what the try of the last 0.1 to 0.8 s found. Anything heard from the host ends that.

--- a/glencleat/node/hosts.py
+++ b/glencleat/node/hosts.py
@@ -80,7 +80,10 @@
         if host is None or not host.address[1]:
             self.loop.call_in(0.0, lambda: self.exchange.failed(attempt, Fact.UNSENT))
             return
-        if not self._send(host, attempt):
+        if self._silent(host) and self.loop.now() < host.again_at and all(li.stream for li in host.links):
+            # A try has just failed, the next one is due soon: the same answer, a connect's time earlier.
+            self.loop.call_in(0.0, lambda: self.exchange.failed(attempt, Fact.NEVER_UP))
+        elif not self._send(host, attempt):
             self._wait(attempt)
 
     def withdraw(self, attempt: Attempt) -> Fact:
@@ -126,7 +129,13 @@
 
     def _pick(self, host: HostLinks, task: int, full: bool) -> Link | None:
         """A link with nothing open if there is one, else a new one, else that with the least, else none."""
-        usable = [li for li in host.links if not li.doubtful and task not in li.spent and self._open(li)]
+        silent = self._silent(host)
+        usable = [
+            link
+            for link in host.links
+            if not link.doubtful and task not in link.spent and self._open(link)
+            if not (silent and link.stream is not None)
+        ]
         free = [link for link in usable if not link.load]
         if free:
             return max(free, key=lambda link: (link.stream is not None, not link.visit, link.used))
@@ -136,6 +145,13 @@
             return self._new(host)
         return min(usable, key=lambda link: link.load)
 
+    def _silent(self, host: HostLinks) -> bool:
+        """Nothing was heard since a try that failed began: what is sent on a link there may run unheard.
+
+        A new connection that does not come up proves that nothing ran; a link left over from before a cut
+        takes the bytes and keeps its silence, which ends an unsafe task."""
+        return not host.refusing and host.heard < host.failed_at - self.connect_ms
+
     def _open(self, link: Link) -> bool:
         """Usable: not closed, and not idle for so long that the host may close it as we write."""
         fresh = self.loop.now() - link.used < self.idle_ms
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -207,14 +207,9 @@
         sock.close()
 
 
-@pytest.mark.parametrize("heals", [True, False])
-def test_a_cut_ends_what_stands_only_when_its_release_is_nearly_due(world, monkeypatch, heals):
-    """3.5 s of failed connections ended thousands of tasks that ran on behind a cut of 6 s."""
-    for name, ms in (("QUIET_MS", 20.0), ("SWEEP_MS", 5.0), ("NEVER_UP_MS", 900.0)):
-        monkeypatch.setattr(hosts, name, ms)
-    (peer,), _ = standing(world, 1)
-    real, cut, host = links.connect, [True], world.hosts.hosts["h0"]
-    heard = host.heard
+def cut_off(monkeypatch):
+    """No connection comes up while the list's one entry is true; those that are up stay, and say nothing."""
+    real, cut = links.connect, [True]
 
     def connect(loop, address, timeout_ms):
         if cut[0]:
@@ -223,6 +218,35 @@
         return (yield from real(loop, address, timeout_ms))
 
     monkeypatch.setattr(links, "connect", connect)
+    return cut
+
+
+def test_nothing_is_sent_on_a_link_left_over_from_before_a_cut(world, monkeypatch):
+    """It takes the bytes and keeps silent: a time-out, after which an unsafe task may not be tried again."""
+    monkeypatch.setattr(hosts, "QUIET_MS", 20.0)
+    world.hosts.connect_ms = 10.0
+    (peer,), owner = standing(world, 1)
+    cut_off(monkeypatch)
+    host = world.hosts.hosts["h0"]
+    world.until(lambda: host.failed_at > host.heard + 20.0)
+    for count in (1, 2):  # by a try of its own, or by one that has just failed
+        world.ask(owner, 1 + count, host="h0", timeout=1_000.0)
+        assert world.back(count, ms=700.0) == [api.Outcome.UNREACHABLE] * count
+    assert [message.task for _, message in peer.got] == [1] and live(world)
+    peer.streams[0].send(m.encode(m.PROGRESS, 99))  # it is heard after all: only new connections fail
+    world.until(lambda: host.heard > host.failed_at)
+    world.ask(owner, 4, host="h0")
+    world.until(lambda: [message.task for _, message in peer.got] == [1, 4])
+
+
+@pytest.mark.parametrize("heals", [True, False])
+def test_a_cut_ends_what_stands_only_when_its_release_is_nearly_due(world, monkeypatch, heals):
+    """3.5 s of failed connections ended thousands of tasks that ran on behind a cut of 6 s."""
+    for name, ms in (("QUIET_MS", 20.0), ("SWEEP_MS", 5.0), ("NEVER_UP_MS", 900.0)):
+        monkeypatch.setattr(hosts, name, ms)
+    (peer,), _ = standing(world, 1)
+    cut, host = cut_off(monkeypatch), world.hosts.hosts["h0"]
+    heard = host.heard
     world.until(lambda: host.failing < world.loop.now() - 200.0)
     assert "h0" in world.exchange.standing
     if heals:
