The last link of a draining host that breaks ends what stands there at once

Ruled out: tests at 4 s of silence (no such verdict in the logs), life tests, the list's later asking (channel breaks 1).

Cause: a release is due 1 s after a draining host's process ends. _proof_ms() (hosts.py) waited 2.5 s unless several links broke at one moment, which piled-up links had made so; with one link a host, it never was. And _again() waited out up to 0.8 s of earlier refusals, which every draining host gives.

Changed: the last link that breaks without having been idle for long counts as several did, and is followed by a try at once. Waiting longer brings no other word there.

Measured: the test fails without it.

--- a/glencleat/node/hosts.py
+++ b/glencleat/node/hosts.py
@@ -35,7 +35,7 @@
 # after a task's end, which may have come as soon as we last heard; less a sweep, a try and the lag of a loop.
 NEVER_UP_MS = 7_000.0
 AT_ONCE_MS = 100.0  # links that break within this break together
-DRAIN_REFUSED_MS = 2_500.0  # at one that drains: a refusal says little, yet its process may die as any other
+DRAIN_REFUSED_MS = 2_500.0  # at one that drains, its links idle or given up: a refusal says little there
 # A host that refuses connections is tested on an open link: that has a price, so as late as the 8 s allow.
 ASK_MS, TEST_MS = 4_000.0, 2_500.0  # silent for so long; for the answer
 UNLISTED_MS = 5_000.0  # what was handed over at a host that no list names is over after this
@@ -222,14 +222,18 @@
         host.refused = min(host.refused, now) if refused and host.alone else float("inf")
         host.again_at, host.again_ms = now + host.again_ms, min(AGAIN_MAX_MS, 2.0 * host.again_ms)
 
-    def broken(self, host: HostLinks, why: str) -> None:
+    def broken(self, host: HostLinks, why: str, idle: bool) -> None:
         """A release that was on its way comes again on the next connection opened: it is opened at once.
 
-        All of several links at one moment is a process that ended, also where the host drains; single ones
-        break on any day, and one that was the only one tells nothing."""
+        All of several links at one moment is a process that ended, also where the host drains. So is the last
+        one, unless it was idle for so long that the host may have closed it: a host that drains takes no new
+        connection, waiting longer brings no other word, and its release is due 1 s after the end. It may do
+        harm where a single reset meets a host that drains and lives: its tasks are told lost."""
         now = self.loop.now()
         host.broke = [at for at in host.broke if now - at < AT_ONCE_MS] + [now]
-        host.fell = len(host.broke) > 1 and host.alone
+        host.fell = host.alone and (len(host.broke) > 1 or not idle)
+        if host.fell:
+            host.again_at = now  # earlier refusals, as of a host that drains, say nothing of this
         if standing := self.exchange.standing.get(host.name):
             left = f"{len(standing)} tasks stand, {len(host.links)} links left"
             self.log(f"host {host.name}: link ended, {why}; {left}")
--- a/glencleat/node/links.py
+++ b/glencleat/node/links.py
@@ -182,7 +182,7 @@
         for attempt, end in out.items():
             self.hosts.exchange.failed(attempt, Fact.BROKEN if stream.written >= end else Fact.UNSENT)
         if not self.left:
-            self.hosts.broken(self.host, why)
+            self.hosts.broken(self.host, why, self.loop.now() - self.used > self.hosts.idle_ms)
 
 
 class HostLinks:
@@ -199,7 +199,7 @@
         self.refusing = False  # the last try: its machine is there
         self.tested = float("-inf")  # since when a test is out
         self.broke: list[float] = []  # when its last links broke
-        self.fell = False  # several broke at once, the last with them
+        self.fell = False  # the last of its links broke, as when a process ends
         self.again_at, self.again_ms = 0.0, AGAIN_MS
         self.cuts: dict[int, None] = {}
         self.given_up = False  # its only link was, for want of descriptors
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -330,6 +330,21 @@
     assert world.back(2, ms=0.6 * hosts.DRAIN_REFUSED_MS) == [api.Outcome.LOST] * 2
 
 
+@pytest.mark.parametrize("idle", [False, True])
+def test_the_only_link_of_a_draining_host_that_breaks_tells_its_end(world, idle):
+    """Its release is due 1 s after the end; nothing else will ever be heard, as it takes no new connection."""
+    (peer,), _ = standing(world, 1)
+    world.list(("h0", peer.address), phase=api.Phase.DRAINING)
+    if idle:  # the host may have closed it for that, and its tasks run on
+        world.hosts.idle_ms = 10.0
+        end = world.loop.now() + 30.0
+        world.until(lambda: world.loop.now() > end)
+    peer.die()
+    began = world.loop.now()
+    assert world.back() == [api.Outcome.LOST]
+    assert (world.loop.now() - began > 1_000.0) is idle
+
+
 @pytest.mark.parametrize("lives", [True, False])
 def test_a_host_that_refuses_connections_is_asked_on_an_open_link(world, monkeypatch, lives):
     """A draining host refuses them while its tasks run on; a dead one may leave a link open and silent."""
