--- /dev/null
+++ b/glencleat/check/asking.py
@@ -0,0 +1,71 @@
+"""Bounds on how a crowd asks one service again, judged from what a relay before it recorded.
+
+No I/O, and nothing of what the allocators say themselves. A bound that was never in danger is *not tried*."""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import Enum
+
+from glencleat.standins.relay import Passed
+
+AFTER_MS = 3_000.0  # first tries are spread over less; what goes on is judged from here
+RATE = 0.98  # connections a second of each: a tenth of what fixed steps of 0.1 s came to
+WINDOW_MS, PART = 100.0, 0.25  # the busiest such time holds less than this part of all
+BACK_MS = 4_000.0  # after the service is well again
+LEAST_DOWN_MS, LEAST_CROWD = AFTER_MS + 1_500.0, 12
+LEAST_BUSY = 40  # of fewer a quarter meet in such a time by chance
+
+
+class State(Enum):
+    KEPT = "kept"
+    BROKEN = "broken"
+    NOT_TRIED = "not tried"
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    bound: str
+    state: State
+    text: str
+
+
+def judge(passed: Iterable[Passed], count: int, down_ms: float, well_ms: float) -> list[Verdict]:
+    """Of `count` allocators at a service that turned everybody away from `down_ms` to `well_ms`."""
+    record = sorted(passed, key=lambda one: one.at_ms)
+    tries = [one.at_ms for one in record if one.kind == "refused" and down_ms <= one.at_ms < well_ms]
+    later = [at for at in tries if at >= down_ms + AFTER_MS]
+    seconds = (well_ms - down_ms - AFTER_MS) / 1e3
+    tried = bool(later) and well_ms - down_ms >= LEAST_DOWN_MS and count >= LEAST_CROWD
+    return [_rate(later, count, seconds, tried), _busiest(later, count, tried), _back(record, count, well_ms)]
+
+
+def _verdict(bound: str, tried: bool, kept: bool, text: str) -> Verdict:
+    return Verdict(bound, State.NOT_TRIED if not tried else State.KEPT if kept else State.BROKEN, text)
+
+
+def _rate(later: list[float], count: int, seconds: float, tried: bool) -> Verdict:
+    each = len(later) / seconds / count if tried else 0.0
+    return _verdict("rate", tried, each < RATE, f"{each:.2f} connections a second each, under {RATE}")
+
+
+def _busiest(later: list[float], count: int, tried: bool) -> Verdict:
+    most = max((bisect_left(later, at + WINDOW_MS) - i for i, at in enumerate(later)), default=0)
+    text = f"{most} of {count} in the busiest {WINDOW_MS:.0f} ms, under {PART:.0%}"
+    return _verdict("busiest", tried and count >= LEAST_BUSY, most < PART * count, text)
+
+
+def _back(record: list[Passed], count: int, well_ms: float) -> Verdict:
+    """Connections that were let in since, and have not ended by the time that all should be back."""
+    until = well_ms + BACK_MS
+    there: set[int] = set()
+    for one in record:
+        if well_ms <= one.at_ms <= until and one.kind == "opened":
+            there.add(one.number)
+        elif one.at_ms <= until and one.kind in ("ended", "reset", "refused"):
+            there.discard(one.number)
+    tried = any(one.at_ms < well_ms and one.kind == "refused" for one in record)
+    text = f"{len(there)} of {count} back within {BACK_MS / 1e3:.0f} s"
+    return _verdict("back", tried and record[-1].at_ms >= well_ms, len(there) >= count, text)
--- /dev/null
+++ b/glencleat/standins/processes.py
@@ -0,0 +1,136 @@
+"""Many allocators of the platform's kind as processes of their own: started at one instant, stalled, killed.
+
+Each gets a configuration file and a log in a folder; no shell is involved. Used as a context: whatever
+happens, every process that was started is ended and waited for."""
+
+from __future__ import annotations
+
+import os
+import signal
+import subprocess
+import sys
+from collections.abc import Mapping
+from pathlib import Path
+from types import TracebackType
+from typing import Any
+
+import msgspec
+
+EACH_MB = 25  # resident, with room for what a start allocates
+MOST = 400
+READY = b"listening on "
+# As the operators' settings name things; two classes are enough for a start.
+SETTINGS: dict[str, Any] = {
+    "az": "a",
+    "classes": [
+        {"name": "safe", "effect": "pure", "goal-time-ms": 1_000.0, "deadline-ms": 8_000.0},
+        {"name": "unsafe", "effect": "side_effect", "goal-time-ms": 1_000.0, "deadline-ms": 8_000.0},
+    ],
+    "kinds": ["std"],
+    "domain": {"cores-by-kind": [16], "kind-memory": [32.0], "cpu-booking": 2.0, "view": True},
+    "limits": {"max-attempts": 3, "connect-timeout-ms": 250.0, "conn-idle-ms": 30_000.0},
+    "discovery": "ask",
+    "rules": {"stop-sending-within-ms": 500.0, "warm-within-ms": 1.0, "overload-for-ms": 1.0},
+}
+
+
+class ProcessError(Exception):
+    """Processes can't be had as asked for; the text says why."""
+
+
+def available_mb() -> int:
+    """What the machine can still give, as the system tells it."""
+    for line in Path("/proc/meminfo").read_text().splitlines():
+        if line.startswith("MemAvailable:"):
+            return int(line.split()[1]) // 1024
+    return 0
+
+
+class Nodes:
+    """`count` allocators. `tree` holds the program to run, by default this one: an earlier version's tree
+    compares the two in one run."""
+
+    def __init__(
+        self, folder: Path, count: int, seed: int, sockets: int = 256, tree: Path | None = None
+    ) -> None:
+        if count > MOST or count * EACH_MB > available_mb():
+            left = available_mb()
+            raise ProcessError(f"{count} processes of {EACH_MB} MB: at most {MOST}, {left} MB are left")
+        self.folder, self.count, self.seed, self.sockets, self.tree = folder, count, seed, sockets, tree
+        self.children: dict[int, subprocess.Popen[bytes]] = {}
+
+    def __enter__(self) -> Nodes:
+        return self
+
+    def __exit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, at: TracebackType | None
+    ) -> None:
+        for number in list(self.children):
+            self.end(number)
+
+    def name(self, number: int) -> str:
+        return f"n{number}"
+
+    def log(self, number: int) -> Path:
+        return self.folder / f"{self.name(number)}.log"
+
+    def configure(self, number: int, channel: tuple[str, int], known: Mapping[str, Any]) -> Path:
+        path = self.folder / f"{self.name(number)}.json"
+        config = {
+            "name": self.name(number),
+            "listen": "127.0.0.1:0",
+            "seed": f"{(self.seed << 16) + number:016x}",
+            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": self.sockets},
+            "channel": f"{channel[0]}:{channel[1]}",
+            "known": known,
+            "settings": {**SETTINGS, "peers-total": self.count, "instance": number},
+        }
+        path.write_bytes(msgspec.json.encode(config))
+        return path
+
+    def start(self, number: int) -> None:
+        """With the configuration written before; its log goes on where it was."""
+        environment = {
+            **os.environ,
+            "ROUTER_NAME": self.name(number),
+            "ROUTER_CONFIG": str(self.folder / f"{self.name(number)}.json"),
+        }
+        if self.tree is not None:
+            environment["PYTHONPATH"] = str(self.tree)
+        with self.log(number).open("ab") as log:
+            self.children[number] = subprocess.Popen(
+                [sys.executable, "-m", "glencleat", "node"],
+                env=environment,
+                cwd=self.tree,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+            )
+
+    def ready(self, number: int) -> tuple[str, int] | None:
+        """Where it listens, once it does; of its last start."""
+        said = self.log(number).read_bytes().rpartition(READY)[2] if self.log(number).exists() else b""
+        place = said.partition(b",")[0].decode()
+        host, colon, port = place.rpartition(":")
+        return (host, int(port)) if colon and port.isdigit() else None
+
+    def alive(self, number: int) -> bool:
+        child = self.children.get(number)
+        return child is not None and child.poll() is None
+
+    def resident_mb(self, number: int) -> float:
+        pages = int(Path(f"/proc/{self.children[number].pid}/statm").read_text().split()[1])
+        return pages * os.sysconf("SC_PAGE_SIZE") / (1 << 20)
+
+    def stall(self, number: int) -> None:
+        self.children[number].send_signal(signal.SIGSTOP)
+
+    def go_on(self, number: int) -> None:
+        self.children[number].send_signal(signal.SIGCONT)
+
+    def end(self, number: int) -> None:
+        """Killed outright, also when it is stalled, and waited for."""
+        child = self.children.pop(number, None)
+        if child is not None:
+            child.kill()
+            child.wait()
--- /dev/null
+++ b/tests/test_cold_start.py
@@ -0,0 +1,117 @@
+"""Several processes of the program with faults between them and the list service, judged from the relay's record."""
+
+from bisect import bisect_left
+from random import Random
+
+import pytest
+
+from glencleat.check.asking import State, judge
+from glencleat.fleet.asking import LIST, Asking
+from glencleat.kernel import Loop
+from glencleat.standins.channel import ChannelService, entry
+from glencleat.standins.processes import MOST, Nodes, ProcessError
+from glencleat.standins.relay import Passed, Relay
+from glencleat.standins.wire import Door, Fault, State as Wire, Weather
+
+COUNT, CROWD, DOWN_MS = 16, 60, 6_000.0
+
+
+def made(step):
+    """A record of CROWD allocators that wait `step(asking, i)` after each try; back at their next one."""
+    found = []
+    for i in range(CROWD):
+        asking, at = Asking(LIST, Random(i)), 0.0
+        while at < DOWN_MS:
+            at += step(asking, i)
+            kind = "refused" if at < DOWN_MS else "opened"
+            found.append(Passed(at, "list", kind, len(found) + 1))
+    return found
+
+
+def states(record, count=CROWD, well=DOWN_MS):
+    return {verdict.bound: verdict.state for verdict in judge(record, count, 0.0, well)}
+
+
+def test_the_judge_tells_good_asking_from_bad():
+    assert set(states(made(lambda asking, i: asking.again())).values()) == {State.KEPT}
+    fixed = states(made(lambda asking, i: 100.0))
+    assert fixed["rate"] is State.BROKEN and fixed["busiest"] is State.BROKEN
+    in_step = states(made(lambda asking, i: 1_500.0))
+    assert in_step["rate"] is State.KEPT and in_step["busiest"] is State.BROKEN
+    late = states(made(lambda asking, i: 11_000.0 if i == 3 else asking.again()))
+    assert late["back"] is State.BROKEN
+
+
+def test_a_bound_that_was_never_in_danger_is_not_tried():
+    assert states([Passed(DOWN_MS + 5.0, "list", "opened", 1)]) == dict.fromkeys(
+        ("rate", "busiest", "back"), State.NOT_TRIED
+    )
+    few = states(made(lambda asking, i: 1_500.0), count=COUNT)
+    assert few["busiest"] is State.NOT_TRIED  # a quarter of so few meet by chance
+    short = states(made(lambda asking, i: asking.again())[:3], well=4_000.0)
+    assert short["rate"] is State.NOT_TRIED and short["busiest"] is State.NOT_TRIED
+
+
+class Rig:
+    """A list service behind a relay, processes that are told of the relay only."""
+
+    def __init__(self, folder, faults):
+        self.loop, self.record = Loop(), []
+        self.service = ChannelService(self.loop, [entry(f"h{i}") for i in range(20)])
+        self.faults = Weather(Wire(), faults)
+        self.relay = Relay(self.loop, "list", self.service.address, self.faults, 1, self.record.append)
+        self.nodes = Nodes(folder, COUNT, seed=7)
+
+    def until(self, done, ms):
+        end = self.loop.now() + ms
+        while not done():
+            assert self.loop.now() < end, [self.nodes.log(i).read_text()[-400:] for i in range(2)]
+            self.loop.call_in(20.0, lambda: None)
+            self.loop.round()
+
+    def close(self):
+        self.relay.close()
+        self.service.close()
+
+
+@pytest.fixture
+def rig(tmp_path):
+    door = Fault(0.0, float("inf"), {"door": Door.CLOSES})
+    found = Rig(tmp_path, [door])
+    with found.nodes:
+        yield found
+        children = list(found.nodes.children.values())
+    found.close()
+    assert all(child.poll() is not None for child in children)  # nothing that was started is left
+
+
+def test_a_crowd_that_starts_at_once_spares_a_service_that_turns_it_away(rig):
+    """60 came back 9.8 times a second each; and one is killed, one stands still in the middle of it."""
+    for i in range(COUNT):
+        rig.nodes.configure(i, rig.relay.address, rig.service.known())
+    for i in range(COUNT):
+        rig.nodes.start(i)
+    rig.until(lambda: all(rig.nodes.ready(i) for i in range(COUNT)), 30_000.0)
+    began = rig.relay.now()
+    rig.until(lambda: rig.relay.now() > began + 1_000.0, 5_000.0)
+    rig.nodes.stall(3)
+    rig.nodes.end(5)
+    rig.until(lambda: rig.relay.now() > began + 3_000.0, 5_000.0)
+    rig.nodes.go_on(3)
+    rig.nodes.start(5)
+    rig.until(lambda: rig.relay.now() > began + DOWN_MS, 10_000.0)
+    well = rig.relay.now()
+    rig.faults.faults.clear()
+    rig.until(lambda: len(rig.service.streams) == COUNT, 4_500.0)
+    rig.record.append(Passed(rig.relay.now(), "list", "piece"))
+    verdicts = judge(rig.record, COUNT, began, well)
+    assert [v.state for v in verdicts] == [State.KEPT, State.NOT_TRIED, State.KEPT], verdicts
+    tries = sorted(one.at_ms for one in rig.record if one.kind == "refused" and one.at_ms > began + 500.0)
+    assert max(bisect_left(tries, at + 100.0) - i for i, at in enumerate(tries)) < COUNT / 2  # not in step
+    assert rig.service.whole == 0 and {number for _, number in rig.service.asked} == {1}  # known lists are not sent
+    assert all(rig.nodes.resident_mb(i) < 30.0 for i in range(COUNT))
+
+
+def test_processes_that_the_machine_cannot_hold_are_refused(tmp_path):
+    with pytest.raises(ProcessError, match="at most"):
+        Nodes(tmp_path, MOST + 1, seed=1)
