A visit to a quiet host ends only as the next one is opened

Inferred, not traced by id: a release sent on a visit as we closed it comes again only on the next connection, which a draining host does not take. Visits were closed 0.5 s after they came up, so half of the time nothing came after (Hosts._visited).

Changed: a visit stays until just before the next is opened (_retire), never at a host that drains; a surplus link's end is followed by a connection at once.

--- a/glencleat/node/hosts.py
+++ b/glencleat/node/hosts.py
@@ -17,7 +17,7 @@
 from glencleat.isup.channel import Host, News
 from glencleat.isup.exchange import Attempt, Exchange, Fact
 from glencleat.kernel import Loop
-from glencleat.node.links import AGAIN_MAX_MS, AGAIN_MS, VISIT_MS, HostLinks, Link
+from glencleat.node.links import AGAIN_MAX_MS, AGAIN_MS, HostLinks, Link
 
 if TYPE_CHECKING:
     from glencleat.isup.channel import Channel
@@ -188,21 +188,23 @@
         host.heard, host.again_ms = self.loop.now(), AGAIN_MS
         host.refused = host.failing = float("inf")
         host.refusing = host.fell = host.given_up = False
-        if link.visit:
-            self.loop.call_in(VISIT_MS, lambda: self._visited(host, link))
         for task in host.cuts:
             link.write(m.caused(m.RELEASE, task, m.ENDED))
         host.cuts.clear()
         self._file(host)
 
-    def _visited(self, host: HostLinks, link: Link) -> None:
-        """The host lives and has told what it owed; the link that was there goes on, unless it is too old.
+    def _retire(self, host: HostLinks) -> None:
+        """Ends the last visit, just before the next one is opened, and keeps the link that carries set-ups.
 
-        Which of the two is kept decides what a life test costs: one that carries nothing has no price."""
-        if link.visit and link in host.links:
-            link.visit = False
-            if any(li is not link and self._kept(li) for li in host.links):
-                link.leave("the host lives")
+        A release that we cut off comes again on the next connection opened. Were that later, a host that
+        begins to drain meanwhile would take none, and its release never come. A visit that carries nothing has
+        no price."""
+        visits = [link for link in host.links if link.visit and link.stream is not None and not link.load]
+        for link in visits if not host.draining else ():
+            if any(not li.visit and self._kept(li) for li in host.links):
+                link.leave("a newer one is opened")
+            else:
+                link.visit = False
 
     def _kept(self, link: Link) -> bool:
         return link.stream is not None and not link.doubtful and self._open(link)
@@ -244,6 +246,7 @@
         if connecting or not host.address[1] or self.loop.now() < host.again_at:
             return
         if self.descriptors.make_room(demand):
+            self._retire(host)
             self._new(host, visit=bool(host.links))
 
     # ---- the list ----
@@ -357,6 +360,10 @@
             idle = 0.0 if link.stream is None or link.load or link.visit else now - link.used
             if idle > SURPLUS_MS and any(li is not link and self._kept(li) for li in host.links):
                 link.leave("another is enough")
+                if stands:
+                    self._again(host)  # at once: see _retire
+            elif link.visit and not stands and link.stream is not None and not link.load:
+                link.leave("nothing stands there")
             elif idle > self.idle_ms and not stands:
                 link.leave("idle")
             elif idle > self.idle_ms and not host.draining:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -528,7 +528,6 @@
 def test_a_life_test_leaves_one_link(world, monkeypatch):
     """A quiet host is tried by a new connection each time; they were kept until nothing was free."""
     monkeypatch.setattr(hosts, "QUIET_MS", 30.0)
-    monkeypatch.setattr(hosts, "VISIT_MS", 10.0)
     (peer,), _ = standing(world, 1)
     (first,) = live(world)
     world.until(lambda: len(peer.streams) >= 4)
@@ -536,6 +535,17 @@
     world.until(lambda: sum(stream.closed is None for stream in peer.streams) <= 2)
 
 
+def test_a_visit_ends_only_when_the_next_is_opened(world, monkeypatch):
+    """A release cut off with it comes again on the next one; a host that drains meanwhile takes none."""
+    monkeypatch.setattr(hosts, "QUIET_MS", 20.0)
+    (peer,), _ = standing(world, 1)
+    world.until(lambda: len(live(world)) == 2)
+    opened, host = len(peer.streams), world.hosts.hosts["h0"]
+    peer.listener.close()
+    world.until(lambda: host.failing < world.loop.now() - 300.0 and not world.descriptors.leaving)
+    assert opened == len(peer.streams) and live(world)
+
+
 def test_a_release_on_its_way_is_heard_on_a_link_that_we_end(world):
     (peer,), owner = standing(world, 1)
     assert world.says(owner)
