--- a/benchmarks/cold_start.py
+++ b/benchmarks/cold_start.py
@@ -1,9 +1,9 @@
-"""Many allocators that start at once at a list service that turns them away: what it hears, and when all are back.
+"""Many allocators that start at once, and a list service that turns them away: what it hears, who is back.
 
     python -m benchmarks.cold_start --before TREE --counts 50,100,300
 
-TREE is a checkout of an earlier version; both are played in turn in one run. The figures are taken from the record of
-the relay before the service."""
+TREE is a checkout of an earlier version; both are played in turn in one run. The figures are taken from the
+record of the relay before the service."""
 
 from __future__ import annotations
 
@@ -67,7 +67,7 @@
 
 
 @click.command()
-@click.option("--before", type=click.Path(exists=True, path_type=Path), help="a checkout of an earlier version")
+@click.option("--before", type=click.Path(exists=True, path_type=Path), help="an earlier version's tree")
 @click.option("--counts", default="50,100")
 def main(before: Path | None, counts: str) -> None:
     """A table of both versions, and what one is of the other."""
@@ -83,7 +83,8 @@
                 click.echo(f"| allocators | version | {' | '.join(rows)} |\n|{' --- |' * (len(rows) + 2)}")
             click.echo(f"| {count} | {name} | {' | '.join(f'{found[name][row]:.2f}' for row in rows)} |")
         if len(found) == 2:
-            parts = (found["now"][row] / found["before"][row] if found["before"][row] else 0.0 for row in rows)
+            before_, now = found["before"], found["now"]
+            parts = (now[row] / before_[row] if before_[row] else 0.0 for row in rows)
             click.echo(f"| {count} | now / before | {' | '.join(f'{part:.2f}' for part in parts)} |")
 
 
--- a/glencleat/node/hosts.py
+++ b/glencleat/node/hosts.py
@@ -197,8 +197,7 @@
         """Ends the last visit, just before the next one is opened, and keeps the link that carries set-ups.
 
         A release that we cut off comes again on the next connection opened. Were that later, a host that
-        begins to drain meanwhile would take none, and its release never come. A visit that carries nothing has
-        no price."""
+        begins to drain meanwhile would take none, and its release never come."""
         visits = [link for link in host.links if link.visit and link.stream is not None and not link.load]
         for link in visits if not host.draining else ():
             if any(not li.visit and self._kept(li) for li in host.links):
