A visit goes before the link beside it, and its descriptor serves the next visit

Cause: of a host's two idle links each was 'spare' for the other's sake (Link.worth), so room was made at the cost of the one that set-ups had paid for, and it was opened, and paid for, again. Ruled out: memory, 18 of 64 MB.

Changed: a visit counts as no other link; a host's next visit takes the place of its last before any other's.

--- a/glencleat/node/hosts.py
+++ b/glencleat/node/hosts.py
@@ -244,8 +244,8 @@
         connecting = any(link.stream is None for link in host.links)
         if connecting or not host.address[1] or self.loop.now() < host.again_at:
             return
+        self._retire(host)  # first: where nothing is free its descriptor serves the next
         if self.descriptors.make_room(demand):
-            self._retire(host)
             self._new(host, visit=bool(host.links))
 
     # ---- the list ----
--- a/glencleat/node/links.py
+++ b/glencleat/node/links.py
@@ -51,7 +51,8 @@
         host = self.host
         if self.stream is None or self.load:
             return Worth.HELD
-        others = any(li is not self and li.stream is not None and not li.doubtful for li in host.links)
+        up = (li for li in host.links if li is not self and li.stream is not None and not li.doubtful)
+        others = any(self.visit or not li.visit for li in up)  # a visit goes before the link it is beside
         if others or not (host.cuts or self.hosts.exchange.standing.get(host.name)):
             return Worth.SPARE
         if host.draining:
