An attempt taken back while the line is served is not sent

Seen on reading again: _serve_line() (hosts.py) goes through a copy of the line; on hearing that one attempt came to nothing the exchange may withdraw a later one, which would then be sent after its owner heard its end. Changed: it is looked up again before it is sent. The test fails without it.

--- a/glencleat/node/hosts.py
+++ b/glencleat/node/hosts.py
@@ -111,6 +111,8 @@
         self.serving, full = False, False
         for attempt in list(self.line):
             host = self.hosts.get(attempt.host)
+            if attempt not in self.line:
+                continue  # taken back since, by what the exchange did on hearing of one before it
             if host is None or not host.address[1]:
                 del self.line[attempt]
                 self.exchange.failed(attempt, Fact.UNSENT)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -476,6 +476,22 @@
     assert world.descriptors.most == world.descriptors.room
 
 
+def test_one_taken_back_while_the_line_is_served_is_not_sent(world):
+    """On hearing that one came to nothing, the exchange may withdraw another: it is known not to have run."""
+    peers, owner = [Peer(world.loop) for _ in range(2)], world.client()
+    world.list(*((f"h{i}", peer.address) for i, peer in enumerate(peers)))
+    world.until(lambda: world.owners.owners)
+    world.descriptors.room = 1
+    for task in (1, 2):
+        world.ask(owner, task, host=f"h{task - 1}")
+    first, second = world.hosts.line
+    world.hosts.hosts["h0"].address = ("", 0)
+    world.exchange.failed = lambda attempt, fact: world.hosts.withdraw(second)
+    world.descriptors.room = 9
+    world.hosts._serve_line()
+    assert not world.hosts.line and second.link is None and not world.hosts.hosts["h1"].links
+
+
 def test_the_line_is_bounded(world, monkeypatch):
     monkeypatch.setattr(hosts, "MOST_LINE", 1)
     peer, owner = Peer(world.loop), world.client()
