Both relays are one thing with two sockets; a half-open fault tells the near side nothing

Need, from reading the change again: Relay and DatagramRelay had the same set-up, clock and telling twice; a datagram's sender was searched for in a list of all; two words were not true (HOST's pace is not in use yet, links that end are read).

Changed: Between holds what is the same. Seen on the way and mended: what a silent door swallowed was told under the last connection's number, a datagram's way there under none, and the end of a half-open connection's far side could reset the near one, which failed its test once under load.

--- a/glencleat/descriptors.py
+++ b/glencleat/descriptors.py
@@ -13,7 +13,7 @@
 
 ASIDE = 32  # of the limit: 11 always open (standard, poller, signals, listener and its spare, channel, a file
 # that is read), LEAVING, and 13 that nothing of ours takes, so that the limit is never reached
-LEAVING = 8  # links that we end wait, unread, for their peer's end; more at once are closed without
+LEAVING = 8  # links that we end are read until their peer's end; more at once are closed without
 
 
 class Side(Enum):
--- a/glencleat/fleet/asking.py
+++ b/glencleat/fleet/asking.py
@@ -1,6 +1,6 @@
 """When to ask a party again that could not be had, so that many who ask at once do not keep it down.
 
-No I/O: time is an argument, the random numbers are the caller's. Used for the machine list and for hosts.
+No I/O: time is an argument, the random numbers are the caller's. For the machine list, later for hosts.
 Three things keep a crowd from going in step and from growing: a first wait drawn from a whole span, since all
 saw the same break; waits that grow; and a memory of how long the last connection lasted, since one that is
 taken and ended at once is no success. `docs/design-fleet.md` derives the constants."""
--- a/glencleat/standins/relay.py
+++ b/glencleat/standins/relay.py
@@ -47,6 +47,7 @@
         self.relay, self.number, self.loop = relay, number, relay.loop
         self.sides = {Way.THERE: (near, far), Way.BACK: (far, near)}
         self.held = {Way.THERE: 0, Way.BACK: 0}
+        self.half = False  # its far side is gone, and the near one is not to hear of it
         for way in Way:
             seed = f"{relay.seed} {relay.name} {number} {way.value}"
             flow = Flow(relay.weather, way, Random(seed))
@@ -62,7 +63,8 @@
                     yield from self.loop.sleep(10.0)
             self._later(flow, 0, lambda: self._ended(sink))
         except StreamClosed:
-            self._later(flow, 0, lambda: self.end(reset=True))
+            if not self.half:
+                self._later(flow, 0, lambda: self.end(reset=True))
 
     def _pass(self, way: Way, flow: Flow, data: bytes) -> None:
         sink = self.sides[way][1]
@@ -100,12 +102,13 @@
     def half_open(self) -> None:
         """The far party goes; the near one is not told, and what it sends goes nowhere."""
         near, far = self.sides[Way.THERE]
+        self.half = True
         far.close("half-open")
         near.on_close.append(lambda _: self.end())
 
 
-class Relay:
-    """TCP from its own address to `target`."""
+class Between:
+    """What relays of both kinds are: a name, a target, the weather and its clock, and who is told."""
 
     def __init__(
         self,
@@ -119,13 +122,13 @@
         began_ms: float | None = None,
     ) -> None:
         self.loop, self.name, self.target, self.weather = loop, name, target, weather
-        self.seed, self.told = seed, told
+        self.seed, self.told, self.address = seed, told, address
         self.began = loop.now() if began_ms is None else began_ms
-        self.pairs: dict[int, Pair] = {}
-        self.idle: set[Stream] = set()  # taken and never answered
-        self.count = self.opening = 0
-        self.listener = Listener(loop, address, self._accepted)
-        self.address = self.listener.address
+        self._listen()
+
+    def _listen(self) -> None:
+        """Binds to `address`, and sets it to what was bound."""
+        raise NotImplementedError
 
     def now(self) -> float:
         """Milliseconds since the play began: the weather's time."""
@@ -134,6 +137,17 @@
     def tell(self, kind: str, number: int = 0, way: Way = Way.THERE, size: int = 0) -> None:
         self.told(Passed(self.now(), self.name, kind, number, way, size))
 
+
+class Relay(Between):
+    """TCP from its own address to `target`."""
+
+    def _listen(self) -> None:
+        self.pairs: dict[int, Pair] = {}
+        self.idle: set[Stream] = set()  # taken and never answered
+        self.count = self.opening = 0
+        self.listener = Listener(self.loop, self.address, self._accepted)
+        self.address = self.listener.address
+
     def _accepted(self, near: Stream) -> None:
         state = self.weather.at(self.now())
         self.count += 1
@@ -145,7 +159,7 @@
             self.tell("opened", self.count)
             self.idle.add(near)
             near.on_close.append(lambda _: self.idle.discard(near))
-            self.loop.spawn(self._swallow(near), f"relay {self.name}")
+            self.loop.spawn(self._swallow(self.count, near), f"relay {self.name}")
         else:
             self.opening += 1
             self.loop.spawn(self._open(self.count, near), f"relay {self.name}")
@@ -168,10 +182,10 @@
         if all(stream.closed is not None for stream, _ in pair.sides.values()):
             self.pairs.pop(pair.number, None)
 
-    def _swallow(self, near: Stream) -> Coroutine:
+    def _swallow(self, number: int, near: Stream) -> Coroutine:
         try:
             while data := (yield from near.read(PIECE)):
-                self.tell("piece", self.count, Way.THERE, len(data))
+                self.tell("piece", number, Way.THERE, len(data))
         except StreamClosed:
             return
         near.close("it ended")
@@ -189,31 +203,22 @@
             stream.close("the relay ended")
 
 
-class DatagramRelay:
+class DatagramRelay(Between):
     """UDP from its own address to `target`; each sender gets a socket, so that answers find back."""
 
-    def __init__(
-        self,
-        loop: Loop,
-        name: str,
-        target: tuple[str, int],
-        weather: Weather,
-        seed: int,
-        told: Told,
-        began_ms: float | None = None,
-    ) -> None:
-        self.loop, self.name, self.target, self.told = loop, name, target, told
-        self.began = loop.now() if began_ms is None else began_ms
-        self.flows = {way: Datagrams(weather, way, Random(f"{seed} {name} {way.value}")) for way in Way}
-        self.senders: dict[tuple[str, int], socket.socket] = {}
-        self.sock = self._socket()
-        self.address: tuple[str, int] = self.sock.getsockname()
-        loop.poller.watch(self.sock.fileno(), READ, lambda _: self._there())
+    def _listen(self) -> None:
+        seed = f"{self.seed} {self.name}"
+        self.flows = {way: Datagrams(self.weather, way, Random(f"{seed} {way.value}")) for way in Way}
+        self.senders: dict[tuple[str, int], tuple[int, socket.socket]] = {}
+        self.sock = self._socket(self.address)
+        self.address = self.sock.getsockname()
+        self.loop.poller.watch(self.sock.fileno(), READ, lambda _: self._there())
 
-    def _socket(self) -> socket.socket:
+    @staticmethod
+    def _socket(address: tuple[str, int] = ("127.0.0.1", 0)) -> socket.socket:
         sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         sock.setblocking(False)
-        sock.bind(("127.0.0.1", 0))
+        sock.bind(address)
         return sock
 
     def _there(self) -> None:
@@ -222,27 +227,29 @@
                 data, sender = self.sock.recvfrom(DATAGRAM)
             except OSError:
                 return
-            out = self.senders.get(sender)
-            if out is None:
-                if len(self.senders) >= PEERS:
-                    continue
-                out = self.senders[sender] = self._socket()
-                self.loop.poller.watch(out.fileno(), READ, lambda _, s=sender, o=out: self._back(s, o))  # type: ignore[misc]
-            self._pass(Way.THERE, data, out, self.target)
-
-    def _back(self, sender: tuple[str, int], out: socket.socket) -> None:
+            if sender not in self.senders and len(self.senders) >= PEERS:
+                continue
+            number, out = self.senders.get(sender) or self._new(sender)
+            self._pass(Way.THERE, number, data, out, self.target)
+
+    def _new(self, sender: tuple[str, int]) -> tuple[int, socket.socket]:
+        number, out = found = len(self.senders) + 1, self._socket()
+        self.senders[sender] = found
+        self.loop.poller.watch(out.fileno(), READ, lambda _: self._back(number, sender, out))
+        return found
+
+    def _back(self, number: int, sender: tuple[str, int], out: socket.socket) -> None:
         while True:
             try:
                 data, _ = out.recvfrom(DATAGRAM)
             except OSError:
                 return
-            self._pass(Way.BACK, data, self.sock, sender)
+            self._pass(Way.BACK, number, data, self.sock, sender)
 
-    def _pass(self, way: Way, data: bytes, sock: socket.socket, to: tuple[str, int]) -> None:
-        now = self.loop.now() - self.began
+    def _pass(self, way: Way, number: int, data: bytes, sock: socket.socket, to: tuple[str, int]) -> None:
+        now = self.now()
         times = self.flows[way].arrive(now)
-        number = list(self.senders).index(to) + 1 if way is Way.BACK else 0
-        self.told(Passed(now, self.name, "datagram" if times else "lost", number, way, len(data)))
+        self.tell("datagram" if times else "lost", number, way, len(data))
         for at in times:
             self.loop.call_in(max(0.0, at - now), lambda: self._send(sock, data, to))
 
@@ -254,6 +261,6 @@
             return  # closed meanwhile, or a full buffer: lost, as datagrams are
 
     def close(self) -> None:
-        for sock in (self.sock, *self.senders.values()):
+        for sock in (self.sock, *(out for _, out in self.senders.values())):
             self.loop.poller.forget(sock.fileno())
             sock.close()
