A link still coming up at an address given away carries nothing

Now it is ended when it is up, and what waits is told not sent at once. The address is kept by the link: read as the task first ran, it was the new one. In passing: one test for 'up with nothing open', one way to fail an attempt a turn later, cut() by _kept(), and the count of proven owners is no longer called as their mark.

--- a/glencleat/node/hosts.py
+++ b/glencleat/node/hosts.py
@@ -78,11 +78,10 @@
     def offer(self, attempt: Attempt) -> None:
         host = self.hosts.get(attempt.host)
         if host is None or not host.address[1]:
-            self.loop.call_in(0.0, lambda: self.exchange.failed(attempt, Fact.UNSENT))
-            return
-        if self._silent(host) and self.loop.now() < host.again_at and all(li.stream for li in host.links):
+            self.answer(attempt, Fact.UNSENT)
+        elif self._silent(host) and self.loop.now() < host.again_at and all(li.stream for li in host.links):
             # A try has just failed, the next one is due soon: the same answer, a connect's time earlier.
-            self.loop.call_in(0.0, lambda: self.exchange.failed(attempt, Fact.NEVER_UP))
+            self.answer(attempt, Fact.NEVER_UP)
         elif not self._send(host, attempt):
             self._wait(attempt)
 
@@ -96,11 +95,15 @@
     def _wait(self, attempt: Attempt) -> None:
         """For a descriptor, within its time: a connect that fails would be tried again at once."""
         if len(self.line) >= MOST_LINE:
-            self.loop.call_in(0.0, lambda: self.exchange.failed(attempt, Fact.UNSENT))
+            self.answer(attempt, Fact.UNSENT)
             return
         self.line[attempt] = None
         self.waited += 1
 
+    def answer(self, attempt: Attempt, fact: Fact) -> None:
+        """Told once the exchange is done with offering it."""
+        self.loop.call_in(0.0, lambda: self.exchange.failed(attempt, fact))
+
     def _freed(self) -> None:
         if self.line and not self.serving:
             self.serving = True
@@ -169,7 +172,7 @@
         host = self.hosts.get(name)
         if host is None:
             return
-        link = next((li for li in host.links if li.stream and not li.doubtful and self._open(li)), None)
+        link = next((li for li in host.links if self._kept(li)), None)
         if link is not None:
             link.write(m.caused(m.RELEASE, task, m.ENDED))
         elif len(host.cuts) < MOST_CUTS:
@@ -200,7 +203,7 @@
 
         A release that we cut off comes again on the next connection opened. Were that later, a host that
         begins to drain meanwhile would take none, and its release never come."""
-        visits = [link for link in host.links if link.visit and link.stream is not None and not link.load]
+        visits = [link for link in host.links if link.visit and link.unused]
         for link in visits if not host.draining else ():
             if any(not li.visit and self._kept(li) for li in host.links):
                 link.leave("a newer one is opened")
@@ -292,9 +295,7 @@
 
     def _drop(self, host: HostLinks, why: str) -> None:
         for link in list(host.links):
-            if link.stream is not None:
-                link.left = True
-                link.stream.close(why)
+            link.drop(why)
 
     # ---- now and then ----
 
@@ -358,12 +359,12 @@
         """Ends links that nobody needs, and forgets hosts that are gone."""
         stands = host.name in self.exchange.standing
         for link in sorted(host.links, key=lambda link: (not link.doubtful, link.used)):
-            idle = 0.0 if link.stream is None or link.load or link.visit else now - link.used
+            idle = now - link.used if link.unused and not link.visit else 0.0
             if idle > SURPLUS_MS and any(li is not link and self._kept(li) for li in host.links):
                 link.leave("another is enough")
                 if stands:
                     self._again(host)  # at once: see _retire
-            elif link.visit and not stands and link.stream is not None and not link.load:
+            elif link.visit and not stands and link.unused:
                 link.leave("nothing stands there")
             elif idle > self.idle_ms and not stands:
                 link.leave("idle")
--- a/glencleat/node/links.py
+++ b/glencleat/node/links.py
@@ -29,6 +29,7 @@
 
     def __init__(self, hosts: Hosts, host: HostLinks, visit: bool) -> None:
         self.hosts, self.host, self.loop = hosts, host, hosts.loop
+        self.address = host.address  # which may be another by the time that it comes up
         self.visit = visit  # opened beside another to see whether the host lives: not kept unless used
         self.left = False  # we end it: nothing more is sent, and its end says nothing of the host
         self.since = 0.0  # when it came up
@@ -45,11 +46,16 @@
     def load(self) -> int:
         return len(self.waiting) + len(self.out)
 
+    @property
+    def unused(self) -> bool:
+        """Up, with nothing open on it."""
+        return self.stream is not None and not self.load
+
     # ---- its descriptor ----
 
     def worth(self) -> Worth:
         host = self.host
-        if self.stream is None or self.load:
+        if not self.unused:
             return Worth.HELD
         up = (li for li in host.links if li is not self and li.stream is not None and not li.doubtful)
         others = any(self.visit or not li.visit for li in up)  # a visit goes before the link it is beside
@@ -79,6 +85,21 @@
         else:
             self.stream.close(why)
 
+    def drop(self, why: str) -> None:
+        """Ends it at once: its host is no longer at that address.
+
+        One that still comes up would reach whoever is there now: it is ended when it is up, and what waits
+        for it has not run. To close it before would need the connect called off."""
+        self.left = True
+        if self.stream is not None:
+            self.stream.close(why)
+            return
+        self.host.links.discard(self)
+        waiting, self.waiting = self.waiting, []
+        for attempt in waiting:
+            attempt.link = None
+            self.hosts.answer(attempt, Fact.UNSENT)
+
     # ---- attempts ----
 
     def take(self, attempt: Attempt) -> None:
@@ -121,10 +142,12 @@
 
     def _run(self) -> Coroutine:
         try:
-            self.stream = yield from connect(self.loop, self.host.address, self.hosts.connect_ms)
+            self.stream = yield from connect(self.loop, self.address, self.hosts.connect_ms)
         except ConnectFailed as error:
             self.host.links.discard(self)
             self.hosts.descriptors.free(self)
+            if self.left:
+                return  # of an address that is no longer its host's
             if error.code in (errno.EMFILE, errno.ENFILE):
                 # Ours: it says nothing of the host. A sweep would try again at once, and all the others too.
                 fact, self.host.again_at = Fact.UNSENT, self.loop.now() + AGAIN_MAX_MS
@@ -137,6 +160,9 @@
         assert self.stream is not None
         self.since = self.loop.now()
         self.stream.on_close.append(lambda _: self.hosts.descriptors.free(self))
+        if self.left:
+            self.stream.close("its host has another address")
+            return
         self.hosts.up(self.host, self)
         for attempt in self.waiting:
             self._send(attempt)
--- a/glencleat/node/owners.py
+++ b/glencleat/node/owners.py
@@ -43,7 +43,7 @@
         self.begun: float | None = None  # since when a message is not whole
 
     def worth(self) -> Worth:
-        if self.open or (self.proven and self.owners.proven == 1):
+        if self.open or (self.proven and self.owners.friends == 1):
             return Worth.HELD  # an answer is owed on it, or it is the last one that releases can go by
         return Worth.FRIEND if self.proven else Worth.STRANGER
 
@@ -62,7 +62,7 @@
         self.owed: deque[tuple[float, bytes]] = deque(maxlen=OWED)
         self.listener: Listener | None = None
         self.leaving = False
-        self.proven = 0  # of those connected
+        self.friends = 0  # proven ones, of those connected
         self.trace: Trace | None = None
         loop.call_in(SWEEP_MS, self._sweep)
 
@@ -88,7 +88,7 @@
         self.loop.spawn(self._serve(owner), "owner")
 
     def _closed(self, owner: Owner) -> None:
-        self.proven -= owner.proven
+        self.friends -= owner.proven
         self.descriptors.free(owner)
 
     def _serve(self, owner: Owner) -> Coroutine:
@@ -149,7 +149,7 @@
         """A task of its stands: it is one of those that releases may be told to."""
         if not owner.proven:
             owner.proven = True
-            self.proven += owner.stream.closed is None
+            self.friends += owner.stream.closed is None
             self.descriptors.file(owner)
             while self.owed and owner.stream.closed is None:
                 self._write(owner, self.owed.popleft()[1])
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -404,6 +404,30 @@
     world.until(lambda: set(world.hosts.hosts) == {"h2"})  # and h1 is forgotten
 
 
+@pytest.mark.parametrize("moved", ["elsewhere", "replaced"])
+def test_what_still_comes_up_at_an_address_given_away_carries_nothing(world, monkeypatch, moved):
+    """It would bring a set-up for one host to the one that has its address now."""
+    held, begun, real = [True], [], links.connect
+
+    def connect(loop, address, timeout_ms):
+        begun.append(address)
+        while held[0]:
+            yield from loop.sleep(1.0)
+        return (yield from real(loop, address, timeout_ms))
+
+    monkeypatch.setattr(links, "connect", connect)
+    peer, other, owner = Peer(world.loop, stands), Peer(world.loop, stands), world.client()
+    world.list(("h1", peer.address))
+    world.ask(owner, 1, timeout=3_000.0)
+    world.until(lambda: begun == [peer.address])
+    world.list(("h1", other.address) if moved == "elsewhere" else ("h2", peer.address))
+    assert world.back() == [api.Outcome.NOT_SENT]
+    assert not world.hosts.links
+    held[0] = False
+    world.until(lambda: len(peer.streams) == 1 and world.descriptors.held == 1)
+    assert not peer.got
+
+
 def test_a_give_up_is_written_and_its_id_not_sent_there_again(world):
     """A late yes to the first attempt would else answer the second."""
     peer, owner = Peer(world.loop), world.client()
