serve asks its directory again as node asks for the list: spread, growing, by Retry-After

Now fleet/asking.py says when the ask leaves; FAILED is still told at once, and the module's further asks share the one turn. The seed is the process's own, since allocators of one configuration share the decisions' seed.

--- a/glencleat/daemon.py
+++ b/glencleat/daemon.py
@@ -7,7 +7,7 @@
 
 import gc
 from pathlib import Path
-from random import SystemRandom
+from random import Random, SystemRandom
 from typing import Any
 
 from glencleat import interface as api
@@ -15,6 +15,7 @@
 from glencleat.allocator.core import Core
 from glencleat.allocator.options import Options
 from glencleat.config import Config, ConfigError, load
+from glencleat.fleet.asking import LIST, Asking, Pace
 from glencleat.fronts.directory import DirectoryClient
 from glencleat.fronts.executor_api import ExecutorApi
 from glencleat.fronts.metrics import MetricsApi
@@ -86,6 +87,7 @@
         path: Path | None = None,
         loop: Loop | None = None,
         seed: int | None = None,
+        pace: Pace = LIST,
     ) -> None:
         self.config, self.log, self.path = config, log, path
         self.loop = loop or Loop()
@@ -99,8 +101,14 @@
         if config.rest_listen is not None:
             self.plane = rest.Plane(self.core, rest_limits(config), ids ^ 0x5EED)
         self.stopping = self.ending = False
+        # Of its own seed: allocators of one configuration may share the decisions' one, and would go in step.
         self.directory = DirectoryClient(
-            self.loop, config.directory, self.core.list_told, 3.0 * config.heartbeat.every, log=self._log
+            self.loop,
+            config.directory,
+            self.core.list_told,
+            Asking(pace, Random(ids ^ 0xA5C)),
+            3.0 * config.heartbeat.every,
+            log=self._log,
         )
         self.core.watch = self.directory.watch
         self.core.on_idle = self._end_soon
--- a/glencleat/fleet/asking.py
+++ b/glencleat/fleet/asking.py
@@ -46,6 +46,12 @@
         self.tries = 0  # since the last connection that was one
         self.span = pace.first_ms
 
+    def first(self) -> float:
+        """How long to wait before the first try of all: those that start together are spread as well.
+
+        Only for one that can't work yet anyhow; one that starts with a list has it, and asks at once."""
+        return self.random.uniform(0.0, self.pace.first_ms)
+
     def again(self, lasted_ms: float = 0.0, told_ms: float = 0.0) -> float:
         """How long to wait now that a try, or a connection that lasted so long, has ended.
 
--- a/glencleat/fronts/directory.py
+++ b/glencleat/fronts/directory.py
@@ -1,15 +1,17 @@
 """The directory's client: subscribes to the Operator API at /api/v1 and tells the module what it says.
 
-The module asks by `Watch` and decides when to ask again; a failed or broken subscription is told as
-FAILED."""
+The module asks by `Watch`; a failed or broken subscription is told as FAILED, at once. When its next ask
+leaves is for `fleet/asking.py` to say, as on the platform: a crowd that lost its directory comes back spread,
+and no sooner than a Retry-After says."""
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from glencleat import interface as api
 from glencleat.allocator.listing import Listing
+from glencleat.fleet.asking import Asking
 from glencleat.kernel import Loop, Stream, StreamClosed, Task
 from glencleat.kernel.loop import Coroutine
 from glencleat.kernel.streams import connect
@@ -19,6 +21,13 @@
 
 TARGET = "/api/v1"
 CONNECT_MS = 1_000.0
+RETRY_AFTER_MOST_MS = 60_000.0  # of what a directory may say; a wrong word would else keep us blind
+
+
+def retry_after_ms(headers: Mapping[str, str]) -> float:
+    """The seconds that a Retry-After names (RFC 9110, 10.2.3), as milliseconds; 0 for a date or nonsense."""
+    told = headers.get("retry-after", "").strip()
+    return min(RETRY_AFTER_MOST_MS, 1e3 * int(told)) if told.isdecimal() and len(told) < 10 else 0.0
 
 
 class DirectoryClient:
@@ -27,23 +36,34 @@
         loop: Loop,
         address: tuple[str, int],
         tell: Callable[[api.ListTold], None],
+        asking: Asking,
         silence_ms: float = 45_000.0,
         record_most: int = 16 << 20,
         log: Callable[..., None] = lambda event, **more: None,
     ) -> None:
         self.loop, self.address, self.tell, self.log = loop, address, tell, log
+        self.asking = asking
+        self.next_at = loop.now() + asking.first()  # not before this
+        self.up_at: float | None = None  # since when this subscription tells something
+        self.told_ms = 0.0  # the directory's own word of when to come again
+        self.tries = 0
         self.silence_ms, self.record_most = silence_ms, record_most
         self.listing = Listing()
         self.task: Task | None = None
 
     def watch(self) -> None:
-        """Subscribes, anew if it is subscribed already; exactly one ListTold follows, whole or failed."""
+        """Subscribes, anew if it is subscribed already; exactly one ListTold follows, whole or failed.
+
+        Each ask of the module that comes while one waits for its turn is the same ask: the turn is kept."""
         if self.task is not None and not self.task.done:
             self.loop.cancel(self.task)
         self.task = self.loop.spawn(self._run(), "directory")
 
     def _run(self) -> Coroutine:
+        yield from self.loop.sleep(max(0.0, self.next_at - self.loop.now()))
         stream: Stream | None = None
+        self.up_at, self.told_ms = None, 0.0
+        self.tries += 1
         try:
             stream = yield from connect(self.loop, self.address, CONNECT_MS)
             yield from self._subscribed(stream)
@@ -53,6 +73,8 @@
         finally:
             if stream is not None:
                 stream.close("done")
+            lasted = 0.0 if self.up_at is None else self.loop.now() - self.up_at
+            self.next_at = self.loop.now() + self.asking.again(lasted, self.told_ms)
         self.log("directory failed", why=why)
         self.tell(api.ListTold(api.ListKind.FAILED))
 
@@ -69,6 +91,7 @@
                 silence = self.loop.call_in(self.silence_ms, lambda: stream.close("no heartbeat"))
                 for event in http.feed(data):
                     if isinstance(event, Head) and event.status != 200:
+                        self.told_ms = retry_after_ms(event.headers)
                         raise HttpError(event.status, f"the directory answered {event.status}")
                     if isinstance(event, End):
                         return
@@ -91,4 +114,6 @@
         elif event.type == "AGENT_REMOVED" and event.agent_removed is not None:
             told = self.listing.removed(event.agent_removed.agent_id.value)
         if told is not None:
+            if self.up_at is None:
+                self.up_at = now
             self.tell(told)
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -10,6 +10,7 @@
 import threading
 import urllib.request
 from pathlib import Path
+from random import Random
 
 import pytest
 from hypothesis import HealthCheck, given, settings
@@ -17,6 +18,7 @@
 
 from glencleat import interface as api
 from glencleat.allocator.agent_side import NotSubscribed
+from glencleat.fleet.asking import Asking
 from glencleat.fronts.directory import DirectoryClient
 from glencleat.fronts.executor_api import ExecutorApi
 from glencleat.fronts.scheduler_api import SchedulerApi
@@ -24,7 +26,7 @@
 from glencleat.mesos import messages as m
 from glencleat.mesos.http import HttpError, Request
 from tests.fakes import Cluster, Owner
-from tests.world import CONF, World
+from tests.world import CONF, PACE, World
 
 
 @pytest.fixture
@@ -218,7 +220,7 @@
         peer.send(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%b\r\n" % (len(stream), stream))
 
     listener = Listener(loop, ("127.0.0.1", 0), lambda peer: loop.spawn(serve(peer), "directory"))
-    client = DirectoryClient(loop, listener.address, told.append)
+    client = DirectoryClient(loop, listener.address, told.append, Asking(PACE, Random(1)))
     client.watch()
     loop.run_until(client.task)
     assert [event.kind for event in told] == [api.ListKind.FAILED]
@@ -228,13 +230,50 @@
 def test_a_directory_that_falls_silent_is_a_failed_list():
     loop, told = Loop(), []
     listener = Listener(loop, ("127.0.0.1", 0), lambda peer: None)
-    client = DirectoryClient(loop, listener.address, told.append, silence_ms=50.0)
+    client = DirectoryClient(loop, listener.address, told.append, Asking(PACE, Random(1)), silence_ms=50.0)
     client.watch()
     loop.run_until(client.task)
     assert [event.kind for event in told] == [api.ListKind.FAILED]
     listener.close()
 
 
+@pytest.mark.parametrize(
+    "answer, least, most",
+    [
+        (b"", 0.0, 25.0),
+        (b"HTTP/1.1 503 \r\ncontent-length: 0\r\nretry-after: 2\r\n\r\n", 2_000.0, 2_025.0),
+        (b"HTTP/1.1 503 \r\ncontent-length: 0\r\nretry-after: 999999\r\n\r\n", 60_000.0, 60_025.0),
+        (b"HTTP/1.1 503 \r\ncontent-length: 0\r\nretry-after: Wed, 21 Oct\r\n\r\n", 0.0, 25.0),
+        (b"HTTP/1.1 503 \r\ncontent-length: 0\r\nretry-after: -5\r\n\r\n", 0.0, 25.0),
+    ],
+    ids=["closed", "2 s", "days", "a date", "nonsense"],
+)
+def test_a_directory_that_turns_us_away_is_asked_again_when_it_says(answer, least, most):
+    """The module may ask at once and more than once: the turn is kept, and no connection comes before it."""
+    loop, told, came = Loop(), [], []
+
+    def serve(peer):
+        came.append(loop.now())
+        yield from peer.read()
+        peer.send(answer)
+        peer.close()
+
+    listener = Listener(loop, ("127.0.0.1", 0), lambda peer: loop.spawn(serve(peer), "directory"))
+    client = DirectoryClient(loop, listener.address, told.append, Asking(PACE, Random(1)))
+    client.watch()
+    loop.run_until(client.task)
+    assert least <= client.next_at - loop.now() <= most
+    due = client.next_at
+    if least > 0.0:
+        client.next_at = due = loop.now() + 60.0  # a test does not wait for seconds
+    for _ in range(3):
+        client.watch()
+    loop.run_until(client.task)
+    assert len(came) == client.tries == 2 and came[1] >= due
+    assert [event.kind for event in told] == [api.ListKind.FAILED] * 2
+    listener.close()
+
+
 # ---- peers that mean no good ----
 
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -5,6 +5,7 @@
 from glencleat.config import load
 from glencleat.daemon import Daemon
 from glencleat.kernel import Loop
+from glencleat.fleet.asking import Pace
 from glencleat.standins.directory import Directory, Entry
 from glencleat.standins.hosts import Host
 from glencleat.standins.machine import Nature
@@ -26,6 +27,8 @@
 grace 5s
 """
 
+PACE = Pace(5.0, 20.0, 1_000.0)  # of asking for the list
+
 
 class Quiet:
     """A log that keeps what was said."""
@@ -38,6 +41,8 @@
 
     error = info
 
+PACE = Pace(5.0, 20.0, 1_000.0)  # of asking for the list
+
 
 class World:
     def __init__(self, folder, hosts=3, conf="", nature=None):
@@ -55,7 +60,7 @@
         address = self.directory.listen("a0")
         path = folder / "a0.conf"
         path.write_text(CONF + f"directory {address[0]}:{address[1]}\n" + conf)
-        self.daemon = Daemon(load(path), self.log, path, self.loop, seed=5)
+        self.daemon = Daemon(load(path), self.log, path, self.loop, seed=5, pace=PACE)
         self.bound = {name: self.parse(text) for name, text in self.daemon.start().items()}
         self.owners = []
         for host in self.hosts:
