Slow start of what was held at a start; /ready; an empty list opens nobody

Found on the way: an empty list counted as one whose machines had all told what they run (recovery.Opening: the empty set is within any), so a directory that came back empty opened every allocator at once. The play held a killed allocator's ports open for any connection to take: one restart in some 200 failed by 'address in use'; they are bound meanwhile. Module unchanged.

--- a/glencleat/allocator/core.py
+++ b/glencleat/allocator/core.py
@@ -19,6 +19,7 @@
 from glencleat.allocator.admission import Twins
 from glencleat.allocator.agent_side import AgentSide
 from glencleat.allocator.contract import Contract, Module
+from glencleat.allocator.early import Early
 from glencleat.allocator.figures import Figures
 from glencleat.allocator.frameworks import Framework, Frameworks
 from glencleat.allocator.ledger import Attempt, Call, Given, Ledger
@@ -96,8 +97,8 @@
         least = 1.25 * settings.cold_window_ms if settings.cold_offers else 0.0
         self.opening = Opening(self.last_now, least, options.grace_ms)
         self.listed: set[str] | None = None  # machines that the list tells as serving
-        self.early: deque[Call] = deque()  # taken before the opening
         self.hearers: list[Hear] = []
+        self.early = Early(self)  # tasks that came before the opening, or soon after it
         self.deciders: list[Decider] = [Twins(self.ledger).decide]
         self.insiders: dict[str, Insider] = {}
         self.ledger.forgot = lambda call: self.happened(Forgotten(call))
@@ -156,9 +157,9 @@
         self.open_up()
 
     def ask(self, call: Call) -> None:
-        """A task to be placed: told to the module, or held until the opening."""
-        if not self.opening.done:
-            self.early.append(call)
+        """A task to be placed: told to the module, or in its turn when this allocator has just started."""
+        if not self.early.over:
+            self.early.add(call)
             return
         left = call.ask.left_ms - (self.now() - call.taken_at)
         if left <= 0.0:
@@ -186,16 +187,24 @@
         )
 
     def open_up(self) -> None:
-        if self.opening.done:
+        if self.early.start is not None:
             return
         here = (x.id for x in self.members.members.values() if x.state is State.SUBSCRIBED)
-        if self.opening.opens(self.now(), self.listed, here):
-            self.log("open", held=len(self.early))
+        before = self.opening.done
+        if not self.opening.opens(self.now(), self.listed, here):
+            return
+        if not before:
             self.happened(Opened())
-            while self.early:
-                call = self.early.popleft()
-                if call.given is None:
-                    self.ask(call)
+        if self.listed:
+            self.early.begin()
+
+    def unready(self) -> str | None:
+        """Why owners do better elsewhere just now, or None. What they ask here is held meanwhile."""
+        if self.ending:
+            return "shutting down"
+        if self.early.start is None:
+            return "machines have yet to tell what they run" if self.listed else "no machine is listed yet"
+        return None
 
     def _act(self, action: api.Action) -> None:
         if isinstance(action, api.Bind):
--- a/glencleat/allocator/recovery.py
+++ b/glencleat/allocator/recovery.py
@@ -16,9 +16,13 @@
         self.done = False
 
     def opens(self, now: float, listed: Iterable[str] | None, subscribed: Iterable[str]) -> bool:
-        """Whether asks may be told now; once open it stays so. `listed` is None before the first list."""
+        """Whether asks may be told now; once open it stays so. `listed` is None before the first list.
+
+        An empty list is no whole one: a directory that comes back empty would open everybody at once, to
+        place by the right list before anything is known of what runs there."""
         if not self.done:
             waited = now - self.started
-            whole = listed is not None and set(listed) <= set(subscribed)
+            names = set(listed or ())
+            whole = bool(names) and names <= set(subscribed)
             self.done = waited >= self.least_ms and (whole or waited >= max(self.least_ms, self.grace_ms))
         return self.done
--- a/glencleat/check/asking.py
+++ b/glencleat/check/asking.py
@@ -75,7 +75,9 @@
 
 
 def judge_play(entries: list[Entry]) -> list[Verdict]:
-    """Of each time in a play's record that turned all its allocators away from their list."""
+    """Of each time in a play's record that turned all its allocators away from their list.
+
+    One that was started meanwhile has its first tries then: the time counts from when the last was up."""
     names = {entry.allocator for entry in entries if entry.kind == "allocator"}
     passed = [
         Passed(entry.at, entry.allocator, entry.state, entry.number)
@@ -84,6 +86,8 @@
     ]
     verdicts, away, down = list[Verdict](), set[str](), 0.0
     for entry in entries:
+        if entry.kind == "allocator" and entry.state == "up":
+            down = entry.at
         if entry.kind != "wire" or entry.who != "list" or entry.reason != "turns away":
             continue
         if entry.state == "begins":
--- a/glencleat/fronts/metrics.py
+++ b/glencleat/fronts/metrics.py
@@ -1,4 +1,5 @@
-"""Metrics at /metrics, in Prometheus' text format by its own client library.
+"""Metrics at /metrics, in Prometheus' text format by its own client library; whether owners should come at
+/ready, 200 or 503 with the reason.
 
 Each scrape reads the core between two events, so that taken = served + refused + failed + open holds in
 it."""
@@ -19,6 +20,9 @@
 from glencleat.rest.plane import Plane
 
 
+RETRY_AFTER = "1"  # seconds; nothing that it waits for comes in steps longer than this
+
+
 class Collector:
     def __init__(self, core: Core) -> None:
         self.core = core
@@ -105,6 +109,7 @@
 
 class MetricsApi:
     def __init__(self, core: Core) -> None:
+        self.core = core
         self.registry = CollectorRegistry(auto_describe=False)
         self.registry.register(Collector(core))
 
@@ -112,8 +117,17 @@
         self.registry.register(RestCollector(plane, api))
 
     def handle(self, request: Request) -> Response:
-        if request.target.split("?")[0] != "/metrics":
-            raise HttpError(404, f"{request.target[:80]}: no such resource; expected /metrics")
+        target = request.target.split("?")[0]
+        if target not in ("/metrics", "/ready"):
+            raise HttpError(404, f"{request.target[:80]}: no such resource; expected /metrics or /ready")
         if request.method != "GET":
             raise HttpError(405, f"{request.method[:20]}: expected GET")
+        if target == "/ready":
+            return self._ready()
         return Response(200, generate_latest(self.registry), CONTENT_TYPE_LATEST)
+
+    def _ready(self) -> Response:
+        why = self.core.unready()
+        if why is None:
+            return Response(200, b"ready\n")
+        return Response(503, f"{why}\n".encode(), headers={"retry-after": RETRY_AFTER})
--- a/glencleat/standins/play.py
+++ b/glencleat/standins/play.py
@@ -8,6 +8,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 from collections.abc import Callable
@@ -48,6 +49,7 @@
         self.metrics: Address = ("127.0.0.1", 0)
         self.rest: Address = ("127.0.0.1", 0)
         self.child: subprocess.Popen[bytes] | None = None
+        self.kept: list[socket.socket] = []
 
     def start(self) -> Coroutine:
         """Starts it and waits for its addresses."""
@@ -68,6 +70,7 @@
         for kind in KINDS:
             host, _, port = bound[kind].rpartition(":")
             setattr(self, kind, (host, int(port)))
+        self.release()
         self.recorder.add("allocator", allocator=self.name, state="up")
 
     def _line(self) -> Coroutine:
@@ -109,6 +112,26 @@
             self.child.wait()
             if self.child.stdout is not None:
                 self.child.stdout.close()
+            self._keep()
+
+    def _keep(self) -> None:
+        """Holds its ports until it is back: any connection that leaves meanwhile might be given one of them.
+
+        Bound and not listening, which lets the next process bind and listen beside it."""
+        for kind in KINDS:
+            sock = socket.socket()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                sock.bind(getattr(self, kind))
+            except OSError:
+                sock.close()
+            else:
+                self.kept.append(sock)
+
+    def release(self) -> None:
+        for sock in self.kept:
+            sock.close()
+        self.kept.clear()
 
     def stop(self) -> Coroutine:
         """SIGTERM, then a bounded wait; gives its exit code, or None if it had to be killed."""
@@ -176,6 +199,7 @@
         finally:
             for process in self.processes:
                 process.kill()
+                process.release()
             self.wires.end()
             self.recorder.end()
             self.wires.close()
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -239,6 +239,7 @@
 def test_the_opening_waits_for_all_or_for_its_grace():
     assert not Opening(0.0, 100.0, 1_000.0).opens(50.0, ["a"], ["a"])
     assert Opening(0.0, 100.0, 1_000.0).opens(100.0, ["a"], ["a", "b"])
+    assert not Opening(0.0, 100.0, 1_000.0).opens(100.0, [], [])
     opening = Opening(0.0, 100.0, 1_000.0)
     assert not opening.opens(999.0, ["a", "b"], ["a"]) and not opening.opens(999.0, None, [])
     assert opening.opens(1_000.0, None, []) and opening.opens(0.0, ["a"], [])
