serve keeps the machine list over its own restart, and places by it while the directory is down

The Operator API has no numbers, so a peer's list saves the directory nothing and can hide a drain. fleet/kept.py (no I/O) says what is written and when it may be used: checksummed lines, the whole list and then each change of phase before the module hears of it; torn ends are cut, anything else that is wrong, old, of another pool or version, or ahead of our clock is refused. fronts/kept_list.py writes it; what can't be written is removed, since a file that lacks a drain is worse than none. 'keep-list FILE' turns it on; off without it.

--- a/glencleat/config/load.py
+++ b/glencleat/config/load.py
@@ -33,6 +33,7 @@
     "limit": ((), "limit", False),
     "rest": ((), "rest", False),
     "log": ((), "log", False),
+    "keep-list": (("file",), "keep_list", False),
 }
 SINGLE = {
     "directory": "directory",
--- a/glencleat/config/schema.py
+++ b/glencleat/config/schema.py
@@ -163,6 +163,13 @@
     watch_stall: Annotated[Milliseconds, Field(ge=1)] = 5_000.0
 
 
+class KeepList(Part):
+    """The machine list over a restart; off unless there is such a line."""
+
+    file: Annotated[str, Field(min_length=1, max_length=4_096)]
+    age: Annotated[Milliseconds, Field(ge=1)] = 600_000.0  # older ones are not used
+
+
 class Log(Part):
     form: Literal["console", "json"] = "console"
     level: Literal["debug", "info", "warning", "error"] = "info"
@@ -192,6 +199,7 @@
     limit: Limit = Limit()
     rest: Rest = Rest()
     log: Log = Log()
+    keep_list: KeepList | None = None
 
     @model_validator(mode="after")
     def _joined(self) -> Config:
--- a/glencleat/daemon.py
+++ b/glencleat/daemon.py
@@ -17,6 +17,7 @@
 from glencleat.config import Config, ConfigError, load
 from glencleat.fleet.asking import LIST, Asking, Pace
 from glencleat.fronts.directory import DirectoryClient
+from glencleat.fronts.kept_list import KeptList
 from glencleat.fronts.executor_api import ExecutorApi
 from glencleat.fronts.metrics import MetricsApi
 from glencleat.fronts.rest_api import RestApi, problem
@@ -105,17 +106,26 @@
         self.directory = DirectoryClient(
             self.loop,
             config.directory,
-            self.core.list_told,
+            self._list_told,
             Asking(pace, Random(ids ^ 0xA5C)),
             3.0 * config.heartbeat.every,
             log=self._log,
         )
         self.core.watch = self.directory.watch
+        self.kept: KeptList | None = None
+        if (keep := config.keep_list) is not None:
+            listing = self.directory.listing
+            self.kept = KeptList(self.loop, Path(keep.file), config.pool, keep.age, listing, self._log)
         self.core.on_idle = self._end_soon
 
     def _log(self, event: str, **more: Any) -> None:
         self.log.info(event, **more)
 
+    def _list_told(self, event: api.ListTold) -> None:
+        if self.kept is not None:
+            self.kept.told(event)  # first: what was once told must be known after a kill
+        self.core.list_told(event)
+
     def start(self) -> dict[str, str]:
         """Binds the listeners; gives their addresses. Raises OSError naming the address."""
         limits = server_limits(self.config)
@@ -142,6 +152,10 @@
                 raise OSError(f"listen {name} {address[0]}:{address[1]}: {error.strerror}") from None
         # An empty change is news of nothing, at which the module asks for the list by itself.
         self.core.tell(api.ListTold(api.ListKind.CHANGES))
+        if self.kept is not None:
+            if machines := self.kept.load():
+                self.core.list_told(api.ListTold(api.ListKind.CHANGES, machines))
+            self.kept.start()
         gc.freeze()  # what is there from the start need not be looked at by each collection
         gc.set_threshold(*COLLECT)
         return {name: f"{s.address[0]}:{s.address[1]}" for name, s in self.servers.items()}
--- /dev/null
+++ b/glencleat/fleet/kept.py
@@ -0,0 +1,145 @@
+"""The machine list as an allocator keeps it over its own restart: what is written, and when it may be used.
+
+No I/O: bytes and times are arguments. Lines of a checksum and JSON: first the whole list, then each machine
+whose phase changed since, so that a drain that was told once is known after a kill at any later instant. A
+last line that is not whole was being written; anything else that is wrong makes the list unusable, as a hole
+may have been a drain. It only ever adds machines to nothing: the directory's first word replaces it."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from zlib import crc32
+
+import msgspec
+
+from glencleat import interface as api
+
+FORMAT = 1
+AHEAD_MS = 1_000.0  # of our clock: one that was set back says nothing about a list's age
+
+
+class BadList(Exception):
+    """It can't be used; the text says why."""
+
+
+class Kept(msgspec.Struct, array_like=True):
+    """A machine. Wall milliseconds, since a restart's monotonic clock begins anew."""
+
+    name: str
+    kind: str
+    zone: str
+    cell: int
+    phase: str
+    cores_left: float
+    memory_left: float
+    ready_wall_ms: float | None
+
+
+class Whole(msgspec.Struct, tag="whole"):
+    format: int
+    pool: str
+    at_ms: float
+    machines: list[Kept]
+
+
+class Change(msgspec.Struct, tag="change"):
+    at_ms: float
+    machine: Kept
+
+
+@dataclass
+class List:
+    pool: str
+    at_ms: float  # when it was last known to be true
+    machines: dict[str, Kept] = field(default_factory=dict)
+
+
+ENCODER = msgspec.json.Encoder()
+DECODER: msgspec.json.Decoder[Whole | Change] = msgspec.json.Decoder(Whole | Change)
+
+
+def kept(machine: api.Machine, now_ms: float, wall_ms: float) -> Kept:
+    ready = machine.ready_at_ms
+    return Kept(
+        machine.name,
+        machine.kind,
+        machine.zone,
+        machine.cell,
+        machine.phase.value,
+        machine.cores_left,
+        machine.memory_left,
+        None if ready is None else wall_ms - (now_ms - ready),
+    )
+
+
+def _line(record: Whole | Change) -> bytes:
+    data = ENCODER.encode(record)
+    return b"%08x %b\n" % (crc32(data), data)
+
+
+def whole(pool: str, machines: Iterable[api.Machine], now_ms: float, wall_ms: float) -> bytes:
+    return _line(Whole(FORMAT, pool, wall_ms, [kept(machine, now_ms, wall_ms) for machine in machines]))
+
+
+def change(machine: api.Machine, now_ms: float, wall_ms: float) -> bytes:
+    return _line(Change(wall_ms, kept(machine, now_ms, wall_ms)))
+
+
+def read(data: bytes) -> List:
+    """Raises BadList."""
+    *lines, _ = data.split(b"\n")  # what follows the last line end was being written
+    found: List | None = None
+    for number, line in enumerate(lines, 1):
+        record = _record(number, line)
+        if isinstance(record, Whole) and found is None:
+            if record.format != FORMAT:
+                raise BadList(f"format {record.format}; expected {FORMAT}")
+            found = List(record.pool, record.at_ms, {machine.name: machine for machine in record.machines})
+        elif isinstance(record, Change) and found is not None:
+            found.at_ms = max(found.at_ms, record.at_ms)
+            found.machines[record.machine.name] = record.machine
+        else:
+            raise BadList(f"line {number} is a {type(record).__name__.lower()} out of place")
+    if found is None:
+        raise BadList("no whole line")
+    return found
+
+
+def _record(number: int, line: bytes) -> Whole | Change:
+    told, _, rest = line.partition(b" ")
+    if told != b"%08x" % crc32(rest):
+        raise BadList(f"line {number} is not what was written")
+    try:
+        return DECODER.decode(rest)
+    except msgspec.DecodeError as error:
+        raise BadList(f"line {number}: {error}") from None
+
+
+def usable(found: List, pool: str, wall_ms: float, most_age_ms: float) -> str | None:
+    """Why not, or None."""
+    age = wall_ms - found.at_ms
+    if found.pool != pool:
+        return f"it is of pool {found.pool}, not {pool}"
+    if age < -AHEAD_MS:
+        return f"it was written {-age / 1e3:.0f} s ahead of our clock"
+    if age > most_age_ms:
+        return f"it is {age / 1e3:.0f} s old; at most {most_age_ms / 1e3:.0f} s"
+    return None
+
+
+def machines(found: List, now_ms: float, wall_ms: float) -> tuple[api.Machine, ...]:
+    """As the list would tell them; raises BadList. One that is gone is left out."""
+    told = []
+    for one in found.machines.values():
+        try:
+            phase = api.Phase(one.phase)
+        except ValueError:
+            raise BadList(f"machine {one.name[:40]}: phase {one.phase[:20]!r}") from None
+        if phase is api.Phase.GONE:
+            continue
+        ready = one.ready_wall_ms
+        since = None if ready is None else now_ms - max(0.0, wall_ms - ready)
+        room = one.cores_left, one.memory_left
+        told.append(api.Machine(one.name, one.kind, one.zone, one.cell, phase, *room, since))
+    return tuple(told)
--- a/glencleat/standins/play.py
+++ b/glencleat/standins/play.py
@@ -184,6 +184,8 @@
             f"directory {host}:{port}",
             f"include {campus_file.resolve()}",
         ]
+        if self.script.allocators.keep_list == "yes":
+            lines.append(f"keep-list {self.folder.resolve() / name}.list")
         return Process(self.loop, self.recorder, name, self.folder, lines)
 
     def _entries(self) -> list[Entry]:
--- a/glencleat/standins/script.py
+++ b/glencleat/standins/script.py
@@ -87,6 +87,7 @@
 
 class Allocators(Part):
     count: Annotated[int, Field(ge=1, le=64)] = 3
+    keep_list: Literal["yes", "no"] = "no"  # each over its own restarts
 
 
 class DirectoryPart(Part):
--- a/tests/world.py
+++ b/tests/world.py
@@ -41,11 +41,9 @@
 
     error = info
 
-PACE = Pace(5.0, 20.0, 1_000.0)  # of asking for the list
-
 
 class World:
-    def __init__(self, folder, hosts=3, conf="", nature=None):
+    def __init__(self, folder, hosts=3, conf="", nature=None, down=False):
         self.loop, self.log = Loop(), Quiet()
         self.recorder = Recorder(self.loop.now)
         nature = nature or Nature(decide_ms=1.0, start_ms=2.0, warm_ms=1.0)
@@ -57,6 +55,7 @@
             for i in range(hosts)
         ]  # fmt: skip
         self.directory = Directory(self.loop, self.recorder, self.entries, 1.0, 20.0)
+        self.directory.failing = down
         address = self.directory.listen("a0")
         path = folder / "a0.conf"
         path.write_text(CONF + f"directory {address[0]}:{address[1]}\n" + conf)
