A list service that comes back with older numbers is asked for everything; drains stay told

Every event up to ours was taken for a repeat, so the allocator was deaf to drains from then on, without a word in its log. Now three words in a row below our number make the channel ask for all of it; the next whole list counts whatever its number; what is told again up to our former number never makes a machine serve that was told as draining or gone since, unless it was started anew. Ruled out as a false alarm: a word that was under way while an event came (one line, not three a second apart).

--- a/glencleat/isup/channel.py
+++ b/glencleat/isup/channel.py
@@ -17,6 +17,8 @@
 from glencleat.settings import PHASES
 
 MOST_LINE = 4 << 20  # bytes: a whole list of some ten thousand machines
+OLDER = 3  # words in a row, a second apart, that the last number is below ours: not one that was under way
+MOST_LEAVING = 10_000  # machines told as draining or gone that are remembered
 
 
 class Entry(msgspec.Struct, rename="camel"):
@@ -79,11 +81,16 @@
         self.buffer = bytearray()
         self.decoder = msgspec.json.Decoder(Event | int, strict=False)
         self.missing = 0  # the cursor at which a gap was met: once asked for again, it is no gap any more
+        self.older = 0  # words in a row that told an older number than ours
+        self.anew = False  # the service's numbers are others: the next whole list counts, whatever its number
+        self.before = 0  # our number when that was found
+        self.leaving: dict[str, tuple[float, api.Phase]] = {}  # by name: its start, and what was told of it
 
     def resume(self) -> bytes:
         """What a new connection begins with; what an earlier one left half said is dropped."""
         self.buffer.clear()
-        return b"resume %d\n" % self.cursor
+        self.older = 0
+        return b"resume %d\n" % (0 if self.anew else self.cursor)
 
     def begin(self, known: dict[str, Any]) -> list[News]:
         """The events of the start, from the configuration."""
@@ -112,9 +119,12 @@
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
             raise PeerError(f"no event: {error}") from None
         if isinstance(event, int) or event.nodes is None:
-            last = event if isinstance(event, int) else event.cursor
-            if last > self.cursor:
-                self._gap(last)
+            self._last(event if isinstance(event, int) else event.cursor)
+            return
+        if self.anew:
+            if event.nodes.reset:
+                self.anew = False
+                yield self._event(event, event.nodes)
             return
         if event.cursor <= self.cursor:
             return  # told twice
@@ -122,6 +132,37 @@
             self._gap(event.cursor)
         yield self._event(event, event.nodes)
 
+    def _last(self, last: int) -> None:
+        """The service's word of its last number.
+
+        One that lost its state, or an old copy of it, counts from below ours, and all that it told would be
+        taken for a repeat: drains too. So it is asked for everything. What it then tells again never makes a
+        machine serve of which a later number said otherwise (`_phase`); the harm is that a drain called off
+        in between is not seen until its numbers pass ours or the machine starts anew."""
+        if self.anew:
+            return
+        self.older = self.older + 1 if last < self.cursor else 0
+        if last > self.cursor:
+            self._gap(last)
+        elif self.older >= OLDER:
+            self.anew, self.before = True, max(self.before, self.cursor)
+            raise PeerError(f"the channel is at {last}, we were told {self.cursor}: asking for all of it")
+
+    def _phase(self, entry: Entry, cursor: int) -> api.Phase:
+        phase = PHASES[entry.lifecycle]
+        started, told = self.leaving.get(entry.instance_id, (-1.0, phase))
+        if cursor <= self.before and started == entry.started_at_ms and phase is api.Phase.SERVING:
+            return told
+        return phase
+
+    def _note(self, host: Host) -> None:
+        name = host.machine.name
+        self.leaving.pop(name, None)
+        if host.machine.phase is not api.Phase.SERVING:
+            self.leaving[name] = host.started_ms, host.machine.phase
+            if len(self.leaving) > MOST_LEAVING:
+                del self.leaving[next(iter(self.leaving))]
+
     def _gap(self, told: int) -> None:
         """Asks again for what was skipped, by a new connection; if that skips it too, there is no more."""
         if self.missing != self.cursor + 1:
@@ -129,10 +170,11 @@
             raise PeerError(f"the channel is at {told}, we are at {self.cursor}")
 
     def _event(self, event: Event, nodes: Nodes) -> News:
-        hosts = tuple(self._host(entry) for entry in nodes.instances)
+        hosts = tuple(self._host(entry, event.cursor) for entry in nodes.instances)
         if nodes.reset:
             self.hosts = {}
         for host in hosts:
+            self._note(host)
             if host.machine.phase is api.Phase.GONE:
                 self.hosts.pop(host.machine.name, None)
             else:
@@ -140,7 +182,7 @@
         self.cursor = event.cursor
         return News(nodes.reset, hosts)
 
-    def _host(self, entry: Entry) -> Host:
+    def _host(self, entry: Entry, cursor: int) -> Host:
         if entry.lifecycle not in PHASES:
             raise PeerError(f"no state of a machine: {entry.lifecycle[:40]!r}")
         known = self.hosts.get(entry.instance_id)
@@ -154,7 +196,7 @@
             entry.machine_type,
             entry.zone,
             entry.cell,
-            PHASES[entry.lifecycle],
+            self._phase(entry, cursor),
             cores,
             memory,
             ready,
--- a/tests/test_isup_messages.py
+++ b/tests/test_isup_messages.py
@@ -201,6 +201,28 @@
     assert channel.cursor == 1 and set(channel.hosts) == {"h1", "h2"}
 
 
+def test_a_service_with_older_numbers_is_asked_for_all_and_drains_stay(channel):
+    """All that it told was taken for repeats: the allocator was deaf to drains from then on."""
+    drains = [event(2, entry("h1", lifecycle="DRAINING")), event(3, entry("h2", lifecycle="DELETED"))]
+    list(channel.feed(lines(*drains)))
+    list(channel.feed(lines({"cursor": 2}, {"cursor": 3}, {"cursor": 2}, 2)))  # late words are no older numbers
+    with pytest.raises(m.PeerError, match="asking for all"):
+        list(channel.feed(lines({"cursor": 1})))
+    assert channel.resume() == b"resume 0\n"
+    told = list(channel.feed(lines(
+        event(7, entry("h8")), {"cursor": 1},  # no whole list: nothing is known of its numbers yet
+        event(1, entry("h1"), entry("h2"), entry("h3"), reset=True), event(2, entry("h4")),
+    )))  # fmt: skip
+    assert [news.whole for news in told] == [True, False] and channel.cursor == 2
+    phases = {name: host.machine.phase for name, host in channel.hosts.items()}
+    serving, draining = api.Phase.SERVING, api.Phase.DRAINING
+    assert phases == {"h1": draining, "h3": serving, "h4": serving}
+    list(channel.feed(lines(event(3, entry("h2", startedAtMs=9_000)))))  # another process under its name
+    assert channel.hosts["h2"].machine.phase is serving
+    list(channel.feed(lines(event(4, entry("h1")))))  # newer than all that we knew: the drain was called off
+    assert channel.hosts["h1"].machine.phase is serving
+
+
 def test_free_that_is_not_told_stays(channel):
     (told,) = channel.feed(lines(event(2, entry("h1", free=None), entry("h4", free=None))))
     assert [host.machine.cores_left for host in told.hosts] == [3.5, 0.0]
