RECONCILE in turns, and not before agents have told what runs

After a start every owner asks for all of its tasks in the same second; each was answered whole in one turn of the loop, and before agents had subscribed with 'unknown' of tasks that run, whereupon all ask again (or start a second one). allocator/reconciling.py: questions wait for the opening, 200 answers a turn, 50 of one owner before the next; one that waits is not asked twice; 50,000 in all, beyond which the owner gets no answer and asks again, as the API has it. Measured: tests; three fail with the answer at once put back. Cost at 20,000 tasks an owner not measured.

--- a/glencleat/allocator/core.py
+++ b/glencleat/allocator/core.py
@@ -24,6 +24,7 @@
 from glencleat.allocator.frameworks import Framework, Frameworks
 from glencleat.allocator.ledger import Attempt, Call, Given, Ledger
 from glencleat.allocator.members import Members, State
+from glencleat.allocator.middle import Timing
 from glencleat.allocator.options import Options
 from glencleat.allocator.owner_side import OwnerSide
 from glencleat.allocator.recovery import Opening
@@ -59,13 +60,6 @@
     def close(self, why: str) -> None: ...
 
 
-class Timing(Protocol):
-    clock: Any
-
-    def now(self) -> float: ...
-    def call_in(self, in_ms: float, call: Callable[[], None]) -> Any: ...
-
-
 class Core:
     def __init__(
         self,
--- a/glencleat/allocator/middle.py
+++ b/glencleat/allocator/middle.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from itertools import count
 from random import Random
-from typing import Protocol
+from typing import Any, Protocol
 
 from glencleat import interface as api
 from glencleat.allocator import late
@@ -16,7 +16,8 @@
 from glencleat.allocator.ledger import Attempt, Call, Given, Ledger
 from glencleat.allocator.members import Members
 from glencleat.allocator.options import Options
-from glencleat.allocator.seam import Asking, Happened, Verdict
+from glencleat.allocator.recovery import Opening
+from glencleat.allocator.seam import Asking, Happened, Hear, Verdict
 from glencleat.allocator.tables import Answer
 from glencleat.mesos import messages as m
 
@@ -27,7 +28,16 @@
     def status(self, call: Call, answer: Answer, text: str | None = None) -> None: ...
 
 
+class Timing(Protocol):
+    clock: Any
+
+    def now(self) -> float: ...
+    def call_in(self, in_ms: float, call: Callable[[], None]) -> Any: ...
+
+
 class Middle(Protocol):
+    timing: Timing
+    opening: Opening
     settings: api.Settings
     classes: dict[str, api.TaskClass]
     options: Options
@@ -44,6 +54,7 @@
     @property
     def told(self) -> Owners: ...
     def now(self) -> float: ...
+    def hear(self, hearer: Hear) -> None: ...
     def tell(self, event: api.Event) -> None: ...
     def happened(self, what: Happened) -> None: ...
     def decide(self, asking: Asking) -> Verdict | None: ...
--- a/glencleat/allocator/owner_side.py
+++ b/glencleat/allocator/owner_side.py
@@ -12,18 +12,18 @@
 from glencleat.allocator.frameworks import Framework
 from glencleat.allocator.ledger import Ask, Call, Given
 from glencleat.allocator.middle import Middle
+from glencleat.allocator.reconciling import Reconciling
 from glencleat.allocator.seam import Asking, Taken, Told, Verdict
 from glencleat.allocator.tables import Answer, Retry
 from glencleat.allocator.why import Record
 from glencleat.mesos import messages as m
 
-RECONCILED_MOST = 10_000  # statuses that one RECONCILE without tasks may bring
-
 
 class OwnerSide:
     def __init__(self, core: Middle) -> None:
         self.core = core
         self.offer_number = 0
+        self.reconciling = Reconciling(core, self._reconciled)
 
     # ---- sessions ----
 
@@ -257,15 +257,7 @@
 
     def reconcile(self, framework: Framework, tasks: list[m.ReconcileTask]) -> None:
         """RECONCILE: explicit for the named tasks, implicit (all that are not over) for none."""
-        core = self.core
-        if not tasks:
-            live = [c for c in core.ledger.of(framework.id) if not c.over and c.placed()]
-            for call in live[:RECONCILED_MOST]:
-                self._reconciled(framework, call.task_id, call)
-        for task in tasks:
-            self._reconciled(
-                framework, task.task_id.value, core.ledger.task(framework.id, task.task_id.value)
-            )
+        self.reconciling.ask(framework, [task.task_id.value for task in tasks])
 
     def _reconciled(self, framework: Framework, task_id: str, call: Call | None) -> None:
         if call is not None and call.given is None:
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -5,8 +5,11 @@
 
 import pytest
 
+from glencleat.allocator import reconciling
+from glencleat.allocator.reconciling import TURN
 from glencleat.allocator.recovery import Opening
 from glencleat.fronts.metrics import MetricsApi
+from glencleat.mesos import messages as m
 from glencleat.mesos.http import Request
 from glencleat.fleet.start import WINDOW_MOST, SlowStart
 from tests.fakes import Agent, Cluster, Owner
@@ -164,3 +167,58 @@
     assert cluster.core.early.refused == len(dropped) > 250
     assert 0 < len(cluster.core.early.line) < 60
     cluster.check()
+
+
+# ---- RECONCILE ----
+
+
+def asks(cluster, owner, *names):
+    cluster.core.owners.reconcile(owner.framework, [m.ReconcileTask(m.Value(name)) for name in names])
+
+
+def test_nothing_is_said_of_tasks_before_agents_have_told(held):
+    """'Unknown' of a task that runs has its owner ask again and again, or start it anew."""
+    cluster, owner = held
+    cluster.list(["h0"])
+    asks(cluster, owner, "old")
+    asks(cluster, owner)
+    cluster.timing.advance(100.0)
+    assert owner.statuses() == []
+    labels = [m.Label(*pair) for pair in (("class", "safe"), ("framework", "owner"), ("task", "old"))]
+    old = m.TaskInfo("old", m.Value("a0-before-1.0"), resources=m.resources(1.0, 100.0), labels=m.Labels(labels))
+    cluster.agents = {"h0": Agent(cluster, "h0").subscribe(tasks=[old])}
+    cluster.timing.advance(1.0)
+    told = [s for s in owner.statuses("old") if s.reason == "REASON_RECONCILIATION"]
+    assert {s.state for s in told} == {"TASK_STARTING"} and len(told) >= 2 and cluster.core.owners.reconciling.waiting == 0
+
+
+def test_a_crowd_that_reconciles_takes_turns_and_none_is_lost():
+    cluster = Cluster(1)
+    crowd = [Owner(cluster, f"o{i}").subscribe() for i in range(3)]
+    line = cluster.core.owners.reconciling
+    for owner in crowd:
+        asks(cluster, owner, *(f"t{i}" for i in range(500)))
+        asks(cluster, owner, *(f"t{i}" for i in range(TURN, 500)))  # it waits: the same question
+    assert line.waiting == 1_500 - TURN
+    assert len(crowd[0].statuses()) == TURN  # it was alone in the first turn
+    before = [len(owner.statuses()) for owner in crowd]
+    cluster.timing.advance(0.0)
+    assert all(len(owner.statuses()) > said for owner, said in zip(crowd, before, strict=True))
+    cluster.timing.advance(1.0)
+    assert [len(owner.statuses()) for owner in crowd] == [500] * 3 and not line.lines and line.waiting == 0
+
+
+def test_questions_are_bounded_and_go_with_their_owner(monkeypatch):
+    monkeypatch.setattr(reconciling, "MOST", 600)
+    cluster = Cluster(1)
+    cluster.core.opening.done = False
+    owner, other = Owner(cluster).subscribe(), Owner(cluster, "other").subscribe()
+    asks(cluster, owner, *(f"t{i}" for i in range(700)))
+    assert cluster.core.owners.reconciling.waiting == 600
+    assert cluster.core.figures.events["reconcile turned away"] == 1
+    asks(cluster, other, "t1")
+    owner.link.close("gone")
+    cluster.core.opening.done = True
+    asks(cluster, other, "t2")
+    assert cluster.core.owners.reconciling.waiting == 0 and not owner.statuses()
+    assert not cluster.core.owners.reconciling.lines
