A host that takes connections and ends them is asked again in growing steps

Observed by a test with a listener that accepts and closes: with one task standing there the allocator opened 173 connections in 1.5 s, as many as the test's loop had turns. Cause: node/hosts.py broken() opens the next link at once, as a release may be on its way, and up() counted each connection as a success (Pace HOST with steady 0). Ruled out: _look's tries, which keep to again_at. Now a link that ended within a second of coming up, unheard, is a failed try; one that lasted is opened again at once as before; what was heard on a link resets the steps. Measured: 3 to 9 connections in the same time.

--- a/glencleat/fleet/asking.py
+++ b/glencleat/fleet/asking.py
@@ -30,7 +30,7 @@
 LIST = Pace(first_ms=600.0, most_ms=2_000.0, steady_ms=2_000.0)
 # A host that can't be had: the first two tries within the time that refusals must last to prove an end; then
 # as often as one in 0.8 s, in the mean.
-HOST = Pace(first_ms=100.0, most_ms=1_000.0, steady_ms=0.0)
+HOST = Pace(first_ms=100.0, most_ms=1_000.0, steady_ms=1_000.0)
 
 
 class Asking:
--- a/glencleat/node/hosts.py
+++ b/glencleat/node/hosts.py
@@ -14,6 +14,7 @@
 
 from glencleat import interface as api
 from glencleat.descriptors import Demand, Descriptors
+from glencleat.fleet.asking import HOST
 from glencleat.fleet.connecting import Connecting
 from glencleat.isup import messages as m
 from glencleat.isup.channel import Host, News
@@ -202,7 +203,6 @@
 
     def up(self, host: HostLinks, link: Link) -> None:
         host.heard = self.loop.now()
-        host.asking.well()
         host.refused = host.failing = float("inf")
         host.refusing = host.fell = host.given_up = False
         for task in host.cuts:
@@ -242,7 +242,7 @@
         host.again_at = now + host.asking.again()
         self._freed()
 
-    def broken(self, host: HostLinks, why: str, idle: bool) -> None:
+    def broken(self, host: HostLinks, link: Link, why: str) -> None:
         """A release that was on its way comes again on the next connection opened: it is opened at once.
 
         All of several links at one moment is a process that ended, also where the host drains. So is the last
@@ -250,10 +250,15 @@
         connection, waiting longer brings no other word, and its release is due 1 s after the end. It may do
         harm where a single reset meets a host that drains and lives: its tasks are told lost."""
         now = self.loop.now()
+        idle = now - link.used > self.idle_ms
         host.broke = [at for at in host.broke if now - at < AT_ONCE_MS] + [now]
         host.fell = host.alone and (len(host.broke) > 1 or not idle)
         if host.fell:
             host.again_at = now  # earlier refusals, as of a host that drains, say nothing of this
+        lasted = now - link.since
+        if lasted < HOST.steady_ms:
+            # One that takes connections and ends them at once was asked again as fast as the loop went.
+            host.again_at = now + host.asking.again(lasted)
         if standing := self.exchange.standing.get(host.name):
             left = f"{len(standing)} tasks stand, {len(host.links)} links left"
             self.log(f"host {host.name}: link ended, {why}; {left}")
--- a/glencleat/node/links.py
+++ b/glencleat/node/links.py
@@ -80,6 +80,8 @@
         assert self.stream is not None
         self.left = True
         self.host.links.discard(self)
+        if self.loop.now() - self.since > HOST.steady_ms:
+            self.host.asking.well()
         stands = self.hosts.exchange.standing.get(self.host.name)
         if stands and self.stream.closed is None and self.hosts.descriptors.leave(self):
             stream = self.stream
@@ -183,6 +185,7 @@
             if not data:
                 raise StreamClosed("the host closed it")
             self.host.heard = self.used = self.loop.now()
+            self.host.asking.well()
             self.doubtful = False
             self.decoder.feed(data)
             for message in self.decoder.messages():
@@ -214,7 +217,7 @@
         for attempt, end in out.items():
             self.hosts.exchange.failed(attempt, Fact.BROKEN if stream.written >= end else Fact.UNSENT)
         if not self.left:
-            self.hosts.broken(self.host, why, self.loop.now() - self.used > self.hosts.idle_ms)
+            self.hosts.broken(self.host, self, why)
 
 
 class HostLinks:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -517,6 +517,27 @@
     assert not world.hosts.line and second.link is None and not world.hosts.hosts["h1"].links
 
 
+def test_a_host_that_takes_connections_and_ends_them_is_asked_in_growing_steps(world, monkeypatch):
+    """With a task there, each link that broke was opened again at once: some thousand times a second."""
+    monkeypatch.setattr(hosts, "SWEEP_MS", 5.0)
+    (peer,), owner = standing(world, 1)
+    taken, real = [], peer.listener.accept
+
+    def accept(stream):
+        taken.append(world.loop.now())
+        stream.close()
+
+    peer.listener.accept = accept
+    for stream in peer.streams:
+        stream.close()
+    end = world.loop.now() + 1_500.0
+    world.until(lambda: world.loop.now() > end)
+    assert 3 <= len(taken) <= 9
+    assert world.exchange.standing  # it lives: its tasks do too
+    peer.listener.accept = real
+    world.until(lambda: live(world))
+
+
 def test_a_burst_to_one_host_shares_what_comes_up_there(world, monkeypatch):
     """A host that is slow to take connections is not helped by eight that knock."""
     held, began = cut_off(monkeypatch), []
