--- /dev/null
+++ b/benchmarks/cold_hosts.py
@@ -0,0 +1,104 @@
+"""Hosts that reset everybody: how many connections a second the busiest hears, what becomes of the asks.
+
+    python -m benchmarks.cold_hosts --before TREE --counts 50,100
+
+Allocators are processes, hosts and owners stand-ins in this one. After a calm time all hosts reset their
+connections and every one that comes, then they are back. TREE is a checkout of an earlier version; both are
+played in turn in one run. Counts are the hosts' own; the stand-ins' process is busy, so times are upper bounds."""
+
+from __future__ import annotations
+
+import tempfile
+from bisect import bisect_left
+from pathlib import Path
+
+import click
+import numpy as np
+
+from benchmarks.cold_start import START_MS, until
+from glencleat.kernel import Loop
+from glencleat.standins.channel import ChannelService, entry
+from glencleat.standins.live import LiveHost, LiveOwner
+from glencleat.standins.processes import Nodes
+
+CALM_MS, AWAY_MS, AFTER_MS = 6_000.0, 4_000.0, 6_000.0
+HOSTS, LIFE_MS = 400, 20_000.0
+
+
+def busiest(hosts: list[LiveHost], since: float, to: float, window: float) -> int:
+    """Connections that one host took within `window` milliseconds, of the host and the time with most."""
+    most = 0
+    for host in hosts:
+        times = [at for at in host.taken if since <= at < to]
+        most = max(most, *(bisect_left(times, at + window) - i for i, at in enumerate(times)), 0)
+    return most
+
+
+def play(folder: Path, count: int, tree: Path | None, rate: float) -> dict[str, float]:
+    loop = Loop()
+    hosts = [LiveHost(loop, f"h{i}", LIFE_MS) for i in range(HOSTS)]
+    service = ChannelService(loop, [entry(host.name, host.port) for host in hosts])
+    with Nodes(folder, count, seed=11, sockets=512, tree=tree) as nodes:
+        for i in range(count):
+            nodes.configure(i, service.address, service.known())
+        for i in range(count):
+            nodes.start(i)
+        if not until(loop, lambda: all(nodes.ready(i) for i in range(count)), START_MS):
+            raise click.ClickException("not all became ready")
+        owners = [LiveOwner(loop, nodes.ready(i), rate, i + 1) for i in range(count)]
+        begun = loop.now()
+        until(loop, lambda: loop.now() > begun + CALM_MS, 10.0 * CALM_MS)
+        away = loop.now()
+        for host in hosts:
+            host.go()
+        until(loop, lambda: loop.now() > away + AWAY_MS, 10.0 * AWAY_MS)
+        back = loop.now()
+        for host in hosts:
+            host.back()
+        until(loop, lambda: loop.now() > back + AFTER_MS, 10.0 * AFTER_MS)
+        end = loop.now()
+        for owner in owners:
+            owner.going = False
+        until(loop, lambda: not any(owner.asked for owner in owners), 10_000.0)
+        lost = sum(len(owner.asked) for owner in owners)
+    waits = {False: [], True: []}
+    for owner in owners:
+        for at, wait in owner.waits:
+            waits[at >= away].append(wait)
+    seconds = (back - away) / 1e3
+    found = {
+        "calm: busiest host, 1 s": busiest(hosts, begun, away, 1e3),
+        "away: a second, all hosts": sum(away <= at < back for h in hosts for at in h.taken) / seconds,
+        "away: busiest host, 1 s": busiest(hosts, away, back, 1e3),
+        "away: busiest host, 0.1 s": busiest(hosts, away, back, 100.0),
+        "back: busiest host, 1 s": busiest(hosts, back, end, 1e3),
+        "asked": sum(owner.ends["asked"] for owner in owners),
+        "placed": sum(owner.ends["placed"] for owner in owners),
+        "turned away": sum(owner.ends["turned away"] for owner in owners),
+        "no answer": lost,
+        "p99 calm, ms": float(np.percentile(waits[False], 99)) if waits[False] else float("nan"),
+        "p99 from the reset on, ms": float(np.percentile(waits[True], 99)) if waits[True] else float("nan"),
+    }
+    for party in (*owners, *hosts):
+        party.end()
+    service.close()
+    until(loop, lambda: not any(host.streams for host in hosts), 1_000.0)
+    return found
+
+
+@click.command()
+@click.option("--before", type=click.Path(exists=True, path_type=Path), help="an earlier version's tree")
+@click.option("--counts", default="50,100")
+@click.option("--rate", default=4.0, help="asks a second at each allocator")
+def main(before: Path | None, counts: str, rate: float) -> None:
+    """A table of both versions."""
+    versions = {"before": before.resolve(), "now": None} if before else {"now": None}
+    for count in map(int, counts.split(",")):
+        for name, tree in versions.items():
+            with tempfile.TemporaryDirectory() as folder:
+                for what, value in play(Path(folder), count, tree, rate).items():
+                    click.echo(f"{count}\t{name}\t{what}\t{value:.4g}")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/glencleat/standins/live.py
@@ -0,0 +1,148 @@
+"""Hosts and owners of the platform's kind, many in one process, for measuring `glencleat node` at size.
+
+They speak by `isup/messages.py`, so they don't check its reading of the page; tests and the operators' bench
+do. A host takes whatever comes and ends it after its life; an owner asks at a rate and counts the answers."""
+
+from __future__ import annotations
+
+import socket
+import struct
+from collections import Counter
+from random import Random
+
+from glencleat.isup import messages as m
+from glencleat.kernel import ConnectFailed, Listener, Loop, Stream, StreamClosed, connect
+from glencleat.kernel.loop import Coroutine
+
+RESET = struct.pack("ii", 1, 0)
+AGAIN_MS = 500.0
+WAIT_MS = 8_000.0
+
+
+class LiveHost:
+    """`taken`: when each connection came. While `away` it takes connections and resets them."""
+
+    def __init__(self, loop: Loop, name: str, life_ms: float, decide_ms: float = 5.0) -> None:
+        self.loop, self.name, self.life_ms, self.decide_ms = loop, name, life_ms, decide_ms
+        self.taken: list[float] = []
+        self.streams: set[Stream] = set()
+        self.started = 0
+        self.away = False
+        self.listener = Listener(loop, ("127.0.0.1", 0), self._accepted)
+        self.port = int(self.listener.address[1])
+
+    def _accepted(self, stream: Stream) -> None:
+        self.taken.append(self.loop.now())
+        if self.away:
+            self._reset(stream)
+            return
+        self.streams.add(stream)
+        self.loop.spawn(self._serve(stream), f"host {self.name}")
+
+    @staticmethod
+    def _reset(stream: Stream) -> None:
+        if stream.closed is None:
+            stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            stream.close("reset")
+
+    def go(self) -> None:
+        """Every connection is reset, and all that come until `back`."""
+        self.away = True
+        for stream in list(self.streams):
+            self._reset(stream)
+
+    def back(self) -> None:
+        self.away = False
+
+    def _serve(self, stream: Stream) -> Coroutine:
+        decoder = m.Decoder()
+        try:
+            while data := (yield from stream.read()):
+                decoder.feed(data)
+                for message in decoder.messages():
+                    if message.kind == m.SETUP:
+                        self._take(stream, message.task)
+                    elif message.kind == m.TEST:
+                        stream.put(m.caused(m.TESTED, message.task, 1))
+        except (StreamClosed, m.PeerError):
+            pass
+        finally:
+            self.streams.discard(stream)
+            stream.close("it ended")
+
+    def _take(self, stream: Stream, task: int) -> None:
+        self.started += 1
+        yes = m.encode(m.ANSWER, task, {m.DESCRIPTION: b"ok"})
+        self.loop.call_in(self.decide_ms, lambda: self._say(stream, yes))
+        end = m.caused(m.RELEASE, task, m.ENDED)
+        self.loop.call_in(self.life_ms, lambda: self._say(stream, end))
+
+    @staticmethod
+    def _say(stream: Stream, data: bytes) -> None:
+        stream.put(data)  # on its own link or not at all: a stand-in owes nobody
+
+    def end(self) -> None:
+        self.listener.close()
+        for stream in list(self.streams):
+            stream.close("the end")
+
+
+class LiveOwner:
+    """One connection to one allocator, asking `rate` times a second at random instants."""
+
+    def __init__(self, loop: Loop, address: tuple[str, int], rate: float, seed: int) -> None:
+        self.loop, self.address, self.rate, self.random = loop, address, rate, Random(seed)
+        self.asked: dict[int, float] = {}
+        self.waits: list[tuple[float, float]] = []  # when asked, milliseconds to the answer
+        self.ends = Counter[str]()
+        self.number = seed << 20
+        self.stream: Stream | None = None
+        self.going = True
+        loop.spawn(self._run(), "owner")
+        loop.spawn(self._ask(), "asking")
+
+    def _run(self) -> Coroutine:
+        while self.going:
+            try:
+                stream: Stream = yield from connect(self.loop, self.address, 1_000.0)
+                self.stream = stream
+                yield from self._read(stream)
+            except (ConnectFailed, StreamClosed, m.PeerError):
+                pass
+            self.stream = None
+            yield from self.loop.sleep(AGAIN_MS)
+
+    def _read(self, stream: Stream) -> Coroutine:
+        decoder = m.Decoder()
+        while data := (yield from stream.read()):
+            decoder.feed(data)
+            for message in decoder.messages():
+                self._said(stream, message)
+
+    def _said(self, stream: Stream, message: m.Message) -> None:
+        if message.kind == m.ANSWER and message.task in self.asked:
+            at = self.asked.pop(message.task)
+            self.waits.append((at, self.loop.now() - at))
+            self.ends["placed"] += 1
+        elif message.kind == m.RELEASE:
+            stream.put(m.encode(m.RELEASE_HEARD, message.task))
+            turned = self.asked.pop(message.task, None) is not None
+            self.ends["turned away" if turned else "ended"] += 1
+
+    def _ask(self) -> Coroutine:
+        while self.going:
+            yield from self.loop.sleep(1e3 * self.random.expovariate(self.rate))
+            if self.stream is None:
+                continue
+            self.number += 1
+            extras = f"cores:0.1;memory:0.1;service:s{self.random.randrange(20)}"
+            told = {m.CLASS: "safe", m.WAIT: f"{WAIT_MS:.0f}", m.NAME: f"t{self.number}", m.EXTRAS: extras}
+            raw = {code: text.encode() for code, text in told.items()}
+            if self.stream.put(m.encode(m.SETUP, self.number, {**raw, m.DESCRIPTION: b"d"})):
+                self.asked[self.number] = self.loop.now()
+                self.ends["asked"] += 1
+
+    def end(self) -> None:
+        self.going = False
+        if self.stream is not None:
+            self.stream.close("done")
