--- a/glencleat/fleet/connecting.py
+++ b/glencleat/fleet/connecting.py
@@ -16,9 +16,19 @@
 LEAST_COMING, PART_COMING = 64, 0.5  # coming up at once in all, or this part of the hosts
 LEAST_RATE = 100.0  # begun a second in all, or one for each host
 BURST_S = 0.5  # so many seconds' worth may begin at one moment
+LOOKS_AT_ONE = 32.0  # a second, that a quiet host hears of all together, as far as LOOK_MOST_MS lets
+LOOK_MOST_MS = 3_000.0
 LOOKS = 0.5  # of both bounds for connections that only look whether a host lives
 
 
+def look_ms(peers: int) -> float:
+    """How long a host may be quiet before one of so many allocators looks whether it lives.
+
+    Harm: behind a cut, tasks are given up so long after their host was last heard; who looks less often heard
+    it longer ago, and gives them up that much sooner after the cut began."""
+    return min(LOOK_MOST_MS, 1e3 * peers / LOOKS_AT_ONE)
+
+
 class Connecting:
     """What is coming up.
 
--- a/glencleat/node/hosts.py
+++ b/glencleat/node/hosts.py
@@ -15,7 +15,7 @@
 from glencleat import interface as api
 from glencleat.descriptors import Demand, Descriptors
 from glencleat.fleet.asking import HOST
-from glencleat.fleet.connecting import Connecting
+from glencleat.fleet.connecting import Connecting, look_ms
 from glencleat.isup import messages as m
 from glencleat.isup.channel import Host, News
 from glencleat.isup.exchange import Attempt, Exchange, Fact
@@ -65,6 +65,7 @@
         self.connect_ms, self.idle_ms = connect_ms, 0.8 * idle_ms  # the host closes at the whole of it
         self.random, self.connecting = random, Connecting()
         self.hosts: dict[str, HostLinks] = {}
+        self.peers = 1  # allocators that look at the same hosts, this one included
         self.tests = 0
         self.trace: Trace | None = None
         self.addresses: dict[tuple[str, int], str] = {}
@@ -352,7 +353,7 @@
         elif host.given_up and host.failing > now:
             if now - host.heard > HEAR_MS:
                 self._again(host)
-        elif now - host.heard > QUIET_MS or not host.links or host.failing < now:
+        elif now - host.heard > max(QUIET_MS, look_ms(self.peers)) or not host.links or host.failing < now:
             self._again(host)
 
     @staticmethod
--- a/tests/test_connecting.py
+++ b/tests/test_connecting.py
@@ -5,7 +5,7 @@
 import pytest
 
 from glencleat.fleet.asking import HOST, Asking
-from glencleat.fleet.connecting import AT_ONE, BURST_S, LEAST_COMING, LEAST_RATE, Connecting
+from glencleat.fleet.connecting import AT_ONE, BURST_S, LEAST_COMING, LEAST_RATE, Connecting, look_ms
 
 HOSTS = 400
 
@@ -46,6 +46,11 @@
     assert many.may(1_000.0, 4_000)
 
 
+def test_many_allocators_look_less_often_each():
+    assert look_ms(16) == 500.0  # below the second that one alone keeps
+    assert look_ms(64) == 2_000.0 and look_ms(300) == look_ms(10_000) == 3_000.0
+
+
 def test_one_address_is_shared_until_one_has_ended():
     connecting, address = Connecting(), ("h", 1)
     for _ in range(AT_ONE):
