--- a/glencleat/node/owners.py
+++ b/glencleat/node/owners.py
@@ -62,6 +62,7 @@
         self.owed: deque[tuple[float, bytes]] = deque(maxlen=OWED)
         self.listener: Listener | None = None
         self.leaving = False
+        self.ready: Callable[[], bool] = lambda: True  # there is somewhere to place
         self.friends = 0  # proven ones, of those connected
         self.trace: Trace | None = None
         loop.call_in(SWEEP_MS, self._sweep)
@@ -133,7 +134,8 @@
             message.cause  # noqa: B018 - it must be readable
             self.exchange.owner_releases(owner, message)
         elif message.kind == m.TEST:
-            self._write(owner, m.caused(m.TESTED, message.task, int(not self.leaving)))
+            takes = not self.leaving and self.ready()
+            self._write(owner, m.caused(m.TESTED, message.task, int(takes)))
 
     def _waited(self, owner: Owner) -> float:
         """How long the last bytes waited in our socket and loop: gone from what the owner waits.
--- a/glencleat/node/process.py
+++ b/glencleat/node/process.py
@@ -89,6 +89,7 @@
         random = Random(config.seed)
         limits = config.connect_ms, config.idle_ms
         self.hosts = Hosts(loop, self.channel, self.descriptors, *limits, random, log)
+        self.owners.ready = lambda: bool(self.channel.hosts)
         self.hosts.peers = config.settings.peers
         module = Scheduler(config.settings, config.seed)
         self.exchange = Exchange(config.settings, module, self, config.connect_ms)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -891,9 +891,10 @@
 
 def test_tests_are_answered_truthfully(world):
     sock = world.client()
-    world.owners.leaving = True
-    sock.send(m.encode(m.TEST, 9, {m.CAUSE: b"\0"}))
-    assert world.says(sock) == m.caused(m.TESTED, 9, 0)
+    for number, (listed, leaving) in enumerate(((True, False), (False, False), (True, True))):
+        world.owners.ready, world.owners.leaving = lambda listed=listed: listed, leaving
+        sock.send(m.encode(m.TEST, number, {m.CAUSE: b"\0"}))
+        assert world.says(sock) == m.caused(m.TESTED, number, int(listed and not leaving))
 
 
 # ---- the command channel ----
