--- a/benchmarks/cold_model.py
+++ b/benchmarks/cold_model.py
@@ -59,7 +59,8 @@
 @click.option("--served", default="100,500,2000")
 def main(counts: str, served: str) -> None:
     """Prints a row for each number of allocators and each rate at which the service lets them in."""
-    table = Table("allocators", "let in a second", "asks", "tries a second, down", "busiest 0.1 s / let in", "all in, s")
+    heads = "allocators", "let in a second", "asks", "tries a second, down", "busiest 0.1 s / let in"
+    table = Table(*heads, "all in, s")
     for count in map(int, counts.split(",")):
         for rate in map(int, served.split(",")):
             for name, wait in (("fixed 0.1 s", fixed), ("now", asking)):
--- a/tests/test_cold_start.py
+++ b/tests/test_cold_start.py
@@ -77,6 +77,25 @@
     assert record(everybody[1:], lambda asking, i: 100.0) == []
 
 
+@pytest.mark.parametrize(
+    ("stopped", "resumed", "state"),
+    [(1.0, 2_000.0, State.BROKEN), (1.0, DOWN_MS + 500.0, State.KEPT), (DOWN_MS + 1.0, DOWN_MS + 2.0, State.KEPT),
+     (DOWN_MS + 9_000.0, DOWN_MS + 9_500.0, State.BROKEN)],
+)  # fmt: skip
+def test_one_that_stood_still_need_not_be_back(stopped, resumed, state):
+    entries = [Entry(0.0, "allocator", allocator=f"a{i}", state="up") for i in range(CROWD)]
+    entries += [Entry(stopped, "allocator", allocator="a0", state="stalled"),
+                Entry(resumed, "allocator", allocator="a0", state="resumed")]  # fmt: skip
+    for i in range(CROWD):
+        entries += [Entry(0.5, "wire", who="list", allocator=f"a{i}", state="begins", reason="turns away"),
+                    Entry(9.0, "passed", who="list", allocator=f"a{i}", state="refused", number=1),
+                    Entry(DOWN_MS, "wire", who="list", allocator=f"a{i}", state="ends", reason="turns away")]  # fmt: skip
+        if i:
+            entries.append(Entry(DOWN_MS + 50.0, "passed", who="list", allocator=f"a{i}", state="opened", number=2))
+    entries.append(Entry(DOWN_MS + 9_000.0, "passed", who="list", allocator="a0", state="opened", number=2))
+    assert judge_play(sorted(entries, key=lambda entry: entry.at))[2].state is state
+
+
 def test_a_play_with_faults_on_its_wires(tmp_path):
     """Twelve processes start at one instant, their directory turns all away, a wire holds, another resets."""
     (tmp_path / "campus-short.conf").write_text((EXAMPLES / "campus-short.conf").read_text())
