A play closes its streams before its loop goes: no more exceptions at its end

Observed at the end of most plays: 'Exception ignored ... Bad file descriptor' on standard error, from generators that close their streams as they are thrown away, when the poller is closed already. play.py closes sessions, hosts and the directory's streams itself now.

--- a/benchmarks/cold_hosts.py
+++ b/benchmarks/cold_hosts.py
@@ -4,7 +4,7 @@
 
 Allocators are processes, hosts and owners stand-ins in this one. After a calm time all hosts reset their
 connections and every one that comes, then they are back. TREE is a checkout of an earlier version; both are
-played in turn in one run. Counts are the hosts' own; the stand-ins' process is busy: times are upper bounds."""
+played in turn in one run. Counts are the hosts' own; this process is busy, so times are upper bounds."""
 
 from __future__ import annotations
 
--- a/glencleat/standins/play.py
+++ b/glencleat/standins/play.py
@@ -204,7 +204,19 @@
                 process.release()
             self.wires.end()
             self.recorder.end()
-            self.wires.close()
+            self._close()
+
+    def _close(self) -> None:
+        """Streams that are open would close themselves as they are thrown away, on a poller that is gone."""
+        self.wires.close()
+        for owner in self.owners:
+            owner.end()
+        for host in self.hosts:
+            host.stop("the play is over")
+        for listener in self.directory.listeners.values():
+            listener.close()
+            for stream in list(listener.open):
+                stream.close("the play is over")
 
     def _day(self) -> Coroutine:
         self.loop.spawn(self._watch_lag(), "lag", self.loop.current)
--- a/tests/test_play.py
+++ b/tests/test_play.py
@@ -35,6 +35,7 @@
     told, _, _ = day
     assert told.returncode == 0, told.stdout + told.stderr
     assert "all five rules kept" in told.stdout and "store-compact" in told.stdout
+    assert "Exception ignored" not in told.stderr
 
 
 def test_no_process_failed(day):
