A held task whose time is over in the turn that opens is refused and not told on

Found in reading the line of a start again: a task due in the very turn in which the line opens was told to the module with no time left, since its own timer comes later in that turn (allocator/early.py _pump). It is refused now. Measured: the new test fails without it.

--- a/glencleat/allocator/early.py
+++ b/glencleat/allocator/early.py
@@ -74,11 +74,15 @@
         for number in [number for number, since in self.out.items() if now - since > WAIT_MS]:
             self._back(number, placed=False)
         while self.line and start.room():
-            (_, due, number), call = self.line.popitem(0)
-            if call.given is None:
-                start.sent()
-                self.out[number] = now
-                self.core.tell_asked(call, due - now)
+            place, call = self.line.peekitem(0)
+            _, due, number = place
+            if call.given is not None or due <= now:
+                self._refuse(place)  # taken back meanwhile, or its time is over in this very turn
+                continue
+            del self.line[place]
+            start.sent()
+            self.out[number] = now
+            self.core.tell_asked(call, due - now)
         self._give_up(start, now)
         if self.line:
             self._pump_in(SLOT_MS)
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -142,6 +142,16 @@
     cluster.check()
 
 
+def test_a_task_whose_time_is_over_as_the_line_opens_is_not_sent(held):
+    cluster, owner = held
+    owner.launch("t1", left=1_000.0)
+    (call,) = cluster.core.ledger.calls.values()
+    cluster.timing.at += call.ask.left_ms  # its own timer is due in the same turn, and comes after
+    opens(cluster, 1)
+    assert not cluster.offered() and not call.told and owner.states("t1") == ["TASK_DROPPED"]
+    cluster.check()
+
+
 def test_one_taken_back_from_the_line_is_not_sent(held):
     cluster, owner = held
     owner.launch("t1")
