--- a/glencleat/check/asking.py
+++ b/glencleat/check/asking.py
@@ -10,6 +10,7 @@
 from enum import Enum
 
 from glencleat.check.record import Entry
+from glencleat.check.rules import Story
 from glencleat.standins.relay import Passed
 
 AFTER_MS = 3_000.0  # first tries are spread over less; what goes on is judged from here
@@ -51,6 +52,11 @@
     ]
 
 
+def busiest(times: list[float], window_ms: float) -> int:
+    """How many of these times, in order, fall within the window that holds most."""
+    return max((bisect_left(times, at + window_ms) - i for i, at in enumerate(times)), default=0)
+
+
 def _verdict(bound: str, tried: bool, kept: bool, text: str) -> Verdict:
     return Verdict(bound, State.NOT_TRIED if not tried else State.KEPT if kept else State.BROKEN, text)
 
@@ -61,7 +67,7 @@
 
 
 def _busiest(later: list[float], count: int, tried: bool) -> Verdict:
-    most = max((bisect_left(later, at + WINDOW_MS) - i for i, at in enumerate(later)), default=0)
+    most = busiest(later, WINDOW_MS)
     text = f"{most} of {count} in the busiest {WINDOW_MS:.0f} ms, under {PART:.0%}"
     return _verdict("busiest", tried and count >= LEAST_BUSY, most < PART * count, text)
 
@@ -83,23 +89,6 @@
     return _verdict("back", tried and record[-1].at_ms >= well_ms, back >= count, text)
 
 
-def _stopped(entries: list[Entry], well_ms: float) -> set[str]:
-    """Whose process stood still or was not there for some of the time in which all have to be back."""
-    found, absent = set[str](), set[str]()
-    for entry in entries:
-        if entry.kind != "allocator" or entry.at > well_ms + BACK_MS:
-            continue
-        if entry.at > well_ms:
-            found |= absent
-        if entry.state in ("up", "resumed"):
-            absent.discard(entry.allocator)
-        else:
-            absent.add(entry.allocator)
-        if entry.at > well_ms:
-            found |= absent
-    return found | absent
-
-
 def judge_play(entries: list[Entry]) -> list[Verdict]:
     """Of each time in a play's record that turned all its allocators away from their list.
 
@@ -110,7 +99,7 @@
         for entry in entries
         if entry.kind == "passed" and entry.who == "list" and entry.state != "bytes"
     ]
-    verdicts, away, down = list[Verdict](), set[str](), 0.0
+    verdicts, away, down, story = list[Verdict](), set[str](), 0.0, Story(entries)
     for entry in entries:
         if entry.kind == "allocator" and entry.state == "up":
             down = entry.at
@@ -120,7 +109,8 @@
             away.add(entry.allocator)
             down = entry.at
         elif away == names:
-            verdicts += judge(passed, len(names), down, entry.at, names - _stopped(entries, entry.at))
+            ran = {name for name in names if story.ran(name, entry.at, entry.at + BACK_MS)}
+            verdicts += judge(passed, len(names), down, entry.at, ran)
             away.clear()
         else:
             away.discard(entry.allocator)
--- a/glencleat/check/rules.py
+++ b/glencleat/check/rules.py
@@ -83,6 +83,10 @@
         return self.offered.attempt.rpartition(".")[0]
 
 
+def _none_within(times: Times, since: float, until: float) -> bool:
+    return not any(a < until and b > since for a, b in times)
+
+
 class Story:
     """A record, indexed by what the rules look for."""
 
@@ -151,9 +155,11 @@
 
     def _allocator(self, entry: Entry) -> None:
         absent = self.absent[entry.allocator]
+        gone = bool(absent) and absent[-1][1] == float("inf")
         if entry.state in ("killed", "stopped", "stalled"):
-            absent.append((entry.at, float("inf")))
-        elif absent and absent[-1][1] == float("inf"):
+            if not gone:  # one that is killed while it stands still is gone once
+                absent.append((entry.at, float("inf")))
+        elif gone:
             absent[-1] = (absent[-1][0], entry.at)
 
     def _wire(self, entry: Entry) -> None:
@@ -187,11 +193,11 @@
 
     def clear(self, place: str, allocator: str, since: float, until: float) -> bool:
         """Whether that wire passed bytes on all that time."""
-        return not any(a < until and b > since for a, b in self.held[place, allocator])
+        return _none_within(self.held[place, allocator], since, until)
 
     def ran(self, allocator: str, since: float, until: float) -> bool:
         """Whether the allocator's process ran all that time."""
-        return not any(a < until and b > since for a, b in self.absent[allocator])
+        return _none_within(self.absent[allocator], since, until)
 
     def learned(self, allocator: str, place: str, at: float) -> float:
         """When the allocator can have read what was written to it then: a stopped process reads later."""
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -75,6 +75,11 @@
         (Tape().asked(END - 100.0), []),  # its time was not over when the record ended
         (Tape().asked(0.0).add(4_000.0, "allocator", allocator="a", state="killed"), []),
         (Tape().asked(0.0).add(4_000.0, "allocator", allocator="b", state="killed"), [LOST]),
+        (  # killed while it stood still, and back: gone once, and not for ever
+            Tape().add(-90.0, "allocator", allocator="a", state="stalled")
+            .add(-80.0, "allocator", allocator="a", state="killed")
+            .add(-70.0, "allocator", allocator="a", state="up").asked(500.0), [LOST],
+        ),
         (Tape().asked(0.0).add(4_000.0, "cut", who="o", allocator="a"), []),
         (Tape().asked(0.0).add(4_000.0, "cut", who="p", allocator="a"), [LOST]),
         (Tape().asked(0.0).answer(5.0, "TASK_DROPPED", uuid="1").answer(6.0, "TASK_DROPPED", uuid="2"), [LOST]),
