Stand-ins read again: one reset, one end of a directory, one start of many, one list of wires

Written more than once in the same change: a stream closed by a reset (relay, live hosts), the end of the directory's listeners (play and the tests' world: now Directory.close), starting many allocators and waiting for them (both benchmarks), the loop over the wires that a fault names (three times in between.py), and Weather's constructor beside its add. Behaviour is the same.

--- a/benchmarks/cold_hosts.py
+++ b/benchmarks/cold_hosts.py
@@ -9,13 +9,13 @@
 from __future__ import annotations
 
 import tempfile
-from bisect import bisect_left
 from pathlib import Path
 
 import click
 import numpy as np
 
-from benchmarks.cold_start import START_MS, until
+from benchmarks.cold_start import start_all, until
+from glencleat.check.asking import busiest
 from glencleat.kernel import Loop
 from glencleat.standins.channel import ChannelService, entry
 from glencleat.standins.live import LiveHost, LiveOwner
@@ -26,13 +26,9 @@
 OURS = 15_000  # descriptors for the connections of all allocators in this process
 
 
-def busiest(hosts: list[LiveHost], since: float, to: float, window: float) -> int:
+def busiest_host(hosts: list[LiveHost], since: float, to: float, window: float) -> int:
     """Connections that one host took within `window` milliseconds, of the host and the time with most."""
-    most = 0
-    for host in hosts:
-        times = [at for at in host.taken if since <= at < to]
-        most = max(most, *(bisect_left(times, at + window) - i for i, at in enumerate(times)), 0)
-    return most
+    return max(busiest([at for at in host.taken if since <= at < to], window) for host in hosts)
 
 
 def play(folder: Path, count: int, tree: Path | None, rate: float, size: int) -> dict[str, float]:
@@ -40,12 +36,7 @@
     hosts = [LiveHost(loop, f"h{i}", LIFE_MS) for i in range(size)]
     service = ChannelService(loop, [entry(host.name, host.port) for host in hosts])
     with Nodes(folder, count, seed=11, sockets=min(512, OURS // count), tree=tree) as nodes:
-        for i in range(count):
-            nodes.configure(i, service.address, service.known())
-        for i in range(count):
-            nodes.start(i)
-        if not until(loop, lambda: all(nodes.ready(i) for i in range(count)), START_MS):
-            raise click.ClickException("not all became ready")
+        start_all(loop, nodes, service.address, service)
         owners = [LiveOwner(loop, nodes.ready(i), rate, i + 1) for i in range(count)]
         begun = loop.now()
         until(loop, lambda: loop.now() > begun + CALM_MS, 10.0 * CALM_MS)
@@ -68,11 +59,11 @@
             waits[at >= away].append(wait)
     seconds = (back - away) / 1e3
     found = {
-        "calm: busiest host, 1 s": busiest(hosts, begun, away, 1e3),
+        "calm: busiest host, 1 s": busiest_host(hosts, begun, away, 1e3),
         "away: a second, all hosts": sum(away <= at < back for h in hosts for at in h.taken) / seconds,
-        "away: busiest host, 1 s": busiest(hosts, away, back, 1e3),
-        "away: busiest host, 0.1 s": busiest(hosts, away, back, 100.0),
-        "back: busiest host, 1 s": busiest(hosts, back, end, 1e3),
+        "away: busiest host, 1 s": busiest_host(hosts, away, back, 1e3),
+        "away: busiest host, 0.1 s": busiest_host(hosts, away, back, 100.0),
+        "back: busiest host, 1 s": busiest_host(hosts, back, end, 1e3),
         "asked": sum(owner.ends["asked"] for owner in owners),
         "placed": sum(owner.ends["placed"] for owner in owners),
         "turned away": sum(owner.ends["turned away"] for owner in owners),
--- a/benchmarks/cold_start.py
+++ b/benchmarks/cold_start.py
@@ -8,11 +8,11 @@
 from __future__ import annotations
 
 import tempfile
-from bisect import bisect_left
 from pathlib import Path
 
 import click
 
+from glencleat.check.asking import busiest
 from glencleat.kernel import Loop
 from glencleat.standins.channel import ChannelService, entry
 from glencleat.standins.processes import Nodes
@@ -33,19 +33,27 @@
     return True
 
 
+def start_all(loop: Loop, nodes: Nodes, place: tuple[str, int], service: ChannelService) -> float:
+    """All at one instant, with the list known and the channel at `place`; the loop's time of the start.
+
+    Returns when all listen."""
+    for i in range(nodes.count):
+        nodes.configure(i, place, service.known())
+    for i in range(nodes.count):
+        nodes.start(i)
+    started = loop.now()
+    if not until(loop, lambda: all(nodes.ready(i) for i in range(nodes.count)), START_MS):
+        raise click.ClickException("not all became ready")
+    return started
+
+
 def play(folder: Path, count: int, tree: Path | None) -> dict[str, float]:
     loop, record = Loop(), list[Passed]()
     service = ChannelService(loop, [entry(f"h{i}") for i in range(400)])
     weather = Weather(State(), [Fault(0.0, float("inf"), {"door": Door.CLOSES})])
     relay = Relay(loop, "list", service.address, weather, 1, record.append)
     with Nodes(folder, count, seed=11, tree=tree) as nodes:
-        for i in range(count):
-            nodes.configure(i, relay.address, service.known())
-        for i in range(count):
-            nodes.start(i)
-        first = relay.now()
-        if not until(loop, lambda: all(nodes.ready(i) for i in range(count)), START_MS):
-            raise click.ClickException("not all became ready")
+        first = start_all(loop, nodes, relay.address, service) - relay.began
         ready = relay.now()
         until(loop, lambda: relay.now() > ready + DOWN_MS, 2.0 * DOWN_MS)
         well = relay.now()
@@ -56,11 +64,10 @@
     relay.close()
     service.close()
     tries = sorted(p.at_ms for p in record if p.kind == "refused" and ready + AFTER_MS <= p.at_ms < well)
-    busiest = max((bisect_left(tries, at + 100.0) - i for i, at in enumerate(tries)), default=0)
     return {
         "ready s": (ready - first) / 1e3,
         "tries a second": len(tries) / ((well - ready - AFTER_MS) / 1e3),
-        "busiest 0.1 s, part of all": busiest / count,
+        "busiest 0.1 s, part of all": busiest(tries, 100.0) / count,
         "back s": took / 1e3,
         "MB each": memory,
     }
--- a/glencleat/standins/between.py
+++ b/glencleat/standins/between.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections import Counter, defaultdict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 from glencleat.check.record import Recorder
 from glencleat.kernel import Loop
@@ -69,7 +69,7 @@
         """Begins it on every wire that it names; what is returned ends what it began in the record.
 
         The weather knows its end from the start: what a cut holds back is given the time of its end."""
-        wires = [(place, name, relay) for place in at.places() for name, relay in self._of(place, at)]
+        wires = self._of(at)
         now = self.loop.now() - self.began
         for place, name, relay in wires:
             relay.weather.add(Fault(now, at.duration, at.fields()))
@@ -86,18 +86,18 @@
         self.recorder.add("wire", who=place, allocator=name, state=state, reason=at.effect(), left=late)
 
     def reset(self, at: At) -> None:
-        for place in at.places():
-            for _, relay in self._of(place, at):
-                relay.reset()
+        for _, _, relay in self._of(at):
+            relay.reset()
 
     def half_open(self, at: At) -> None:
-        for place in at.places():
-            for _, relay in self._of(place, at):
-                for pair in list(relay.pairs.values()):
-                    pair.half_open()
-
-    def _of(self, place: str, at: At) -> Iterable[tuple[str, Relay]]:
-        return [(name, relay) for name, relay in self.relays[place].items() if at.of in ("", name)]
+        for _, _, relay in self._of(at):
+            for pair in list(relay.pairs.values()):
+                pair.half_open()
+
+    def _of(self, at: At) -> list[tuple[str, str, Relay]]:
+        """Place, allocator and relay of the wires that a fault names."""
+        relays = ((place, name, relay) for place in at.places() for name, relay in self.relays[place].items())
+        return [(place, name, relay) for place, name, relay in relays if at.of in ("", name)]
 
     def end(self) -> None:
         """Tells of what is still open, before the record ends."""
--- a/glencleat/standins/directory.py
+++ b/glencleat/standins/directory.py
@@ -184,6 +184,12 @@
         for watcher in list(self.watchers):
             watcher.send(m.OperatorEvent("HEARTBEAT"))
 
+    def close(self) -> None:
+        for listener in self.listeners.values():
+            listener.close()
+            for stream in list(listener.open):
+                stream.close("the directory ended")
+
     def fail(self) -> None:
         """Cuts all subscriptions and answers 503 until `mend`."""
         self.failing = True
--- a/glencleat/standins/live.py
+++ b/glencleat/standins/live.py
@@ -5,16 +5,14 @@
 
 from __future__ import annotations
 
-import socket
-import struct
 from collections import Counter
 from random import Random
 
 from glencleat.isup import messages as m
 from glencleat.kernel import ConnectFailed, Listener, Loop, Stream, StreamClosed, connect
 from glencleat.kernel.loop import Coroutine
+from glencleat.standins.relay import reset
 
-RESET = struct.pack("ii", 1, 0)
 AGAIN_MS = 500.0
 WAIT_MS = 8_000.0
 
@@ -34,22 +32,16 @@
     def _accepted(self, stream: Stream) -> None:
         self.taken.append(self.loop.now())
         if self.away:
-            self._reset(stream)
+            reset(stream, "away")
             return
         self.streams.add(stream)
         self.loop.spawn(self._serve(stream), f"host {self.name}")
 
-    @staticmethod
-    def _reset(stream: Stream) -> None:
-        if stream.closed is None:
-            stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
-            stream.close("reset")
-
     def go(self) -> None:
         """Every connection is reset, and all that come until `back`."""
         self.away = True
         for stream in list(self.streams):
-            self._reset(stream)
+            reset(stream, "away")
 
     def back(self) -> None:
         self.away = False
--- a/glencleat/standins/play.py
+++ b/glencleat/standins/play.py
@@ -213,10 +213,7 @@
             owner.end()
         for host in self.hosts:
             host.stop("the play is over")
-        for listener in self.directory.listeners.values():
-            listener.close()
-            for stream in list(listener.open):
-                stream.close("the play is over")
+        self.directory.close()
 
     def _day(self) -> Coroutine:
         self.loop.spawn(self._watch_lag(), "lag", self.loop.current)
--- a/glencleat/standins/relay.py
+++ b/glencleat/standins/relay.py
@@ -25,6 +25,13 @@
 RESET = struct.pack("ii", 1, 0)  # linger for no time: a close is a reset
 
 
+def reset(stream: Stream, why: str) -> None:
+    """Closes it as a machine that went: by a reset, with nothing more said."""
+    if stream.closed is None:
+        stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        stream.close(why)
+
+
 @dataclass(frozen=True, slots=True)
 class Passed:
     """What a relay saw: `kind` of opened, refused, piece, ended, reset, datagram, lost; `size` in bytes."""
@@ -64,7 +71,7 @@
             self._later(flow, 0, lambda: self._ended(sink))
         except StreamClosed:
             if not self.half:
-                self._later(flow, 0, lambda: self.end(reset=True))
+                self._later(flow, 0, lambda: self.end(as_reset=True))
 
     def _pass(self, way: Way, flow: Flow, data: bytes) -> None:
         sink = self.sides[way][1]
@@ -89,14 +96,14 @@
         if all(stream.closed is not None or not stream.out for stream, _ in self.sides.values()):
             self.relay.tell("ended", self.number)
 
-    def end(self, reset: bool = False) -> None:
-        """Both sides at once; with `reset` as a machine that went."""
-        if self.relay.pairs.pop(self.number, None) is not None and reset:
+    def end(self, as_reset: bool = False) -> None:
+        """Both sides at once; with `as_reset` as a machine that went."""
+        if self.relay.pairs.pop(self.number, None) is not None and as_reset:
             self.relay.tell("reset", self.number)
         for stream, _ in self.sides.values():
-            if stream.closed is None:
-                if reset:
-                    stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            if as_reset:
+                reset(stream, "the relay ended it")
+            else:
                 stream.close("the relay ended it")
 
     def half_open(self) -> None:
@@ -193,7 +200,7 @@
     def reset(self) -> None:
         """Every connection that is open now."""
         for pair in list(self.pairs.values()):
-            pair.end(reset=True)
+            pair.end(as_reset=True)
 
     def close(self) -> None:
         self.listener.close()
--- a/glencleat/standins/wire.py
+++ b/glencleat/standins/wire.py
@@ -66,13 +66,13 @@
 
     def __init__(self, calm: State | None = None, faults: Iterable[Fault] = ()) -> None:
         self.calm = calm or State()
-        self.faults = sorted(faults, key=lambda fault: fault.at_ms)
-        for fault in self.faults:
-            replace(self.calm, **fault.fields)  # a field that no state has is told now, not at its time
+        self.faults: list[Fault] = []
+        for fault in faults:
+            self.add(fault)
 
     def add(self, fault: Fault) -> None:
         """One that begins now or later. What passed before has its times already."""
-        replace(self.calm, **fault.fields)
+        replace(self.calm, **fault.fields)  # a field that no state has is told now, not at its time
         self.faults = sorted([*self.faults, fault], key=lambda one: one.at_ms)
 
     def at(self, now: float) -> State:
--- a/tests/world.py
+++ b/tests/world.py
@@ -122,7 +122,4 @@
             server.close()
             for stream in list(server.listener.open):
                 stream.close("the end")
-        for listener in self.directory.listeners.values():
-            listener.close()
-            for stream in list(listener.open):
-                stream.close("the end")
+        self.directory.close()
