A draining host that only answers tests is given up 7 s after its own last word

Traced (every message of host s-, in all 16 allocators): some 2 s after its drain began (18.1 s) it said nothing any more to anybody, no note and no release, though links were open; it refused connections, and answered tests with 'failed' (22.13 s); at 23.13 s its process ended and reset 12 of 16 links, not those of n3, n4, n6, n14. The four learned it from a second test at 26.2 s. Ruled out: releases that we overlooked (none was read), a second link (one only), links left by us, that all tasks ended with the drain (with every end of that host held back only two calls of 16 allocators were lost, at 26.09 and 26.19, each 8 s after an end). So tasks ended unheard, and the answer to our test counted as a word of the host: hosts.py _look restarted 4 + 2.5 s from it, too late for an end just after the host's last own word. Now an answer to a test proves that the process lives and not that releases come: 7 s after the last word of the host's own, while connections are refused, what stands there is over (new tests fail without it). And once the list calls a host gone, the first refusal is enough, whatever link is open.

--- a/glencleat/node/hosts.py
+++ b/glencleat/node/hosts.py
@@ -2,8 +2,8 @@
 
 Imports the kernel, `isup` and `descriptors`. It tells the exchange facts, and names no outcome. A host's
 process is taken to have ended by one of: connections refused for some time while no link is open, none that
-came up for a longer one, a test unanswered on an open link while new ones are refused, a later start in the
-list, another id at its address. A link that breaks proves nothing, and so does a refusal by a host that
+came up for a longer one, a test unanswered or no word of its own on an open link while new ones are refused,
+refused once the list calls it gone, a later start in the list, another id at its address. A link that breaks proves nothing, and so does a refusal by a host that
 drains: it takes no new connections while its tasks run on."""
 
 from __future__ import annotations
@@ -203,7 +203,7 @@
     # ---- what links tell ----
 
     def up(self, host: HostLinks, link: Link) -> None:
-        host.heard = self.loop.now()
+        host.heard = host.spoke = self.loop.now()  # what it owed us comes now
         host.refused = host.failing = float("inf")
         host.refusing = host.fell = host.given_up = False
         for task in host.cuts:
@@ -278,7 +278,8 @@
     def list_told(self, news: News) -> None:
         names = {host.machine.name for host in news.hosts}
         for name, host in self.hosts.items() if news.whole else ():
-            host.gone |= name not in names
+            if name not in names:
+                host.leaves(self.loop.now())
         for told in news.hosts:
             self._told(told)
 
@@ -287,10 +288,11 @@
         host = self.hosts.get(name)
         if host is None:
             host = self.hosts[name] = HostLinks(name, now, self.random)
-        host.gone = told.machine.phase is api.Phase.GONE
-        host.draining = told.machine.phase is api.Phase.DRAINING
-        if host.gone:
+        if told.machine.phase is api.Phase.GONE:
+            host.leaves(now)
             return
+        host.gone, host.gone_at = False, float("inf")
+        host.draining = told.machine.phase is api.Phase.DRAINING
         if told.address != host.address:
             self._drop(host, "its host has another address")
             host.address = told.address
@@ -303,7 +305,7 @@
 
     def _replaced(self, host: HostLinks) -> None:
         """Another id has its address: connections there would reach the wrong one."""
-        host.gone = True
+        host.leaves(self.loop.now())
         self._drop(host, "another host has its address")
         host.address = ("", 0)
         self._over(host, "another host has its address")
@@ -325,7 +327,7 @@
         self._freed()  # a moment ago too many may have been begun
         for name in [name for name in self.exchange.standing if name not in self.hosts]:
             self.hosts[name] = HostLinks(name, now, self.random)
-            self.hosts[name].gone = True
+            self.hosts[name].leaves(now)
         # The longest unheard first: where there are more hosts than descriptors they take turns.
         for host in sorted(self.hosts.values(), key=lambda host: host.heard):
             if host.name in self.exchange.standing:
@@ -342,6 +344,11 @@
                 self._over(host, "no list names it")
         elif now - host.refused > self._proof_ms(host):
             self._over(host, "connections are refused")
+        elif host.refusing and host.failed_at > host.gone_at:
+            self._over(host, "the list calls it gone, and connections are refused")
+        elif host.refusing and now - host.spoke > NEVER_UP_MS:
+            # One that drains answers tests and takes no connection, and may end tasks without a word of it.
+            self._over(host, "it says nothing by itself, and connections are refused")
         elif host.refusing and now - host.heard > ASK_MS and self._tested(host, now):
             self._over(host, "a test is not answered")
         elif host.failing < now and now - host.heard > NEVER_UP_MS and not host.refusing:
--- a/glencleat/node/links.py
+++ b/glencleat/node/links.py
@@ -195,6 +195,8 @@
     def _message(self, message: m.Message) -> None:
         if self.hosts.trace is not None:
             self.hosts.trace.message(f"host {self.host.name}", message)
+        if message.kind != m.TESTED:
+            self.host.spoke = self.loop.now()
         answered = next((a for a in self.out if a.call.setup.task == message.task), None)
         if answered is not None and message.kind in (m.ANSWER, m.RELEASE):
             del self.out[answered]  # before the module may bind anew: this link is free again
@@ -229,7 +231,8 @@
         self.address: tuple[str, int] = ("", 0)
         self.links: set[Link] = set()
         self.gone = self.draining = False
-        self.heard = now
+        self.gone_at = float("inf")  # since when
+        self.heard = self.spoke = now  # anything; of itself, which is not an answer to a test
         self.refused = self.failing = float("inf")  # since when
         self.failed_at = float("-inf")  # the last try that failed
         self.refusing = False  # the last try: its machine is there
@@ -240,6 +243,11 @@
         self.cuts: dict[int, None] = {}
         self.given_up = False  # its only link was, for want of descriptors
 
+    def leaves(self, now: float) -> None:
+        """The list names it no more, or as gone."""
+        if not self.gone:
+            self.gone, self.draining, self.gone_at = True, False, now
+
     @property
     def alone(self) -> bool:
         """No link to it is up."""
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -372,6 +372,38 @@
         assert world.back() == [api.Outcome.LOST] and kinds(peer).count(m.TEST) == 1
 
 
+@pytest.mark.parametrize(
+    ("says", "over"),
+    [("answers tests", True), ("notes", False), ("nothing, gone", True), ("nothing, back", False)],
+)
+def test_a_host_that_refuses_connections_and_says_nothing_by_itself(world, monkeypatch, says, over):
+    """A draining one answered tests for 5 s without the releases of tasks that ended, which are due 8 s after."""
+    monkeypatch.setattr(hosts, "QUIET_MS", 50.0)
+    monkeypatch.setattr(hosts, "ASK_MS", 50.0 if "nothing" not in says else 60_000.0)
+    monkeypatch.setattr(hosts, "NEVER_UP_MS", 600.0 if "nothing" not in says else 60_000.0)
+
+    def script(stream, message):
+        stands(stream, message)
+        if message.kind == m.TEST and says == "notes":
+            stream.send(m.encode(m.NOTE, 1, {m.TOPIC: b"cores", m.VALUE: b"1"}))
+        elif message.kind == m.TEST:
+            stream.send(m.caused(m.TESTED, message.task, 0))
+
+    peer, owner = Peer(world.loop, script), world.client()
+    world.list(("h1", peer.address))
+    world.ask(owner, 1)
+    world.until(lambda: "h1" in world.exchange.standing)
+    peer.listener.close()
+    world.list(("h1", peer.address), phase=api.Phase.GONE if "nothing" in says else api.Phase.DRAINING)
+    if says == "nothing, back":  # it was only missing for a moment: refusals say what they said before
+        world.list(("h1", peer.address), phase=api.Phase.DRAINING)
+    began = world.loop.now()
+    world.until(lambda: "h1" not in world.exchange.standing or world.loop.now() > began + 1_500.0)
+    assert ("h1" not in world.exchange.standing) is over
+    if over:
+        assert world.back() == [api.Outcome.LOST]
+
+
 @pytest.mark.parametrize("how", ["replaced", "restarted", "unlisted"])
 def test_what_the_list_says_of_a_hosts_end(world, monkeypatch, how):
     monkeypatch.setattr(hosts, "UNLISTED_MS", 50.0)
