--- a/glencleat/node/hosts.py
+++ b/glencleat/node/hosts.py
@@ -21,6 +21,7 @@
 from glencleat.isup.channel import Host, News
 from glencleat.isup.exchange import Attempt, Exchange, Fact
 from glencleat.kernel import Loop
+from glencleat.node.life import Do
 from glencleat.node.links import HostLinks, Link
 
 if TYPE_CHECKING:
@@ -30,19 +31,7 @@
 SWEEP_MS = 200.0
 PER_HOST = 8  # links: one open set-up each where there is room, since one bad byte costs all on its link
 SURPLUS_MS = 4_000.0  # a link not needed for so long goes if another is up; owners keep theirs as long
-HEAR_MS = 3_000.0  # then a host without a link is heard again: its releases are due 8 s after the end
 MOST_LINE = 500  # attempts that wait for a descriptor
-QUIET_MS = 1_000.0  # a host with standing tasks that says nothing for so long is tried by a new connection
-REFUSED_MS = 100.0  # connections refused for so long end what stands there
-# So does silence since a host was last heard, while no connection comes up. Its tasks may run on behind a
-# cut, and their owners would ask for second ones: so it is as long as the page allows. A release is due 8 s
-# after a task's end, which may have come as soon as we last heard; less a sweep, a try and the lag of a loop.
-NEVER_UP_MS = 7_000.0
-AT_ONCE_MS = 100.0  # links that break within this break together
-DRAIN_REFUSED_MS = 2_500.0  # at one that drains, its links idle or given up: a refusal says little there
-# A host that refuses connections is tested on an open link: that has a price, so as late as the 8 s allow.
-ASK_MS, TEST_MS = 4_000.0, 2_500.0  # silent for so long; for the answer
-UNLISTED_MS = 5_000.0  # what was handed over at a host that no list names is over after this
 LIVENESS = 1 << 63  # ids of our own tests, apart from those of the module's probes
 MOST_CUTS = 1_000  # releases that wait for a host
 
@@ -86,12 +75,16 @@
         host = self.hosts.get(attempt.host)
         if host is None or not host.address[1]:
             self.answer(attempt, Fact.UNSENT)
-        elif self._silent(host) and self.loop.now() < host.again_at and all(li.stream for li in host.links):
+        elif self._hopeless(host):
             # A try has just failed, the next one is due soon: the same answer, a connect's time earlier.
             self.answer(attempt, Fact.NEVER_UP)
         elif not self._send(host, attempt):
             self._wait(attempt)
 
+    def _hopeless(self, host: HostLinks) -> bool:
+        waits = self.loop.now() < host.again_at and all(link.stream for link in host.links)
+        return waits and host.silent(self.connect_ms)
+
     def withdraw(self, attempt: Attempt) -> Fact:
         link: Link | None = attempt.link
         if link is None:
@@ -141,7 +134,7 @@
 
     def _pick(self, host: HostLinks, task: int, full: bool) -> Link | None:
         """A link with nothing open if there is one, else a new one, else that with the least, else none."""
-        silent = self._silent(host)
+        silent = host.silent(self.connect_ms)
         usable = [
             link
             for link in host.links
@@ -158,13 +151,6 @@
             return self._new(host)
         return min(usable, key=lambda link: link.load)
 
-    def _silent(self, host: HostLinks) -> bool:
-        """Nothing was heard since a try that failed began: what is sent on a link there may run unheard.
-
-        A new connection that does not come up proves that nothing ran; a link left over from before a cut
-        takes the bytes and keeps its silence, which ends an unsafe task."""
-        return not host.refusing and host.heard < host.failed_at - self.connect_ms
-
     def _open(self, link: Link) -> bool:
         """Usable: not closed, and not idle for so long that the host may close it as we write."""
         fresh = self.loop.now() - link.used < self.idle_ms
@@ -204,9 +190,7 @@
     # ---- what links tell ----
 
     def up(self, host: HostLinks, link: Link) -> None:
-        host.heard = host.spoke = self.loop.now()  # what it owed us comes now
-        host.refused = host.failing = float("inf")
-        host.refusing = host.fell = host.given_up = False
+        host.up(self.loop.now())
         for task in host.cuts:
             link.write(m.caused(m.RELEASE, task, m.ENDED))
         host.cuts.clear()
@@ -239,23 +223,14 @@
             self.log(
                 f"host {host.name}: connection {how}, {len(host.links)} others, heard {quiet:.0f} ms ago"
             )
-        host.failing, host.failed_at, host.refusing = min(host.failing, now), now, refused
-        host.refused = min(host.refused, now) if refused and host.alone else float("inf")
+        host.fails(now, refused, host.alone)
         host.again_at = now + host.asking.again()
         self._freed()
 
     def broken(self, host: HostLinks, link: Link, why: str) -> None:
-        """A release that was on its way comes again on the next connection opened: it is opened at once.
-
-        All of several links at one moment is a process that ended, also where the host drains. So is the last
-        one, unless it was idle for so long that the host may have closed it: a host that drains takes no new
-        connection, waiting longer brings no other word, and its release is due 1 s after the end. It may do
-        harm where a single reset meets a host that drains and lives: its tasks are told lost."""
+        """A release that was on its way comes again on the next connection opened: it is opened at once."""
         now = self.loop.now()
-        idle = now - link.used > self.idle_ms
-        host.broke = [at for at in host.broke if now - at < AT_ONCE_MS] + [now]
-        host.fell = host.alone and (len(host.broke) > 1 or not idle)
-        if host.fell:
+        if host.breaks(now, now - link.used > self.idle_ms, host.alone):
             host.again_at = now  # earlier refusals, as of a host that drains, say nothing of this
         lasted = now - link.since
         if lasted < HOST.steady_ms:
@@ -292,8 +267,7 @@
         if told.machine.phase is api.Phase.GONE:
             host.leaves(now)
             return
-        host.gone, host.gone_at = False, float("inf")
-        host.draining = told.machine.phase is api.Phase.DRAINING
+        host.listed(draining=told.machine.phase is api.Phase.DRAINING)
         if told.address != host.address:
             self._drop(host, "its host has another address")
             host.address = told.address
@@ -339,50 +313,20 @@
             self._file(host)
 
     def _look(self, host: HostLinks, now: float) -> None:
-        """Whether a host with standing tasks lives."""
-        if not host.address[1]:
-            if now - host.since > UNLISTED_MS:
-                self._over(host, "no list names it")
-        elif now - host.refused > self._proof_ms(host):
-            self._over(host, "connections are refused")
-        elif host.refusing and host.failed_at > host.gone_at:
-            self._over(host, "the list calls it gone, and connections are refused")
-        elif host.refusing and now - host.spoke > NEVER_UP_MS:
-            # One that drains answers tests and takes no connection, and may end tasks without a word of it.
-            self._over(host, "it says nothing by itself, and connections are refused")
-        elif host.refusing and now - host.heard > ASK_MS and self._tested(host, now):
-            self._over(host, "a test is not answered")
-        elif host.failing < now and now - host.heard > NEVER_UP_MS and not host.refusing:
-            if host.failed_at - host.heard > NEVER_UP_MS:
-                self._over(host, "no connection comes up")
-            else:
-                host.again_at = now  # the last try decides: one before it may be nearly a second old
-                self._again(host)
-        elif host.given_up and host.failing > now:
-            if now - host.heard > HEAR_MS:
-                self._again(host)
-        elif now - host.heard > max(QUIET_MS, look_ms(self.peers)) or not host.links or host.failing < now:
-            self._again(host)
-
-    @staticmethod
-    def _proof_ms(host: HostLinks) -> float:
-        """How long connections must be refused, with no link open, to tell that its process has ended."""
-        if host.gone:
-            return 0.0
-        # One that began to drain after we gave up its link refuses as well, and the list may not tell it yet.
-        return DRAIN_REFUSED_MS if host.given_up or (host.draining and not host.fell) else REFUSED_MS
-
-    def _tested(self, host: HostLinks, now: float) -> bool:
-        """Whether a test on an open link stays unanswered; sends it first.
-
-        A process may end with a connection left open, silent, and a draining one refuses new ones while it
-        lives: only its own word tells the two apart. A test has a price, so it comes last."""
-        if host.tested < host.heard:
+        """Whether a host with standing tasks lives: `life.py` says what is to be done."""
+        do, why = host.look(now, bool(host.address[1]), bool(host.links), look_ms(self.peers))
+        if do is Do.OVER:
+            self._over(host, why)
+            return
+        if do is Do.TEST:
             self.tests += 1
             for link in host.links:
                 link.write(m.caused(m.TEST, LIVENESS + self.tests, 0))
             host.tested = now
-        return now - host.tested > TEST_MS
+        if do is Do.LAST:
+            host.again_at = now
+        if do is not Do.NOTHING:
+            self._again(host)
 
     def _tidy(self, host: HostLinks, now: float) -> None:
         """Ends links that nobody needs, and forgets hosts that are gone."""
--- a/glencleat/node/links.py
+++ b/glencleat/node/links.py
@@ -1,35 +1,53 @@
 """One link to a host, and what is kept of a host: connections by host id, what of a set-up left.
 
-Imports the kernel, `isup` and `descriptors`; `node/hosts.py` makes them. A link tells facts and names no
-outcome."""
+Imports the kernel, `isup`, `descriptors`, `life`; `node/hosts.py` makes them. A link tells facts and names
+no outcome."""
 
 from __future__ import annotations
 
 import errno
 from random import Random
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
-from glencleat.descriptors import Side, Worth
+from glencleat.descriptors import Descriptors, Side, Worth
 from glencleat.fleet.asking import HOST, Asking
 from glencleat.isup import messages as m
-from glencleat.isup.exchange import Attempt, Fact
-from glencleat.kernel import ConnectFailed, Stream, StreamClosed, connect
+from glencleat.fleet.connecting import Connecting
+from glencleat.isup.exchange import Attempt, Exchange, Fact
+from glencleat.kernel import ConnectFailed, Loop, Stream, StreamClosed, connect
 from glencleat.kernel.loop import Coroutine
+from glencleat.node.life import Life
 
 if TYPE_CHECKING:
-    from glencleat.node.hosts import Hosts
+    from glencleat.node.trace import Trace
 
 OURS_MS = 800.0  # until the next try that failed for want of something of ours
 VISIT_MS = 500.0  # after coming up: what a host still owed us has come by then
 LEAVE_MS = 500.0  # for a host to close a link that we end
 
 
+class Keeper(Protocol):
+    """What links need of who makes them; `node/hosts.py` is it."""
+
+    loop: Loop
+    connecting: Connecting
+    descriptors: Descriptors
+    exchange: Exchange
+    connect_ms: float
+    trace: Trace | None
+
+    def answer(self, attempt: Attempt, fact: Fact) -> None: ...
+    def up(self, host: HostLinks, link: Link) -> None: ...
+    def failed(self, host: HostLinks, refused: bool) -> None: ...
+    def broken(self, host: HostLinks, link: Link, why: str) -> None: ...
+
+
 class Link:
     """One connection to a host, from before it is up until it has ended or is left to end."""
 
     side = Side.LINKS
 
-    def __init__(self, hosts: Hosts, host: HostLinks, visit: bool) -> None:
+    def __init__(self, hosts: Keeper, host: HostLinks, visit: bool) -> None:
         self.hosts, self.host, self.loop = hosts, host, hosts.loop
         self.address = host.address  # which may be another by the time that it comes up
         self.visit = visit  # opened beside another to see whether the host lives: not kept unless used
@@ -195,8 +213,7 @@
     def _message(self, message: m.Message) -> None:
         if self.hosts.trace is not None:
             self.hosts.trace.message(f"host {self.host.name}", message)
-        if message.kind != m.TESTED:
-            self.host.spoke = self.loop.now()
+        self.host.says(self.loop.now(), by_itself=message.kind != m.TESTED)
         answered = next((a for a in self.out if a.call.setup.task == message.task), None)
         if answered is not None and message.kind in (m.ANSWER, m.RELEASE):
             del self.out[answered]  # before the module may bind anew: this link is free again
@@ -222,31 +239,17 @@
             self.hosts.broken(self.host, self, why)
 
 
-class HostLinks:
+class HostLinks(Life):
     """A host, its links, and what is known of whether it lives."""
 
     def __init__(self, name: str, now: float, random: Random) -> None:
-        self.name, self.since = name, now
+        super().__init__(now)
+        self.name = name
         self.asking = Asking(HOST, random)  # between two connections, when it could not be reached
         self.address: tuple[str, int] = ("", 0)
         self.links: set[Link] = set()
-        self.gone = self.draining = False
-        self.gone_at = float("inf")  # since when
-        self.heard = self.spoke = now  # anything; of itself, which is not an answer to a test
-        self.refused = self.failing = float("inf")  # since when
-        self.failed_at = float("-inf")  # the last try that failed
-        self.refusing = False  # the last try: its machine is there
-        self.tested = float("-inf")  # since when a test is out
-        self.broke: list[float] = []  # when its last links broke
-        self.fell = False  # the last of its links broke, as when a process ends
         self.again_at = 0.0
         self.cuts: dict[int, None] = {}
-        self.given_up = False  # its only link was, for want of descriptors
-
-    def leaves(self, now: float) -> None:
-        """The list names it no more, or as gone."""
-        if not self.gone:
-            self.gone, self.draining, self.gone_at = True, False, now
 
     @property
     def alone(self) -> bool:
--- a/glencleat/standins/play.py
+++ b/glencleat/standins/play.py
@@ -50,9 +50,11 @@
         self.rest: Address = ("127.0.0.1", 0)
         self.child: subprocess.Popen[bytes] | None = None
         self.kept: list[socket.socket] = []
+        self.starting: Task | None = None  # who waits for its addresses
 
     def start(self) -> Coroutine:
         """Starts it and waits for its addresses."""
+        self.starting = self.loop.current
         conf = self.folder / f"{self.name}.conf"
         listens = [f"listen {k} {a[0]}:{a[1]}" for k, a in ((kind, getattr(self, kind)) for kind in KINDS)]
         conf.write_text("\n".join([*self.lines, *listens]) + "\n")
@@ -71,6 +73,7 @@
             host, _, port = bound[kind].rpartition(":")
             setattr(self, kind, (host, int(port)))
         self.release()
+        self.starting = None
         self.recorder.add("allocator", allocator=self.name, state="up")
 
     def _line(self) -> Coroutine:
@@ -107,6 +110,10 @@
             self.recorder.add("allocator", allocator=self.name, state=state)
 
     def kill(self) -> None:
+        if self.starting is not None:
+            # It will never say where it listens; who waits for that ended the play 20 s later.
+            self.loop.cancel(self.starting)
+            self.starting = None
         self.signal(signal.SIGKILL, "killed")
         if self.child is not None:
             self.child.wait()
--- /dev/null
+++ b/tests/test_life.py
@@ -0,0 +1,158 @@
+"""Which evidence ends what stands at a host: every order of what can be seen of one, at small scope."""
+
+from dataclasses import dataclass
+from itertools import product
+
+import pytest
+
+from glencleat.node.life import NEVER_UP_MS, Do, Life
+
+SWEEP_MS, STEP_MS, TRY_MS, CONNECT_MS, TOLD_MS = 200.0, 1_000.0, 1_000.0, 250.0, 8_000.0
+
+
+@dataclass(frozen=True)
+class Phase:
+    """A second of a host: what a try meets, what it says, whether its links stay, what the list calls it."""
+
+    tries: str  # up, refused, nothing (no answer)
+    says: str  # own, tests (answers them), nothing
+    link: bool  # an open one stays; else it breaks at the start
+    listed: str  # serving, draining, gone
+
+
+PHASES = [Phase(*p) for p in product(("up", "refused", "nothing"), ("own", "tests", "nothing"), (True, False),
+                                     ("serving", "draining", "gone"))]  # fmt: skip
+
+
+class Run:
+    """One host's Life, driven as `hosts.py` drives it: a sweep each 200 ms, tries at most a second apart."""
+
+    def __init__(self):
+        self.now, self.life, self.up, self.again_at = 0.0, Life(0.0), True, 0.0
+        self.word = 0.0  # last sign that its releases reach us: its own word, or a connection that came up
+        self.pending = []  # a try under way: when it ends, and how
+
+    def begin(self, phase):
+        if phase.listed == "gone":
+            self.life.leaves(self.now)
+        else:
+            self.life.listed(phase.listed == "draining")
+        if self.up and not phase.link:
+            self.up = False
+            if self.life.breaks(self.now, idle=False, alone=True):
+                self.again_at = self.now
+
+    def sweep(self, phase):
+        """The verdict of one sweep."""
+        self.now += SWEEP_MS
+        while self.pending and self.pending[0][0] <= self.now:
+            at, how = self.pending.pop()
+            if how == "up":
+                self.up, self.word = True, at
+                self.life.up(at)
+            else:
+                self.life.fails(at, how == "refused", alone=not self.up)
+                self.again_at = at + TRY_MS
+        if self.up and phase.says == "own":
+            self.word = self.now
+            self.life.says(self.now, by_itself=True)
+        do, why = self.life.look(self.now, True, self.up or bool(self.pending), 500.0)
+        if do is Do.TEST:
+            self.life.tested = self.now
+            if phase.says == "tests":
+                self.life.says(self.now + 1.0, by_itself=False)
+        if do is Do.LAST:
+            self.again_at = self.now
+        if do in (Do.LOOK, Do.LAST, Do.TEST) and not self.pending and self.now >= self.again_at:
+            takes = {"up": 1.0, "refused": 1.0, "nothing": CONNECT_MS}[phase.tries]
+            self.pending.append((self.now + takes, phase.tries))
+        return do, why
+
+
+@pytest.mark.parametrize("end", [Phase(t, s, link, "draining") for t in ("refused", "nothing")
+                                 for s in ("tests", "nothing") for link in (True, False)], ids=str)  # fmt: skip
+def test_an_end_that_is_never_told_is_known_in_time(end):
+    """After any two seconds of a host, its tasks end and nothing says so: it is over 8 s after its last word."""
+    for before in product(PHASES, repeat=2):
+        run, over = Run(), None
+        for phase in before:
+            run.begin(phase)
+            for _ in range(int(STEP_MS / SWEEP_MS)):
+                over = over or run.sweep(phase)[0] is Do.OVER
+        if over:
+            continue  # it was given up before
+        run.begin(end)
+        while run.sweep(end)[0] is not Do.OVER:
+            assert run.now - run.word < TOLD_MS, (before, run.life.__dict__)
+
+
+def test_a_host_that_is_heard_on_an_open_link_is_never_over():
+    """Not even where it refuses connections, as one that drains does; unless the list calls it gone."""
+    tried = 0
+    for before in product(PHASES, repeat=3):
+        run, over = Run(), False
+        for phase in before:
+            run.begin(phase)
+            for _ in range(int(STEP_MS / SWEEP_MS)):
+                do, why = run.sweep(phase)
+                over |= do is Do.OVER
+                heard = run.up and phase.says == "own" and phase.listed != "gone"
+                tried += heard
+                assert not (heard and do is Do.OVER), (before, why)
+            if over:
+                break
+    assert tried > 100_000
+
+
+def test_what_only_answers_tests_is_heard_and_tells_no_ends():
+    """The full fleet test broke 'lost' on it: each answer began 4 + 2.5 s anew."""
+    run = Run()
+    drains = Phase("refused", "tests", True, "draining")
+    run.begin(drains)
+    while run.sweep(drains)[0] is not Do.OVER:
+        assert run.now < TOLD_MS
+    assert run.now >= NEVER_UP_MS and run.life.heard > run.now - 4_000.0
+
+
+@pytest.mark.parametrize(("gone", "ms"), [(False, 8_000.0), (True, 1_600.0)])
+def test_a_refusal_after_the_list_called_it_gone_is_enough(gone, ms):
+    """A link that its process left open says nothing more; refusals from before say that it drained."""
+    run, drains = Run(), Phase("refused", "nothing", True, "draining")
+    run.begin(drains)
+    for _ in range(10):
+        assert run.sweep(drains)[0] is not Do.OVER
+    ends = Phase("refused", "nothing", True, "gone" if gone else "draining")
+    run.begin(ends)
+    began = run.now
+    while run.sweep(ends)[0] is not Do.OVER:
+        assert run.now - began < ms
+    assert gone == (run.now - began < 1_600.0)
+
+
+def test_what_the_list_says_waits_for_a_refusal_of_its_own():
+    life = Life(0.0)
+    life.listed(draining=True)
+    life.fails(1_000.0, refused=True, alone=False)
+    life.leaves(1_100.0)
+    assert life.look(1_200.0, True, True, 500.0)[0] is not Do.OVER
+    life.fails(1_300.0, refused=True, alone=False)
+    assert life.look(1_400.0, True, True, 500.0)[0] is Do.OVER
+
+
+def test_a_quiet_host_that_takes_connections_is_not_over_at_its_first_refusal():
+    life = Life(0.0)
+    for at in range(1_000, 20_000, 1_000):
+        life.up(float(at))
+    life.fails(20_000.0, refused=True, alone=False)
+    assert life.look(20_100.0, True, True, 500.0)[0] is Do.LOOK
+
+
+def test_a_draining_host_whose_idle_link_ends_is_over_in_seconds_and_others_at_once():
+    for drains, idle, least, most in ((True, True, 2_500.0, 2_800.0), (True, False, 100.0, 400.0), (False, True, 100.0, 400.0)):
+        life = Life(0.0)
+        life.listed(draining=drains)
+        life.breaks(0.0, idle=idle, alone=True)
+        assert life.look(1.0, True, False, 500.0)[0] is Do.LOOK  # a release may have been on its way
+        life.fails(10.0, refused=True, alone=True)
+        times = [at for at in range(0, 3_000, 50) if life.look(10.0 + at, True, False, 500.0)[0] is Do.OVER]
+        assert least < times[0] <= most
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -15,7 +15,7 @@
 from glencleat.isup.channel import Channel, Host, News
 from glencleat.isup.exchange import Exchange
 from glencleat.kernel import ConnectFailed, Listener, Loop, StreamClosed, streams
-from glencleat.node import feed, hosts, links, owners
+from glencleat.node import feed, hosts, life, links, owners
 from tests.live import SETTINGS, Script, setup
 
 
@@ -224,7 +224,7 @@
 
 def test_nothing_is_sent_on_a_link_left_over_from_before_a_cut(world, monkeypatch):
     """It takes the bytes and keeps silent: a time-out, after which an unsafe task may not be tried again."""
-    monkeypatch.setattr(hosts, "QUIET_MS", 20.0)
+    monkeypatch.setattr(life, "QUIET_MS", 20.0)
     world.hosts.connect_ms = 10.0
     (peer,), owner = standing(world, 1)
     cut_off(monkeypatch)
@@ -243,8 +243,9 @@
 @pytest.mark.parametrize("heals", [True, False])
 def test_a_cut_ends_what_stands_only_when_its_release_is_nearly_due(world, monkeypatch, heals):
     """3.5 s of failed connections ended thousands of tasks that ran on behind a cut of 6 s."""
-    for name, ms in (("QUIET_MS", 20.0), ("SWEEP_MS", 5.0), ("NEVER_UP_MS", 900.0)):
-        monkeypatch.setattr(hosts, name, ms)
+    monkeypatch.setattr(hosts, "SWEEP_MS", 5.0)
+    for name, ms in (("QUIET_MS", 20.0), ("NEVER_UP_MS", 900.0)):
+        monkeypatch.setattr(life, name, ms)
     (peer,), _ = standing(world, 1)
     cut, host = cut_off(monkeypatch), world.hosts.hosts["h0"]
     heard = host.heard
@@ -329,7 +330,7 @@
     world.until(lambda: len(world.exchange.standing.get("h1", ())) == 2)
     world.list(("h1", peer.address), phase=api.Phase.DRAINING)
     peer.die()
-    assert world.back(2, ms=0.6 * hosts.DRAIN_REFUSED_MS) == [api.Outcome.LOST] * 2
+    assert world.back(2, ms=0.6 * life.DRAIN_REFUSED_MS) == [api.Outcome.LOST] * 2
 
 
 @pytest.mark.parametrize("idle", [False, True])
@@ -350,9 +351,9 @@
 @pytest.mark.parametrize("lives", [True, False])
 def test_a_host_that_refuses_connections_is_asked_on_an_open_link(world, monkeypatch, lives):
     """A draining host refuses them while its tasks run on; a dead one may leave a link open and silent."""
-    monkeypatch.setattr(hosts, "QUIET_MS", 50.0)
-    monkeypatch.setattr(hosts, "ASK_MS", 50.0)
-    monkeypatch.setattr(hosts, "TEST_MS", 250.0)
+    monkeypatch.setattr(life, "QUIET_MS", 50.0)
+    monkeypatch.setattr(life, "ASK_MS", 50.0)
+    monkeypatch.setattr(life, "TEST_MS", 250.0)
 
     def script(stream, message):
         stands(stream, message)
@@ -378,9 +379,9 @@
 )
 def test_a_host_that_refuses_connections_and_says_nothing_by_itself(world, monkeypatch, says, over):
     """A draining one answered tests for 5 s without the releases of tasks that ended, which are due 8 s after."""
-    monkeypatch.setattr(hosts, "QUIET_MS", 50.0)
-    monkeypatch.setattr(hosts, "ASK_MS", 50.0 if "nothing" not in says else 60_000.0)
-    monkeypatch.setattr(hosts, "NEVER_UP_MS", 600.0 if "nothing" not in says else 60_000.0)
+    monkeypatch.setattr(life, "QUIET_MS", 50.0)
+    monkeypatch.setattr(life, "ASK_MS", 50.0 if "nothing" not in says else 60_000.0)
+    monkeypatch.setattr(life, "NEVER_UP_MS", 600.0 if "nothing" not in says else 60_000.0)
 
     def script(stream, message):
         stands(stream, message)
@@ -406,7 +407,7 @@
 
 @pytest.mark.parametrize("how", ["replaced", "restarted", "unlisted"])
 def test_what_the_list_says_of_a_hosts_end(world, monkeypatch, how):
-    monkeypatch.setattr(hosts, "UNLISTED_MS", 50.0)
+    monkeypatch.setattr(life, "UNLISTED_MS", 50.0)
     peer, owner = Peer(world.loop, stands), world.client()
     name = "h9" if how == "unlisted" else "h1"
     world.list(("h1", peer.address))
@@ -630,8 +631,8 @@
 
 def test_more_hosts_than_descriptors_take_turns(world, monkeypatch):
     """Every release is heard, though two links serve six hosts."""
-    for name, ms in (("HEAR_MS", 100.0), ("SWEEP_MS", 10.0)):
-        monkeypatch.setattr(hosts, name, ms)
+    monkeypatch.setattr(hosts, "SWEEP_MS", 10.0)
+    monkeypatch.setattr(life, "HEAR_MS", 100.0)
     monkeypatch.setattr(links, "VISIT_MS", 20.0)
     world.descriptors.room, world.descriptors.rights = 3, {Side.OWNERS: 1, Side.LINKS: 2}
     peers, owner = standing(world, 6)
@@ -656,7 +657,7 @@
 
 def test_a_life_test_leaves_one_link(world, monkeypatch):
     """A quiet host is tried by a new connection each time; they were kept until nothing was free."""
-    monkeypatch.setattr(hosts, "QUIET_MS", 30.0)
+    monkeypatch.setattr(life, "QUIET_MS", 30.0)
     (peer,), _ = standing(world, 1)
     (first,) = live(world)
     world.until(lambda: len(peer.streams) >= 4)
@@ -666,7 +667,7 @@
 
 def test_a_visit_ends_only_when_the_next_is_opened(world, monkeypatch):
     """A release cut off with it comes again on the next one; a host that drains meanwhile takes none."""
-    monkeypatch.setattr(hosts, "QUIET_MS", 20.0)
+    monkeypatch.setattr(life, "QUIET_MS", 20.0)
     (peer,), _ = standing(world, 1)
     world.until(lambda: len(live(world)) == 2)
     host = world.hosts.hosts["h0"]
@@ -679,7 +680,7 @@
 
 def test_a_visit_goes_before_the_link_it_is_beside_and_with_the_last_task(world, monkeypatch):
     """The link that carries set-ups is paid for; closed in its place it was opened, and paid for, again."""
-    monkeypatch.setattr(hosts, "QUIET_MS", 20.0)
+    monkeypatch.setattr(life, "QUIET_MS", 20.0)
     (peer,), owner = standing(world, 1)
     (first,) = live(world)
     world.until(lambda: len(live(world)) == 2)
@@ -745,14 +746,14 @@
 
 def test_a_host_whose_link_we_gave_up_may_have_begun_to_drain(world, monkeypatch):
     """The list may not tell it yet, and it refuses new connections while its tasks run."""
-    monkeypatch.setattr(hosts, "HEAR_MS", 50.0)
+    monkeypatch.setattr(life, "HEAR_MS", 50.0)
     (peer,), _ = standing(world, 1)
     live(world)[0].give_up()
     peer.listener.close()
     host = world.hosts.hosts["h0"]
-    world.until(lambda: host.refused < world.loop.now() - 5.0 * hosts.REFUSED_MS)
+    world.until(lambda: host.refused < world.loop.now() - 5.0 * life.REFUSED_MS)
     assert "h0" in world.exchange.standing
-    assert world.back(ms=2.0 * hosts.DRAIN_REFUSED_MS) == [api.Outcome.LOST]
+    assert world.back(ms=2.0 * life.DRAIN_REFUSED_MS) == [api.Outcome.LOST]
 
 
 def test_the_last_owner_that_releases_can_go_by_stays(world):
--- a/tests/test_play.py
+++ b/tests/test_play.py
@@ -7,8 +7,9 @@
 import pytest
 
 from glencleat.check import rules
-from glencleat.check.record import read
-from glencleat.standins.play import Play
+from glencleat.check.record import Recorder, read
+from glencleat.kernel import Loop
+from glencleat.standins.play import Play, Process
 from glencleat.standins.script import figures, load_campus, load_script
 from glencleat.standins.troubles import TROUBLES, faults
 
@@ -113,3 +114,17 @@
     )  # fmt: skip
     broken = rules.check([*entries, again], figures(campus))
     assert any(b.rule == "no effect twice" and b.lines == (first.line, again.line) for b in broken)
+
+
+def test_one_killed_before_it_is_up_ends_nothing_but_itself(tmp_path):
+    """Killed twice while the machine was slow to start it, it ended the play 20 s later as not started."""
+    loop = Loop()
+    process = Process(loop, Recorder(loop.now), "a0", tmp_path, ["not a configuration that matters"])
+    start = loop.spawn(process.start(), "a0")
+    while process.child is None:
+        loop.round(wait=False)
+    process.kill()
+    loop.call_in(1_000.0, lambda: None)
+    loop.round()
+    assert start.done and start.error is None and process.child.poll() is not None
+    process.release()
