--- a/glencleat/allocator/early.py
+++ b/glencleat/allocator/early.py
@@ -7,24 +7,22 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from sortedcontainers import SortedDict
 
 from glencleat.allocator import tables
 from glencleat.allocator.ledger import Call, Given
+from glencleat.allocator.middle import Middle
 from glencleat.allocator.seam import Answered, Happened
 from glencleat.fleet.start import LAST_MS, SLOT_MS, SlowStart
 
-if TYPE_CHECKING:
-    from glencleat.allocator.core import Core
-
 Place = tuple[float, float, int]
 WAIT_MS = 1_000.0  # a task without an answer for so long waits for room, and holds up nobody
 
 
 class Early:
-    def __init__(self, core: Core) -> None:
+    def __init__(self, core: Middle) -> None:
         self.core = core
         self.line: SortedDict[Place, Call] = SortedDict()
         self.out: dict[int, float] = {}  # call -> since when it is the module's
--- a/glencleat/allocator/middle.py
+++ b/glencleat/allocator/middle.py
@@ -49,6 +49,7 @@
     incarnation: str
     numbers: count[int]
     ending: bool
+    listed: set[str] | None
     log: Callable[..., None]
 
     @property
--- a/glencleat/node/process.py
+++ b/glencleat/node/process.py
@@ -32,6 +32,8 @@
 from glencleat.settings import read_settings
 
 TAKEN_ON_MS = 700.0  # after SIGTERM: what comes in this time is still taken and answered
+LOOK_MS = 10.0  # between two looks whether all is answered
+READY_MS = 20_000.0  # after the start; the platform gives up on what is not ready after 30 s
 REREAD_MS, REREADS = 100.0, 20  # the file may be read while it is replaced
 STATUS_MS = 10_000.0
 
@@ -89,7 +91,8 @@
         random = Random(config.seed)
         limits = config.connect_ms, config.idle_ms
         self.hosts = Hosts(loop, self.channel, self.descriptors, *limits, random, log)
-        self.owners.ready = lambda: bool(self.channel.hosts)
+        self.started = loop.now()
+        self.owners.ready = self._ready
         self.hosts.peers = config.settings.peers
         module = Scheduler(config.settings, config.seed)
         self.exchange = Exchange(config.settings, module, self, config.connect_ms)
@@ -104,6 +107,12 @@
         if os.environ.get("GLENCLEAT_TRACE") == "1":
             self._trace()
         self.lag = 0.0
+        self.all_answered = False  # at the last look before the end
+
+    def _ready(self) -> bool:
+        """There is somewhere to place, or there was no list for too long: what is asked is then refused at
+        once, which costs its owners a moment, while one that is never ready counts as failed to start."""
+        return bool(self.channel.hosts) or self.loop.now() - self.started > READY_MS
 
     def _trace(self) -> None:
         from glencleat.node.trace import Trace
@@ -173,11 +182,16 @@
             self.loop.call_in(TAKEN_ON_MS, self._finish)
 
     def _finish(self) -> None:
+        """Ends once two looks in a row find all answered: between them what lay unread in sockets is read.
+
+        After a standstill the timer is due in the turn that reads what came meanwhile, which was taken."""
         self.owners.close()
-        if self.exchange.open or any(owner.stream.out for owner in self.owners.owners):
-            self.loop.call_in(10.0, self._finish)
-        else:
+        answered = not self.exchange.open and not any(owner.stream.out for owner in self.owners.owners)
+        if answered and self.all_answered:
             self.loop.stop()
+            return
+        self.all_answered = answered
+        self.loop.call_in(LOOK_MS, self._finish)
 
     # ---- running ----
 
--- a/tests/test_node_process.py
+++ b/tests/test_node_process.py
@@ -7,10 +7,13 @@
 import subprocess
 import sys
 import threading
+import time
 
 import pytest
 
 from glencleat.isup import messages as m
+from glencleat.kernel import Loop
+from glencleat.node.process import READY_MS, TAKEN_ON_MS, Process, load
 from tests.live import setup
 
 SETTINGS = {
@@ -179,3 +182,44 @@
         [sys.executable, "-m", "glencleat", "node"], env=env, capture_output=True, text=True
     )
     assert done.returncode == 2 and "ROUTER_CONFIG" in done.stderr
+
+
+def test_what_lay_unread_as_the_end_came_is_answered(platform):
+    """It was taken: after a standstill the end's timer is due in the very turn that reads it."""
+    sock, reader = platform.owner()
+    platform.hold.set()
+    sock.send(m.encode(m.TEST, 1, {m.CAUSE: b"\0"}))
+    assert reader.next().cause == 1
+    platform.process.send_signal(signal.SIGTERM)
+    platform.line("stopping, 0 calls open")
+    platform.process.send_signal(signal.SIGSTOP)
+    sock.send(setup(8))
+    time.sleep(2.0 * TAKEN_ON_MS / 1e3)  # nothing is waited for but the time itself
+    platform.process.send_signal(signal.SIGCONT)
+    assert (reader.next().kind, platform.process.wait(20.0)) == (m.ANSWER, 0)
+
+
+class Clock:
+    at = 1_000.0
+
+    def now(self):
+        return self.at
+
+    def wall(self):
+        return 1.7e12 + self.at
+
+
+def test_without_any_list_it_is_ready_in_time(tmp_path):
+    """The platform gives up on one that is not ready after 30 s; what it is asked is refused at once."""
+    known = {"cursor": 0, "cmds": []}
+    (tmp_path / "config.json").write_text(json.dumps({
+        "name": "n0", "listen": "127.0.0.1:0", "seed": "8c", "limits": {"sockets": 256}, "channel": "127.0.0.1:9",
+        "known": known, "settings": SETTINGS,
+    }))  # fmt: skip
+    loop = Loop(Clock())
+    process = Process(load(str(tmp_path / "config.json")), loop, lambda text: None, "")
+    assert not process.owners.ready()
+    loop.clock.at += READY_MS
+    assert not process.owners.ready()
+    loop.clock.at += 1.0
+    assert process.owners.ready() and READY_MS < 30_000.0
