Links tell the module which hosts they can't reach, so that a cut spends no attempts

Harmless in one allocator, harmful in all: each learns each host by a task of its own, and there are 270. Ruled out: hosts that were full (no refusal among the outcomes), descriptors (534 of 768), a slow loop. Change: interface.Reached, told by node/hosts.py at the second failed try in a row where no link says otherwise, again at each further one, and once when the host is heard; the module (logic.py on_reached) takes it as an attempt that was unreachable. Serve and the simulator's adapter never tell it: equal actions there. Each test was broken once.

--- a/glencleat/interface.py
+++ b/glencleat/interface.py
@@ -238,12 +238,22 @@
     report: Report | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class Reached:
+    """Whether a machine can be reached, by connections that were tried without an attempt. May never be told.
+
+    Not `up`: again at each further try that fails; `up`: once, when it can be reached again."""
+
+    machine: str
+    up: bool
+
+
 @dataclass(frozen=True, slots=True)
 class TimerDue:
     token: int
 
 
-Event = ListTold | Asked | Accepted | Returned | Left | Noted | Probed | TimerDue
+Event = ListTold | Asked | Accepted | Returned | Left | Noted | Probed | Reached | TimerDue
 
 
 @dataclass(frozen=True, slots=True)
--- a/glencleat/isup/exchange.py
+++ b/glencleat/isup/exchange.py
@@ -453,6 +453,10 @@
 
     # ---- machines ----
 
+    def reached(self, host: str, up: bool) -> None:
+        """The links' word on a host that they tried by themselves."""
+        self.telling.tell(api.Reached(host, up))
+
     def list_told(self, news: News) -> None:
         kind = api.ListKind.WHOLE if news.whole else api.ListKind.CHANGES
         self.telling.tell(api.ListTold(kind, tuple(host.machine for host in news.hosts)))
--- a/glencleat/logic.py
+++ b/glencleat/logic.py
@@ -16,7 +16,7 @@
 
 from glencleat.interface import Accepted, Action, Asked, Bind, Effect, Event, Fail, Left, ListKind, ListTold
 from glencleat.interface import Log, Machine, Noted, NoteKind, Outcome, Phase, Probe, Probed, Refuse, Report
-from glencleat.interface import Returned, SetTimer, Settings, Size, TaskClass, TimerDue, Watch, Why
+from glencleat.interface import Reached, Returned, SetTimer, Settings, Size, TaskClass, TimerDue, Watch, Why
 
 NEED_SHARE, LIFE_SHARE = 0.75, 0.25  # of peaks: 99ths leave machines half empty; of lives: 5ths lapse at once
 ENOUGH = 20  # ended tasks before a histogram speaks
@@ -201,6 +201,7 @@
         self.handlers: dict[type, Any] = {
             Asked: self.on_asked, Accepted: self.on_accepted, Returned: self.on_returned, Left: self.on_left,
             Noted: self.on_noted, ListTold: self.on_list, Probed: self.on_probed, TimerDue: self.on_timer,
+            Reached: self.on_reached,
         }
 
     def handle(self, now_ms: float, event: Event) -> list[Action]:
@@ -755,6 +756,15 @@
                 self.suspect(node, 1)
             self.try_held(LOOK_SHARE)  # not all held: each try probes again, and so fed itself
 
+    def on_reached(self, event: Reached) -> None:
+        """What an attempt there would come to, at the cost of none: behind a cut four are soon spent."""
+        node = self.nodes.get(event.machine)
+        if node is not None and not event.up:
+            node.unreachable = True
+            self.suspect(node, SILENT)
+        elif node is not None and node.unreachable:
+            node.back_at, node.unreachable, node.silent = self.now, False, 0
+
     def log(self, kind: str, text: str) -> None:
         if self.now - self.logged.get(kind, -1e18) >= LOG_MS:
             self.logged[kind] = self.now
--- a/glencleat/node/hosts.py
+++ b/glencleat/node/hosts.py
@@ -191,6 +191,7 @@
 
     def up(self, host: HostLinks, link: Link) -> None:
         host.up(self.loop.now())
+        self.back(host)
         for task in host.cuts:
             link.write(m.caused(m.RELEASE, task, m.ENDED))
         host.cuts.clear()
@@ -225,8 +226,17 @@
             )
         host.fails(now, refused, host.alone)
         host.again_at = now + host.asking.again()
+        if host.unreached(self.connect_ms, host.alone):
+            host.away = True
+            self.exchange.reached(host.name, up=False)
         self._freed()
 
+    def back(self, host: HostLinks) -> None:
+        """It was heard, or a connection came up."""
+        if host.away:
+            host.away = False
+            self.exchange.reached(host.name, up=True)
+
     def broken(self, host: HostLinks, link: Link, why: str) -> None:
         """A release that was on its way comes again on the next connection opened: it is opened at once."""
         now = self.loop.now()
--- a/glencleat/node/life.py
+++ b/glencleat/node/life.py
@@ -57,6 +57,7 @@
         self.broke: list[float] = []  # when its last links broke
         self.fell = False  # the last of its links broke, as when a process ends
         self.given_up = False  # its only link was, for want of descriptors
+        self.away = False  # the module was told that it can't be reached
 
     def leaves(self, now: float) -> None:
         """The list names it no more, or as gone."""
@@ -100,6 +101,13 @@
         takes the bytes and keeps its silence, which ends an unsafe task."""
         return not self.refusing and self.heard < self.failed_at - connect_ms
 
+    def unreached(self, connect_ms: float, alone: bool) -> bool:
+        """Tries fail, not for the first time, and no link tells otherwise: a set-up would come to nothing.
+
+        One failure alone may be a connection that comes up late."""
+        again = self.failing < self.failed_at
+        return again and (alone if self.refusing else self.silent(connect_ms))
+
     def proof_ms(self) -> float:
         """How long connections must be refused, with no link open, to tell that its process has ended."""
         if self.gone:
--- a/tests/test_life.py
+++ b/tests/test_life.py
@@ -156,3 +156,18 @@
         life.fails(10.0, refused=True, alone=True)
         times = [at for at in range(0, 3_000, 50) if life.look(10.0 + at, True, False, 500.0)[0] is Do.OVER]
         assert least < times[0] <= most
+
+
+def test_one_failed_try_is_no_word_on_a_host_two_are_where_no_link_speaks():
+    """A connection may come up late, and a refusal beside a link that lives is a drain."""
+    for refused, alone, heard, away in ((False, False, False, True), (False, False, True, False),
+                                        (True, False, False, False), (True, True, False, True)):  # fmt: skip
+        life = Life(0.0)
+        life.fails(1_000.0, refused, alone)
+        assert not life.unreached(CONNECT_MS, alone)
+        if heard:
+            life.says(1_900.0, by_itself=True)
+        life.fails(2_000.0, refused, alone)
+        assert life.unreached(CONNECT_MS, alone) is away
+        life.up(2_100.0)
+        assert not life.unreached(CONNECT_MS, alone)
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -277,6 +277,29 @@
     assert binds(bench.ask(service="x")[1])[0].machine != barred[0].name
 
 
+def test_a_machine_told_as_not_reached_costs_no_attempt_until_it_is():
+    """Behind a cut four attempts were spent within a second, each on another machine of the far side."""
+    bench = Bench([machine("m"), machine("n")])
+    first = binds(bench.ask(service="s")[1])[0].machine
+    for _ in range(3):
+        assert not bench.tell(api.Reached(first, up=False)) or not binds(bench.tell(api.Reached(first, up=False)))
+    assert all(binds(bench.ask(service="s")[1])[0].machine != first for _ in range(3))
+    bench.tell(api.Reached(first, up=True))
+    node = bench.scheduler.nodes[first]
+    assert node.silent == 0 and node.back_at == bench.now  # it may have restarted before the list says so
+    bench.now += bench.scheduler.set.cold_ms + 60_000.0
+    assert any(binds(bench.ask(service=f"s{i}")[1])[0].machine == first for i in range(8))
+    assert bench.tell(api.Reached("nobody", up=False)) == []
+
+
+def test_that_a_machine_can_be_reached_says_nothing_of_one_that_takes_and_never_answers():
+    bench = Bench([machine("m"), machine("n")])
+    node = bench.scheduler.nodes["m"]
+    bench.scheduler.suspect(node, 2)
+    bench.tell(api.Reached("m", up=True))
+    assert node.silent == 2 and node.barred_until > bench.now
+
+
 def test_log_lines_are_few():
     bench = Bench([machine("m")])
     lines = []
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -240,6 +240,26 @@
     world.until(lambda: [message.task for _, message in peer.got] == [1, 4])
 
 
+def test_the_module_is_told_of_hosts_that_looks_do_not_reach(world, monkeypatch):
+    """And when one is heard again, if only on a link from before."""
+    monkeypatch.setattr(life, "QUIET_MS", 20.0)
+    monkeypatch.setattr(hosts, "SWEEP_MS", 20.0)
+    world.hosts.connect_ms = 10.0
+    (peer,), _ = standing(world, 1)
+    told = lambda: [(e.machine, e.up) for e in world.module.events if isinstance(e, api.Reached)]  # noqa: E731
+    world.until(lambda: len(peer.streams) > 3)
+    assert told() == []  # looks that come up are nothing new
+    cut = cut_off(monkeypatch)
+    world.until(lambda: len(told()) >= 2)
+    assert set(told()) == {("h0", False)}
+    peer.streams[0].send(m.encode(m.PROGRESS, 99))
+    world.until(lambda: told()[-1] == ("h0", True))
+    world.until(lambda: told()[-1] == ("h0", False))
+    cut[0] = False
+    world.until(lambda: told()[-1] == ("h0", True))
+    assert sum(up for _, up in told()) == 2
+
+
 @pytest.mark.parametrize("heals", [True, False])
 def test_a_cut_ends_what_stands_only_when_its_release_is_nearly_due(world, monkeypatch, heals):
     """3.5 s of failed connections ended thousands of tasks that ran on behind a cut of 6 s."""
