Clocks that differ by minutes: starts told by the list are read with what can be true

By a clock ten minutes behind the list's every change of a machine's room ended all tasks there; by one ten minutes ahead none ever ended on a restart, and a machine that is cold looked warm to all. node/hosts.py acts on a start only when it is later than the one told before; isup/channel.py when() and _ready() take what can't be true for now. Harm: where clocks differ by over a minute, tasks that came to stand since a restart are told lost with those from before. By model: 300 allocators at a host that takes ten connections a second use every second of it, a try a second each.

--- a/glencleat/isup/channel.py
+++ b/glencleat/isup/channel.py
@@ -18,6 +18,8 @@
 
 MOST_LINE = 4 << 20  # bytes: a whole list of some ten thousand machines
 OLDER = 3  # words in a row, a second apart, that the last number is below ours: not one that was under way
+# How old a start can be that the list has only now told, and by clocks that agree: beyond, they do not.
+TOLD_LATE_MS, CLOCKS_MS = 10_000.0, 60_000.0
 MOST_LEAVING = 10_000  # machines told as draining or gone that are remembered
 
 
@@ -71,6 +73,14 @@
     return host, int(port)
 
 
+def when(told_ms: float, now: float) -> float:
+    """When a process started whose start was told just now, on our clock; `told_ms`: by the list's clock.
+
+    It can't be in the future, nor minutes ago: then the clocks differ, and all that is known is that it was
+    before now. Harm: what came to stand there after the start is taken for what stood before it."""
+    return told_ms if now - CLOCKS_MS <= told_ms <= now else now
+
+
 class Channel:
     """The list as told so far. `ahead_ms` is Unix time less the module's clock."""
 
@@ -92,28 +102,28 @@
         self.older = 0
         return b"resume %d\n" % (0 if self.anew else self.cursor)
 
-    def begin(self, known: dict[str, Any]) -> list[News]:
+    def begin(self, known: dict[str, Any], now: float) -> list[News]:
         """The events of the start, from the configuration."""
         try:
             events = [msgspec.convert(raw, Event, strict=False) for raw in known.get("cmds") or []]
         except msgspec.ValidationError as error:
             raise PeerError(f"known: {error}") from None
-        news = [self._event(event, event.nodes) for event in events if event.nodes is not None]
+        news = [self._event(event, event.nodes, now) for event in events if event.nodes is not None]
         self.cursor = max(self.cursor, int(known.get("cursor") or 0))
         return news
 
-    def feed(self, data: bytes) -> Iterable[News]:
-        """The news in what came; PeerError when the connection is of no further use."""
+    def feed(self, data: bytes, now: float) -> Iterable[News]:
+        """The news in what came now; PeerError when the connection is of no further use."""
         self.buffer += data
         while (end := self.buffer.find(b"\n")) >= 0:
             line = bytes(self.buffer[:end])
             del self.buffer[: end + 1]
             if line.strip():
-                yield from self._line(line)
+                yield from self._line(line, now)
         if len(self.buffer) > MOST_LINE:
             raise PeerError(f"a line of over {MOST_LINE} bytes")
 
-    def _line(self, line: bytes) -> Iterable[News]:
+    def _line(self, line: bytes, now: float) -> Iterable[News]:
         try:
             event = self.decoder.decode(line)
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
@@ -124,13 +134,13 @@
         if self.anew:
             if event.nodes.reset:
                 self.anew = False
-                yield self._event(event, event.nodes)
+                yield self._event(event, event.nodes, now)
             return
         if event.cursor <= self.cursor:
             return  # told twice
         if event.cursor > self.cursor + 1 and not event.nodes.reset:
             self._gap(event.cursor)
-        yield self._event(event, event.nodes)
+        yield self._event(event, event.nodes, now)
 
     def _last(self, last: int) -> None:
         """The service's word of its last number.
@@ -169,8 +179,8 @@
             self.missing = self.cursor + 1
             raise PeerError(f"the channel is at {told}, we are at {self.cursor}")
 
-    def _event(self, event: Event, nodes: Nodes) -> News:
-        hosts = tuple(self._host(entry, event.cursor) for entry in nodes.instances)
+    def _event(self, event: Event, nodes: Nodes, now: float) -> News:
+        hosts = tuple(self._host(entry, event.cursor, now, nodes.reset) for entry in nodes.instances)
         if nodes.reset:
             self.hosts = {}
         for host in hosts:
@@ -182,15 +192,26 @@
         self.cursor = event.cursor
         return News(nodes.reset, hosts)
 
-    def _host(self, entry: Entry, cursor: int) -> Host:
+    def _ready(self, entry: Entry, known: Host | None, now: float, whole: bool) -> float | None:
+        """When it came up, on the module's clock: never later than now, and if told as a change not long ago.
+
+        A clock that is minutes ahead of the list's would make a machine that is cold look warm to all."""
+        started = entry.started_at_ms
+        if started <= 0.0:
+            return None
+        if known is not None and known.started_ms == started:
+            return known.machine.ready_at_ms
+        least = -math.inf if whole else now - TOLD_LATE_MS
+        return min(now, max(started - self.ahead_ms, least))
+
+    def _host(self, entry: Entry, cursor: int, now: float, whole: bool) -> Host:
         if entry.lifecycle not in PHASES:
             raise PeerError(f"no state of a machine: {entry.lifecycle[:40]!r}")
         known = self.hosts.get(entry.instance_id)
         cores, memory = (known.machine.cores_left, known.machine.memory_left) if known else (0.0, 0.0)
         if entry.free is not None and len(entry.free) == 2 and all(map(math.isfinite, entry.free)):
             cores, memory = entry.free
-        started = entry.started_at_ms
-        ready = started - self.ahead_ms if started > 0.0 else None
+        ready = self._ready(entry, known, now, whole)
         machine = api.Machine(
             entry.instance_id,
             entry.machine_type,
@@ -201,7 +222,7 @@
             memory,
             ready,
         )
-        return Host(machine, address(entry.host_port), started)
+        return Host(machine, address(entry.host_port), entry.started_at_ms)
 
     def machines(self) -> tuple[api.Machine, ...]:
         return tuple(host.machine for host in self.hosts.values())
--- a/glencleat/node/feed.py
+++ b/glencleat/node/feed.py
@@ -71,7 +71,7 @@
             self.heard = self.loop.now()
             if self.up_at is None:
                 self.up_at = self.heard
-            for news in self.channel.feed(data):
+            for news in self.channel.feed(data, self.heard):
                 self.told(news)
 
     def _watch(self, stream: Stream) -> None:
--- a/glencleat/node/hosts.py
+++ b/glencleat/node/hosts.py
@@ -18,7 +18,7 @@
 from glencleat.fleet.asking import HOST
 from glencleat.fleet.connecting import Connecting, look_ms
 from glencleat.isup import messages as m
-from glencleat.isup.channel import Host, News
+from glencleat.isup.channel import Host, News, when
 from glencleat.isup.exchange import Attempt, Exchange, Fact
 from glencleat.kernel import Loop
 from glencleat.node.life import Do
@@ -285,8 +285,11 @@
         self.addresses[told.address] = name
         if other != name and other in self.hosts:
             self._replaced(self.hosts[other])
-        if told.started_ms > 0.0:
-            self._over(host, "a later start is in the list", told.started_ms - self.channel.ahead_ms)
+        before, host.started = host.started, told.started_ms
+        if before is not None and before < told.started_ms:
+            # A start that was told before says nothing new: by a clock that is behind it lies ahead for ever.
+            start = when(told.started_ms - self.channel.ahead_ms, now)
+            self._over(host, "a later start is in the list", start)
 
     def _replaced(self, host: HostLinks) -> None:
         """Another id has its address: connections there would reach the wrong one."""
--- a/glencleat/node/links.py
+++ b/glencleat/node/links.py
@@ -249,6 +249,7 @@
         self.name = name
         self.asking = Asking(HOST, random)  # between two connections, when it could not be reached
         self.address: tuple[str, int] = ("", 0)
+        self.started: float | None = None  # its process, as the list told last: Unix milliseconds
         self.links: set[Link] = set()
         self.again_at = 0.0
         self.cuts: dict[int, None] = {}
--- a/glencleat/node/process.py
+++ b/glencleat/node/process.py
@@ -98,7 +98,7 @@
         self.exchange = Exchange(config.settings, module, self, config.connect_ms)
         self.exchange.machines = self.channel.machines
         self.owners.exchange = self.hosts.exchange = self.exchange
-        for news in self.channel.begin(config.known):
+        for news in self.channel.begin(config.known, loop.now()):
             self.list_told(news)
         asking = Asking(LIST, random)
         self.feed = Feed(loop, self.channel, asking, config.channel, self.list_told, log)
--- a/tests/test_connecting.py
+++ b/tests/test_connecting.py
@@ -1,9 +1,12 @@
 """How many connections begin: bounds that hold at every instant, and what is left for set-ups."""
 
+from bisect import bisect_right
+from heapq import heapify, heappop, heappush
 from random import Random
 
 import pytest
 
+from glencleat.check.bounds import busiest
 from glencleat.fleet.asking import HOST, Asking
 from glencleat.fleet.connecting import AT_ONE, BURST_S, LEAST_COMING, LEAST_RATE, Connecting, look_ms
 
@@ -73,3 +76,24 @@
     assert max(sum(at <= t < at + 10.0 for t in tries) for at in range(0, 4_990, 10)) < 0.2 * count
     late = sum(1_000.0 <= t < 4_000.0 for t in tries) / 3.0 / count
     assert 1.1 < late < 1.5  # a second each, in the mean as before (1.25)
+
+
+def test_a_host_that_takes_ten_connections_a_second_is_up_for_all_as_soon_as_it_can():
+    """300 allocators have something there at one moment; who is not let in hears nothing for a connect's time."""
+    count, rate, connect_ms = 300, 10, 250.0
+    asking = [Asking(HOST, Random(i)) for i in range(count)]
+    tries = [(0.0, i) for i in range(count)]
+    heapify(tries)
+    asked, let_in = [], []
+    while tries:
+        at, i = heappop(tries)
+        asked.append(at)
+        recent = len(let_in) - bisect_right(let_in, at - 1_000.0)
+        if recent < rate:
+            let_in.append(at)
+        else:
+            heappush(tries, (at + connect_ms + asking[i].again(), i))
+    assert let_in[-1] < 1.1e3 * count / rate  # no second goes by unused
+    later = [at for at in asked if 3_000.0 <= at < 13_000.0]
+    assert len(later) / 10.0 < 1.1 * count  # a try a second each, not one a millisecond
+    assert busiest(later, 100.0) < 0.25 * count
