--- a/glencleat/check/asking.py
+++ b/glencleat/check/asking.py
@@ -5,8 +5,10 @@
 from __future__ import annotations
 
 import math
+from collections import defaultdict
 from collections.abc import Iterable
 from dataclasses import dataclass
+from itertools import pairwise
 from typing import Protocol
 
 from glencleat.check.bounds import Verdict, busiest, chance_limit, verdict
@@ -16,6 +18,7 @@
 AFTER_MS = 3_000.0  # first tries are spread over less; what goes on is judged from here
 RATE = 0.98  # connections a second of each: a tenth of what fixed steps of 0.1 s came to
 WINDOW_MS, PART = 100.0, 0.25  # the busiest such time holds less than this part of all
+ALIKE_MS, SPREAD_MS = 30.0, 500.0  # waits that differ by less are one; the narrowest span they come from
 BACK_MS = 4_000.0  # after the service is well again
 LEAST_DOWN_MS, LEAST_CROWD = AFTER_MS + 1_500.0, 12
 
@@ -58,6 +61,7 @@
         _rate(later, count, seconds, tried),
         _busiest(later, count, seconds, tried),
         _back(record, count, well_ms, ran),
+        _alike(record, count, down_ms, well_ms),
     ]
 
 
@@ -92,6 +96,20 @@
     return verdict("back", tried and record[-1].at_ms >= well_ms, back >= count, text)
 
 
+def _alike(record: list[Passed], count: int, down_ms: float, well_ms: float) -> Verdict:
+    """Whether waits are drawn: by wires of their own, since those that start apart go apart without it."""
+    times = defaultdict[str, list[float]](list)
+    for one in record:
+        if one.kind == "refused" and down_ms <= one.at_ms < well_ms:
+            times[one.relay].append(one.at_ms)
+    waits = sorted(b - a for each in times.values() for a, b in pairwise(each))
+    limit = chance_limit(len(waits), len(waits) * ALIKE_MS / SPREAD_MS) if waits else 0
+    most = busiest(waits, ALIKE_MS)
+    text = f"{most} of {len(waits)} waits alike to {ALIKE_MS:.0f} ms, under {limit}"
+    tried = len(times) >= LEAST_CROWD and len(waits) >= count and limit <= len(waits)
+    return verdict("alike", tried, most < limit, text)
+
+
 def turned_away(entries: list[Entry]) -> Iterable[tuple[float, float, set[str]]]:
     """Each time in a play's record at which its list turned all its allocators away: from, until, who.
 
--- a/tests/test_cold_start.py
+++ b/tests/test_cold_start.py
@@ -31,7 +31,7 @@
         while at < DOWN_MS:
             at += step(asking, i)
             kind = "refused" if at < DOWN_MS else "opened"
-            found.append(Passed(at, "list", kind, len(found) + 1))
+            found.append(Passed(at, f"a{i}", kind, len(found) + 1))
     return found
 
 
@@ -51,7 +51,7 @@
 
 def test_a_bound_that_was_never_in_danger_is_not_tried():
     assert states([Passed(DOWN_MS + 5.0, "list", "opened", 1)]) == dict.fromkeys(
-        ("rate", "busiest", "back"), State.NOT_TRIED
+        ("rate", "busiest", "back", "alike"), State.NOT_TRIED
     )
     short = states(made(lambda asking, i: asking.again())[:3], well=4_000.0)
     assert short["rate"] is State.NOT_TRIED and short["busiest"] is State.NOT_TRIED
@@ -64,6 +64,22 @@
     assert states(made(lambda asking, i: asking.again(), count), count)["busiest"] is State.KEPT
 
 
+def test_waits_that_are_not_drawn_are_told_also_of_those_that_start_apart():
+    """On a loaded machine 24 without jitter came up over two seconds, and were in step with nobody."""
+    grows = (600.0, 1_200.0, 2_000.0)
+
+    def apart(asking, i):
+        first = asking.tries == 0
+        asking.again()
+        return 83.0 * i if first else grows[min(asking.tries - 2, 2)] + 20.0 * Random(asking.tries).random()
+
+    told = states(made(apart, 24), 24)
+    assert told["busiest"] is State.KEPT and told["alike"] is State.BROKEN
+    for seed in range(20):
+        record = made(lambda asking, i: 40.0 * i if asking.tries == 0 and asking.again() else asking.again(), 24 + seed)
+        assert states(record, 24 + seed)["alike"] is State.KEPT
+
+
 def test_chance_is_what_independent_tries_do():
     """Against counting: a thousand seconds of tries at random instants, in windows of 0.1 s."""
     random, mean = Random(5), 1.56
@@ -126,7 +142,7 @@
 
     everybody = [f"a{i}" for i in range(CROWD)]
     asked = record(everybody, lambda asking, i: asking.again())
-    assert [verdict.state for verdict in asked] == [State.KEPT] * 3
+    assert [verdict.state for verdict in asked] == [State.KEPT] * 4
     assert record(everybody, lambda asking, i: 100.0)[0].state is State.BROKEN
     assert record(everybody[1:], lambda asking, i: 100.0) == []
 
@@ -166,7 +182,7 @@
     told = subprocess.run(words, capture_output=True, text=True, timeout=90)
     assert told.returncode == 0, told.stdout + told.stderr
     entries = list(read(tmp_path / "record.jsonl"))
-    rate, busiest, back = (verdict.state for verdict in judge_play(entries))
+    rate, busiest, back, _ = (verdict.state for verdict in judge_play(entries))
     assert State.BROKEN not in (rate, busiest) and back is State.KEPT
     wires = {(e.who, e.allocator) for e in entries if e.kind == "passed"}
     assert wires == {("agents", "a1"), ("owners", "a2"), *(("list", f"a{i}") for i in range(12))}
@@ -228,7 +244,7 @@
     rig.until(lambda: len(rig.service.streams) == COUNT, 4_500.0)
     rig.record.append(Passed(rig.relay.now(), "list", "piece"))
     verdicts = judge(rig.record, COUNT, began, well)
-    assert [v.state for v in verdicts] == [State.KEPT] * 3, verdicts
+    assert [v.state for v in verdicts] == [State.KEPT] * 3 + [State.NOT_TRIED], verdicts  # one relay
     tries = sorted(one.at_ms for one in rig.record if one.kind == "refused" and one.at_ms > began + 500.0)
     assert max(bisect_left(tries, at + 100.0) - i for i, at in enumerate(tries)) < COUNT / 2  # not in step
     assert rig.service.whole == 0 and {number for _, number in rig.service.asked} == {1}  # known lists are not sent
