--- a/glencleat/standins/processes.py
+++ b/glencleat/standins/processes.py
@@ -1,7 +1,8 @@
 """Many allocators of the platform's kind as processes of their own: started at one instant, stalled, killed.
 
-Each gets a configuration file and a log in a folder; no shell is involved. Used as a context: whatever
-happens, every process that was started is ended and waited for."""
+For tests and benchmarks (psutil is of requirements-dev). Each gets a configuration file and a log in a
+folder; no shell is involved. Used as a context: whatever happens, every process that was started is ended
+and waited for."""
 
 from __future__ import annotations
 
@@ -15,6 +16,7 @@
 from typing import Any
 
 import msgspec
+import psutil
 
 EACH_MB = 25  # resident, with room for what a start allocates
 MOST = 400
@@ -40,10 +42,7 @@
 
 def available_mb() -> int:
     """What the machine can still give, as the system tells it."""
-    for line in Path("/proc/meminfo").read_text().splitlines():
-        if line.startswith("MemAvailable:"):
-            return int(line.split()[1]) // 1024
-    return 0
+    return psutil.virtual_memory().available >> 20
 
 
 class Nodes:
@@ -74,7 +73,11 @@
     def log(self, number: int) -> Path:
         return self.folder / f"{self.name(number)}.log"
 
-    def configure(self, number: int, channel: tuple[str, int], known: Mapping[str, Any]) -> Path:
+    def configure(
+        self, number: int, channel: tuple[str, int], known: Mapping[str, Any], **more: Mapping[str, Any]
+    ) -> Path:
+        """`more`: parts of the settings, by name, that differ from SETTINGS."""
+        parts = {name: {**SETTINGS[name], **part} for name, part in more.items()}
         path = self.folder / f"{self.name(number)}.json"
         config = {
             "name": self.name(number),
@@ -83,7 +86,7 @@
             "limits": {"cores": 1.0, "memory_mb": 64, "sockets": self.sockets},
             "channel": f"{channel[0]}:{channel[1]}",
             "known": known,
-            "settings": {**SETTINGS, "peers-total": self.count, "instance": number},
+            "settings": {**SETTINGS, **parts, "peers-total": self.count, "position": number},
         }
         path.write_bytes(msgspec.json.encode(config))
         return path
@@ -119,8 +122,7 @@
         return child is not None and child.poll() is None
 
     def resident_mb(self, number: int) -> float:
-        pages = int(Path(f"/proc/{self.children[number].pid}/statm").read_text().split()[1])
-        return pages * os.sysconf("SC_PAGE_SIZE") / (1 << 20)
+        return float(psutil.Process(self.children[number].pid).memory_info().rss) / (1 << 20)
 
     def stall(self, number: int) -> None:
         self.children[number].send_signal(signal.SIGSTOP)
