--- a/benchmarks/cold_fleet.py
+++ b/benchmarks/cold_fleet.py
@@ -3,8 +3,8 @@
     python -m benchmarks.cold_fleet --count 300 --hosts 400
 
 Allocators are processes; hosts stand in some more, so that descriptors suffice; a relay before the list
-service counts bytes. Each allocator is asked from its readiness on. A cold host falls, by the operators' page,
-when it gets more than N + 3 x root of N + 3 set-ups in the told time, N being what the settings allow."""
+service counts bytes. Each allocator is asked from its readiness on. A cold host falls, by the operators'
+page, at more than N + 3 x root of N + 3 set-ups in the told time, N being what the settings allow."""
 
 from __future__ import annotations
 
