--- a/glencleat/node/hosts.py
+++ b/glencleat/node/hosts.py
@@ -2,7 +2,7 @@
 
 Imports the kernel, `isup` and `descriptors`. It tells the exchange facts, and names no outcome. A host's
 process is taken to have ended by one of: connections refused for some time while no link is open, none that
-came up for a longer one, a test unanswered or no word of its own on an open link while new ones are refused,
+came up for a longer one, no word of its own on an open link for as long while new ones are refused,
 refused once the list calls it gone, a later start in the list, another id at its address. A link that breaks
 proves nothing, and so does a refusal by a host that drains: it takes no new connections while its tasks run
 on."""
@@ -32,7 +32,6 @@
 PER_HOST = 8  # links: one open set-up each where there is room, since one bad byte costs all on its link
 SURPLUS_MS = 4_000.0  # a link not needed for so long goes if another is up; owners keep theirs as long
 MOST_LINE = 500  # attempts that wait for a descriptor
-LIVENESS = 1 << 63  # ids of our own tests, apart from those of the module's probes
 MOST_CUTS = 1_000  # releases that wait for a host
 
 
@@ -56,7 +55,6 @@
         self.random, self.connecting = random, Connecting()
         self.hosts: dict[str, HostLinks] = {}
         self.peers = 1  # allocators that look at the same hosts, this one included
-        self.tests = 0
         self.trace: Trace | None = None
         self.addresses: dict[tuple[str, int], str] = {}
         self.line: dict[Attempt, None] = {}  # their hosts have no link, and nothing could be given up for one
@@ -331,11 +329,6 @@
         if do is Do.OVER:
             self._over(host, why)
             return
-        if do is Do.TEST:
-            self.tests += 1
-            for link in host.links:
-                link.write(m.caused(m.TEST, LIVENESS + self.tests, 0))
-            host.tested = now
         if do is Do.LAST:
             host.again_at = now
         if do is not Do.NOTHING:
--- a/glencleat/node/life.py
+++ b/glencleat/node/life.py
@@ -10,7 +10,6 @@
     the same, where it drains or we gave its link up      over after DRAIN_REFUSED   tasks that go on
     refused since the list calls it gone                  over                       a list that errs
     refused, nothing of its own on open links             over after NEVER_UP        tasks left undisturbed
-    refused, silent for ASK, a test unanswered for TEST   over                       a host that stands still
     nothing comes up, unheard                             over after NEVER_UP,       a cut that lasts longer
                                                           and a last try after that
     quiet, or no link, or the last try failed             looked at"""
@@ -28,8 +27,6 @@
 NEVER_UP_MS = 7_000.0
 AT_ONCE_MS = 100.0  # links that break within this break together
 DRAIN_REFUSED_MS = 2_500.0  # at one that drains, its links idle or given up: a refusal says little there
-# A host that refuses connections is tested on an open link: that has a price, so as late as the 8 s allow.
-ASK_MS, TEST_MS = 4_000.0, 2_500.0  # silent for so long; for the answer
 UNLISTED_MS = 5_000.0  # what was handed over at a host that no list names is over after this
 NEVER = float("inf")
 
@@ -38,7 +35,6 @@
     NOTHING = "nothing"
     LOOK = "open a connection, when one is due"
     LAST = "open a connection now: it decides"
-    TEST = "ask it on its open links"
     OVER = "what stands there has ended"
 
 
@@ -53,7 +49,6 @@
         self.refused = self.failing = NEVER  # since when, with no link open; since when tries fail
         self.failed_at = -NEVER  # the last try that failed
         self.refusing = False  # the last try: its machine is there
-        self.tested = -NEVER  # since when a test is out
         self.broke: list[float] = []  # when its last links broke
         self.fell = False  # the last of its links broke, as when a process ends
         self.given_up = False  # its only link was, for want of descriptors
@@ -128,26 +123,20 @@
             found = self._refusing(now)
             if found is not None:
                 return found
-        elif self.failing < now and now - self.heard > NEVER_UP_MS:
-            if self.failed_at - self.heard > NEVER_UP_MS:
+        elif self.failing < now and now - self.spoke > NEVER_UP_MS:
+            if self.failed_at - self.spoke > NEVER_UP_MS:
                 return Do.OVER, "no connection comes up"
             return Do.LAST, ""  # one before it may be nearly a second old
         if self.given_up and self.failing > now:
-            return (Do.LOOK if now - self.heard > HEAR_MS else Do.NOTHING), ""
-        due = now - self.heard > max(QUIET_MS, look_ms) or not linked or self.failing < now
+            return (Do.LOOK if now - self.spoke > HEAR_MS else Do.NOTHING), ""
+        due = now - self.spoke > max(QUIET_MS, look_ms) or not linked or self.failing < now
         return (Do.LOOK if due else Do.NOTHING), ""
 
     def _refusing(self, now: float) -> tuple[Do, str] | None:
         if self.failed_at > self.gone_at:
             return Do.OVER, "the list calls it gone, and connections are refused"
         if now - self.spoke > NEVER_UP_MS:
-            # One that drains answers tests and takes no connection, and may end tasks without a word of it.
+            # One that drains takes no connection, and may end tasks without a word of it; a process may end
+            # with a link left open, silent. Testing it on that link had a price and told no ends.
             return Do.OVER, "it says nothing by itself, and connections are refused"
-        if now - self.heard > ASK_MS:
-            # A process may end with a link left open, silent, and a draining one refuses new ones while it
-            # lives: only its own word tells the two apart. A test has a price, so it comes last.
-            if self.tested < self.heard:
-                return Do.TEST, ""
-            if now - self.tested > TEST_MS:
-                return Do.OVER, "a test is not answered"
         return None
