The judge of slow start counts what was held back in one pass, without the same test twice

check/starting.py _held asked in two comprehensions whether the allocator is the one meant; it skips the others now. The test's schedules are given as they are.

--- a/glencleat/check/starting.py
+++ b/glencleat/check/starting.py
@@ -37,10 +37,13 @@
     """Asks of that time whose answer, if any, came later."""
     count = 0
     for (allocator, task), asked in story.asked.items():
-        told = story.answers.get((allocator, task), ()) if allocator == name else ()
-        for ask in asked if allocator == name else ():
-            early = any(ask.at <= e.at <= well and e.state in PLACED + TURNED for e in told)
-            count += down <= ask.at <= well < ask.at + ask.left and not early
+        if allocator != name:
+            continue
+        heard = story.answers.get((allocator, task), ())
+        told = [entry.at for entry in heard if entry.state in PLACED + TURNED]
+        for ask in asked:
+            waits = down <= ask.at <= well < ask.at + ask.left
+            count += waits and not any(ask.at <= at <= well for at in told)
     return count
 
 
--- a/tests/test_cold_start.py
+++ b/tests/test_cold_start.py
@@ -117,10 +117,9 @@
 
 
 def test_the_judge_tells_slow_start_from_all_at_once():
-    one_a_turn = [25.0 * n for n in range(HELD)]
-    assert start(lambda n: one_a_turn[n]).state is State.KEPT
+    assert start(lambda n: 25.0 * n).state is State.KEPT  # one a turn
     grows = [0.0, 25.0, 25.0, 50.0, 50.0, 50.0, 50.0, 75.0]
-    assert start(lambda n: grows[n]).state is State.KEPT
+    assert start(grows.__getitem__).state is State.KEPT
     assert start(lambda n: 0.0).state is State.BROKEN  # a window that never binds
     assert start(lambda n: 5.0 * n).state is State.BROKEN  # spread over time, and no answer waited for
     assert start(lambda n: 0.0, count=8).state is State.NOT_TRIED  # no crowd
