--- /dev/null
+++ b/tests/sockets.py
@@ -0,0 +1,122 @@
+"""Hosts, owners and the path between them on real sockets of one loop, for the tests of node/."""
+
+import socket
+from random import Random
+
+from glencleat import interface as api
+from glencleat.descriptors import ASIDE, Descriptors
+from glencleat.isup import messages as m
+from glencleat.isup.channel import Channel, Host, News
+from glencleat.isup.exchange import Exchange
+from glencleat.kernel import Listener, Loop, StreamClosed
+from glencleat.node import hosts, owners
+from tests.live import SETTINGS, Script, setup
+
+
+class Peer:
+    """A listener that keeps what each connection said; `script` answers each message."""
+
+    def __init__(self, loop, script=lambda stream, message: None, address=("127.0.0.1", 0)):
+        self.loop, self.script, self.streams, self.got = loop, script, [], []
+        self.listener = Listener(loop, address, self.accept)
+        self.address = self.listener.address
+
+    def accept(self, stream):
+        self.streams.append(stream)
+        self.loop.spawn(self.serve(stream), "peer")
+
+    def serve(self, stream):
+        decoder = m.Decoder()
+        try:
+            while data := (yield from stream.read()):
+                decoder.feed(data)
+                for message in decoder.messages():
+                    self.got.append((stream, message))
+                    self.script(stream, message)
+        except StreamClosed:
+            pass
+        stream.close()
+
+    def die(self):
+        self.listener.close()
+        for stream in self.streams:
+            stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+            stream.close()
+
+
+class World:
+    """Exchange, hosts and owners joined as the process joins them, with a scripted module."""
+
+    def __init__(self, room=40):
+        self.loop, self.module, self.logs = Loop(), Script(), []
+        self.channel = Channel(self.loop.clock.wall() - self.loop.now())
+        self.descriptors = Descriptors(room + ASIDE)
+        self.hosts = hosts.Hosts(
+            self.loop, self.channel, self.descriptors, 250.0, 30_000.0, Random(1), self.logs.append
+        )
+        self.owners = owners.Owners(self.loop, self.descriptors, self.logs.append)
+        self.now, self.call_in, self.log = self.loop.now, self.loop.call_in, self.logs.append
+        self.exchange = Exchange(SETTINGS, self.module, self, 250.0)
+        self.hosts.exchange = self.owners.exchange = self.exchange
+        self.address = self.owners.listen(("127.0.0.1", 0))
+        self.clients, self.calls = [], 0
+        self.to_owner, self.proves, self.offer = self.owners.to_owner, self.owners.proves, self.hosts.offer
+        self.withdraw, self.cut, self.test = self.hosts.withdraw, self.hosts.cut, self.hosts.test
+
+    def list(self, *told, whole=False, phase=api.Phase.SERVING):
+        """Machines as (name, address[, started Unix ms])."""
+        made = [
+            Host(api.Machine(x[0], "std", "a", 0, phase), x[1], x[2] if len(x) > 2 else 0.0) for x in told
+        ]
+        self.hosts.list_told(News(whole, tuple(made)))
+
+    def client(self):
+        sock = socket.create_connection(self.address)
+        sock.setblocking(False)
+        self.clients.append(sock)
+        return sock
+
+    def until(self, done, ms=4000.0):
+        end = self.loop.now() + ms
+        tick = self.loop.call_in(ms + 5.0, lambda: None)
+        while not done():
+            assert self.loop.now() < end, ("not in time", self.module.events, self.logs)
+            self.loop.call_in(5.0, lambda: None)
+            self.loop.round()
+        tick.cancel()
+
+    def ask(self, sock, task, host="h1", timeout=2000.0, **fields):
+        self.calls += 1
+        self.module.next.append([api.Bind(self.calls, host, timeout)])
+        sock.send(setup(task, **fields))
+        self.until(lambda: sum(isinstance(e, api.Asked) for e in self.module.events) == self.calls)
+
+    def back(self, count=1, ms=4000.0):
+        found = lambda: [e.outcome for e in self.module.events if isinstance(e, api.Returned)]  # noqa: E731
+        self.until(lambda: len(found()) >= count, ms)
+        return found()
+
+    def says(self, sock, size=65536, ms=4000.0):
+        """What a client reads next; b"" is a close."""
+        got = []
+
+        def done():
+            try:
+                got.append(sock.recv(size))
+            except BlockingIOError:
+                return False
+            except ConnectionResetError:
+                got.append(b"")
+            return True
+
+        self.until(done, ms)
+        return got[0]
+
+
+def stands(stream, message):
+    if message.kind == m.SETUP:
+        stream.send(m.encode(m.ANSWER, message.task, {m.DESCRIPTION: b"ok"}))
+
+
+def kinds(peer):
+    return [message.kind for _, message in peer.got]
