Streams tell what has come by this instant; an error in one timer leaves the others

Need: whether a client has left is to be known at the moment something is sent for it, and a listener's backlog emptied at the moment it is closed, not a turn of the loop later. `Stream.take` and `hung_up` ask the system, `nudge` wakes a reader whose bytes were taken so, `Listener.take` accepts what waits.

Fault, by reading: `Loop.round` took all due timers out of the wheel and then called them one by one; an error in one lost those behind it, so a time-out among them never came (loop.py, the loop over `pop_due`).

--- a/glencleat/kernel/loop.py
+++ b/glencleat/kernel/loop.py
@@ -110,6 +110,7 @@
         self.poller = poller or EpollPoller()
         self.timers: Timers = timers or TimerWheel(self.clock.now())
         self.ready: deque[tuple[Task, Any, BaseException | None]] = deque()
+        self.due: deque[Timer] = deque()  # of this round; an error in one leaves the others to the next
         self.running = False
         self.current: Task | None = None
         self.on_error: Callable[[Task, BaseException], None] = self._raise
@@ -199,13 +200,15 @@
         """One turn: what the poller tells, what is due, then the tasks that are ready.
 
         Tasks come last, so that a loop that one of them has ended is not left waiting in the poller."""
-        if self.ready or not wait:
+        if self.ready or self.due or not wait:
             timeout: float | None = 0.0
         else:
             due = self.timers.next_due()
             timeout = None if due is None else due - self.clock.now()
         self.poller.poll(timeout)
-        for timer in self.timers.pop_due(self.clock.now()):
+        self.due.extend(self.timers.pop_due(self.clock.now()))
+        while self.due:
+            timer = self.due.popleft()
             if timer.call is not None:  # an earlier one of this round may have cancelled it
                 timer.call()
         for _ in range(len(self.ready)):
--- a/glencleat/kernel/streams.py
+++ b/glencleat/kernel/streams.py
@@ -8,6 +8,7 @@
 import contextlib
 import errno
 import os
+import select
 import socket
 import struct
 from collections.abc import Callable
@@ -66,8 +67,7 @@
         if self.closed is None and mask & ~WRITE:
             self.readable = True
             if self.reader is not None:
-                reader, self.reader = self.reader, None
-                self.loop.wake(reader)
+                self.nudge()
             elif mask & ~(READ | WRITE):  # hang-up or error, and nobody reads
                 self.close("connection lost")
             else:
@@ -76,21 +76,49 @@
     def read(self, size: int = CHUNK) -> Coroutine:
         """The next bytes, b"" at the peer's end; raises StreamClosed once it is closed."""
         while True:
-            if self.closed is not None:
-                raise StreamClosed(self.closed)
-            if not self.readable:
-                yield self._arm_read
-                continue
-            try:
-                data: bytes = self._recv_stamped(size) if self.stamped else self.sock.recv(size)
-            except (BlockingIOError, InterruptedError):
-                self.readable = False
-            except OSError as error:
-                self.close(f"connection lost: {error.strerror}")
-            else:
-                self.readable = len(data) == size  # else it is empty now, and the poller tells of more
+            yield from self.wait()
+            data = self.take(size)
+            if data is not None:
                 return data
 
+    def wait(self) -> Coroutine:
+        """Until there may be something to read, or `nudge`; raises StreamClosed once it is closed."""
+        if self.closed is None and not self.readable:
+            yield self._arm_read
+        if self.closed is not None:
+            raise StreamClosed(self.closed)
+
+    def take(self, size: int = CHUNK) -> bytes | None:
+        """What has come by this instant, whether the poller told of it or not.
+
+        b"" at the peer's end, None if there is nothing; raises StreamClosed once it is closed."""
+        if self.closed is not None:
+            raise StreamClosed(self.closed)
+        try:
+            data: bytes = self._recv_stamped(size) if self.stamped else self.sock.recv(size)
+        except (BlockingIOError, InterruptedError):
+            self.readable = False
+            return None
+        except OSError as error:
+            self.close(f"connection lost: {error.strerror}")
+            raise StreamClosed(self.closed or "") from None
+        self.readable = len(data) == size  # else it is empty now, and the poller tells of more
+        return data
+
+    def hung_up(self) -> bool:
+        """Whether the peer has closed by this instant, also where what it sent before lies unread."""
+        if self.closed is not None:
+            return True
+        poll = select.poll()
+        poll.register(self.fd, select.POLLRDHUP)
+        return bool(poll.poll(0))
+
+    def nudge(self) -> None:
+        """Wakes who waits to read: what it waits for was taken in another way."""
+        if self.reader is not None:
+            reader, self.reader = self.reader, None
+            self.loop.wake(reader)
+
     def stamp(self) -> None:
         """From now on `arrived` tells how long bytes waited for us; it stays None where the system can't."""
         with contextlib.suppress(OSError):
@@ -259,27 +287,37 @@
         loop.poller.watch(self.sock.fileno(), READ, self._told)
 
     def _told(self, _: int) -> None:
-        for _ in range(64):  # a bounded share of one round; the rest is told again
+        self.take()
+
+    def take(self, most: int = 64) -> int:
+        """Accepts what waits, a bounded share of one round; gives how many were there."""
+        for count in range(most):
             try:
                 sock, _ = self.sock.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                return
+            except (BlockingIOError, InterruptedError):
+                return count
+            except ConnectionAbortedError:
+                continue
             except OSError as error:
                 if error.errno not in (errno.EMFILE, errno.ENFILE):
                     raise
                 if not self._shed():
                     self._pause()
-                    return
+                    return count
                 continue
-            if len(self.open) >= self.most and not self.make_room():
-                sock.close()
-                self.dropped(f"{self.most} connections are open")
-                continue
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            stream = Stream(self.loop, sock, self.limit)
-            self.open.add(stream)
-            stream.on_close.append(lambda _, stream=stream: self.open.discard(stream))  # type: ignore[misc]
-            self.accept(stream)
+            self._accepted(sock)
+        return most
+
+    def _accepted(self, sock: socket.socket) -> None:
+        if len(self.open) >= self.most and not self.make_room():
+            sock.close()
+            self.dropped(f"{self.most} connections are open")
+            return
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        stream = Stream(self.loop, sock, self.limit)
+        self.open.add(stream)
+        stream.on_close.append(lambda _: self.open.discard(stream))
+        self.accept(stream)
 
     def _shed(self) -> bool:
         self.dropped("out of file descriptors")
--- a/tests/test_kernel.py
+++ b/tests/test_kernel.py
@@ -273,3 +273,18 @@
         loop.round()
     client.close()
     listener.close()
+
+
+def test_an_error_in_one_timer_leaves_the_others():
+    loop, rang = Loop(), []
+    loop.call_in(0.0, lambda: 1 // 0)
+    for n in range(3):
+        loop.call_in(0.0, lambda n=n: rang.append(n))
+    loop.call_in(30.0, lambda: rang.append("later"))
+    faults = 0
+    while "later" not in rang:
+        try:
+            loop.round()
+        except ZeroDivisionError:
+            faults += 1
+    assert (faults, rang) == (1, [0, 1, 2, "later"])
