What is sent, adopted or closed is looked at last at that very instant

Now: `isup/inbox.py` knows all that has come of a client before its turn, `isup/sending.py` is the one place that says whether a first byte may leave, `isup/ends.py` keeps ends for those who name tasks later; none does I/O. Could do harm where a client half-closes and still reads: it counts as gone, as it did before.

--- a/glencleat/descriptors.py
+++ b/glencleat/descriptors.py
@@ -66,6 +66,9 @@
     def worth(self) -> Worth:
         """As it is now."""
 
+    def last_look(self) -> None:
+        """Asked just before it is given up: takes in what has come on it, which may change its worth."""
+
     def give_up(self) -> None:
         """Ends it; `free` or `leave` is called before this returns."""
 
@@ -95,12 +98,15 @@
             return True
         side = Side.OWNERS if demand is Demand.OWNER else Side.LINKS
         within = self.count[side] < self.rights[side]
-        victim = self._least(GIVEN[demand][0 if within else 1])
-        if victim is None:
-            self.turned_away += 1
-            return False
-        victim.give_up()
-        return self.held < self.room
+        worths = GIVEN[demand][0 if within else 1]
+        while (victim := self._least(worths)) is not None:
+            worth = victim.worth()
+            victim.last_look()
+            if victim.worth() is worth:
+                victim.give_up()
+                return self.held < self.room
+        self.turned_away += 1
+        return False
 
     def _least(self, worths: tuple[Worth, ...]) -> Holder | None:
         """The first that is still worth what it was filed under; what is not is filed anew on the way."""
--- a/glencleat/isup/exchange.py
+++ b/glencleat/isup/exchange.py
@@ -23,6 +23,8 @@
 from glencleat.allocator.telling import Telling
 from glencleat.isup import messages as m
 from glencleat.isup.channel import News
+from glencleat.isup.ends import Ends
+from glencleat.isup.sending import FACTS, NEVER_RAN, Fact, Seen, harmless, held_back, turn_holds
 from glencleat.isup.setups import BadSetup, Reader, Setup
 from glencleat.settings import read_report
 
@@ -33,24 +35,6 @@
     STANDS = "stands"
 
 
-class Fact(Enum):
-    """What a link can tell of an attempt that came to nothing without the host's word."""
-
-    REFUSED = "the connection was refused"
-    NEVER_UP = "no connection came up in time"
-    UNSENT = "its last byte never reached the kernel"
-    BROKEN = "the connection broke after it was sent"
-    SILENT = "no answer in time after it was sent"
-
-
-# Only the first three prove that nothing ran: see interface.py, contract 7.
-FACTS = {
-    Fact.REFUSED: api.Outcome.UNREACHABLE,
-    Fact.NEVER_UP: api.Outcome.UNREACHABLE,
-    Fact.UNSENT: api.Outcome.NOT_SENT,
-    Fact.BROKEN: api.Outcome.LOST,
-    Fact.SILENT: api.Outcome.TIMED_OUT,
-}
 BEFORE = {m.FULL: api.Outcome.REFUSED, m.ERROR: api.Outcome.ERROR, m.MOOT: api.Outcome.NOT_SENT}
 AFTER = {m.ENDED: api.Outcome.ENDED, m.STOPPED: api.Outcome.STOPPED}  # every other cause: LOST
 WHYS = {
@@ -88,6 +72,9 @@
     def to_owner(self, owner: Any, data: bytes, owed: bool) -> None:
         """On that connection; if it is gone, what is `owed` goes by any other or by the next."""
 
+    def waits(self, owner: Any, task: int) -> bool:
+        """Whether its client waits for the answer, by all that has come on that connection until now."""
+
     def proves(self, owner: Any) -> None:
         """What came on that connection stands: no bad client's, so that releases may be told there."""
 
@@ -119,6 +106,7 @@
     attempts: int = 0
     attempt: Attempt | None = None
     since: float = 0.0  # when it came to stand
+    may_run: float | None = None  # the earliest moment at which an attempt that may have run could be there
 
 
 @dataclass(slots=True, eq=False)
@@ -152,17 +140,18 @@
     """One allocator's calls. `machines` is set by whoever joins the parts."""
 
     def __init__(self, settings: api.Settings, module: Module, ports: Ports, test_ms: float) -> None:
-        self.ports, self.test_ms = ports, test_ms
+        self.ports, self.test_ms, self.settings = ports, test_ms, settings
         self.contract = Contract(module)
         self.telling = Telling(self.contract, ports.now, self._act)
         self.reader = Reader(settings)
         self.calls: dict[int, Call] = {}  # by the module's number
         self.tasks: dict[int, Call] = {}  # by the platform's id
         self.standing: dict[str, dict[int, Call]] = {}  # host -> id -> call
+        self.ends = Ends()
         self.tests: dict[int, str] = {}  # token -> host
         self.tokens = 0
         self.machines: Callable[[], tuple[api.Machine, ...]] = tuple
-        self.bad = self.taken = self.late = 0
+        self.bad = self.taken = self.late = self.gone = 0
         self.nothing: dict[api.Outcome, int] = {}  # attempts that came to nothing
 
     @property
@@ -263,6 +252,8 @@
             cause = m.ENDED if outcome is api.Outcome.ENDED else m.RESET
             self.ports.to_owner(call.owner, m.caused(m.RELEASE, call.setup.task, cause), owed=True)
         spent = max(0.0, now - attempt.began)
+        if outcome not in NEVER_RAN and call.may_run is None:
+            call.may_run = attempt.began
         if not stood:
             self.nothing[outcome] = self.nothing.get(outcome, 0) + 1
             if outcome is not api.Outcome.REFUSED and not left:
@@ -298,7 +289,19 @@
     def failed(self, attempt: Attempt, fact: Fact) -> None:
         """A link's word on an attempt that is out; of one that is back already it changes nothing."""
         if attempt.out:
-            self._back(attempt, FACTS[fact])
+            self._back(attempt, FACTS[fact], left=fact is Fact.LEFT)
+
+    def held_back(self, attempt: Attempt, serves: bool, cold: bool) -> Fact | None:
+        """Asked by a link at the last instant before its first byte leaves: why it may not, or None."""
+        call, now = attempt.call, self.ports.now()
+        seen = Seen(
+            self.ports.waits(call.owner, call.setup.task),
+            serves,
+            now < attempt.until,
+            harmless(call.setup.cls, call.may_run, now, self.settings.tick_ms),
+            turn_holds(cold, now - attempt.began, self.settings.cold_window_ms),
+        )
+        return held_back(seen)
 
     def host_lost(self, host: str, before: float = math.inf) -> int:
         """The host's process is known to have ended: what came to stand there `before` is over."""
@@ -330,9 +333,12 @@
         elif message.kind == m.RELEASE:
             cause, why, report = message.cause, self._why(message), self._report(message)
             if attempt is not None and attempt.call.state is State.STANDS:
+                self.ends.heard(message.task, host, cause, True, self.ports.now())
                 self._back(attempt, AFTER.get(cause, api.Outcome.LOST), why, report)
             elif attempt is not None and awaited:
                 self._back(attempt, BEFORE.get(cause, api.Outcome.LOST), why, report)
+            elif message.task not in self.tasks:
+                self.ends.heard(message.task, host, cause, False, self.ports.now())
         elif message.kind == m.NOTE:
             self._note(attempt, message)
 
@@ -344,6 +350,11 @@
 
     def _accepted(self, attempt: Attempt, message: m.Message) -> None:
         call = attempt.call
+        if not self.ports.waits(call.owner, call.setup.task):
+            # Its client left before it could be told: nobody would ever end it.
+            self.ports.cut(attempt.host, call.setup.task)
+            self._back(attempt, api.Outcome.STOPPED, left=True)
+            return
         if attempt.timer is not None:
             attempt.timer.cancel()
         self._stands(call, attempt.host)
@@ -368,8 +379,8 @@
 
     # ---- owners ----
 
-    def owner_asks(self, owner: Owner, message: m.Message, waited_ms: float) -> bool:
-        """A set-up that waited so long in our socket and loop; whether it could be used.
+    def owner_asks(self, owner: Owner, message: m.Message, waited_ms: float, late: bool = False) -> bool:
+        """A set-up that waited so long in our socket and loop; whether it could be used. `late`: we end.
 
         PeerError: it can't even be answered."""
         task = message.task
@@ -385,6 +396,8 @@
             self._adopt(owner, setup)
         elif known is not None:
             return self._unusable(owner, task, "the number of another open set-up")
+        elif late:
+            self._turn_away(owner, task, m.FULL, "it came after the end had begun")
         elif setup.wait_ms - waited_ms <= 0.0:
             self._turn_away(owner, task, m.MOOT, "it came after its time")
         else:
@@ -413,6 +426,9 @@
         )
 
     def _take(self, owner: Owner, setup: Setup, left_ms: float) -> None:
+        if not self.ports.waits(owner, setup.task):
+            self.gone += 1  # its cancel or its client's end came while it lay unread: nothing is owed
+            return
         owner.open.add(setup.task)
         self.telling.tell(self._asked(self._new(owner, setup), left_ms))
 
@@ -420,8 +436,14 @@
         """A task that runs already. One that we hold is named again at every start, and changes nothing."""
         if setup.task in self.tasks or setup.at is None:
             return
-        call = self._new(owner, setup)
         now = self.ports.now()
+        ended = self.ends.claim(setup.task, setup.at, now)
+        if ended is not None:
+            if not ended[1]:
+                cause = m.ENDED if ended[0] == m.ENDED else m.RESET
+                self.ports.to_owner(owner, m.caused(m.RELEASE, setup.task, cause), owed=True)
+            return
+        call = self._new(owner, setup)
         call.attempts, call.attempt = 1, Attempt(call, 0, setup.at, now, now)
         self._stands(call, setup.at)
         self.telling.tell(self._asked(call, 0.0))
--- a/glencleat/isup/messages.py
+++ b/glencleat/isup/messages.py
@@ -78,6 +78,20 @@
     return encode(kind, task, {CAUSE: bytes((cause,)), **(more or {})})
 
 
+def whole(buffer: bytearray, at: int) -> int | None:
+    """Where the message that begins at `at` ends, None if not all of it is here; PeerError at the first byte
+    that can't be right."""
+    have = len(buffer) - at
+    if have < 2:
+        return None
+    length = buffer[at] << 8 | buffer[at + 1]
+    if not HEAD.size - 2 <= length <= MOST:
+        raise PeerError(f"a message of {length} bytes")
+    if have >= 3 and buffer[at + 2] not in KINDS:
+        raise PeerError(f"a message of unknown type {buffer[at + 2]}")
+    return at + length + 2 if have >= length + 2 else None
+
+
 class Decoder:
     """Bytes in, whole messages out; keeps at most one message that is not whole yet."""
 
@@ -96,16 +110,9 @@
         """Whole messages, up to `most`; PeerError at the first byte that can't be right."""
         at = 0
         try:
-            while most > 0 and len(self.buffer) - at >= 2:
-                length = self.buffer[at] << 8 | self.buffer[at + 1]
-                if not HEAD.size - 2 <= length <= MOST:
-                    raise PeerError(f"a message of {length} bytes")
-                if len(self.buffer) - at >= 3 and self.buffer[at + 2] not in KINDS:
-                    raise PeerError(f"a message of unknown type {self.buffer[at + 2]}")
-                if len(self.buffer) - at < length + 2:
-                    return
-                message = decode(bytes(self.buffer[at : at + length + 2]))
-                at, most = at + length + 2, most - 1
+            while most > 0 and (end := whole(self.buffer, at)) is not None:
+                message = decode(bytes(self.buffer[at:end]))
+                at, most = end, most - 1
                 yield message
         finally:
             del self.buffer[:at]
--- /dev/null
+++ b/glencleat/isup/sending.py
@@ -0,0 +1,66 @@
+"""What is known of an attempt that came to nothing, and whether one may still leave.
+
+No I/O; imports the interface. A link asks `held_back` at the last instant before the first byte of a set-up
+leaves: what was decided may be a wait for a descriptor or a connection old by then. Guards against an attempt
+for a client that left, to a host that drains, past its time, or that would be a second effect."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+from glencleat import interface as api
+
+
+class Fact(Enum):
+    """What a link can tell of an attempt that came to nothing without the host's word."""
+
+    REFUSED = "the connection was refused"
+    NEVER_UP = "no connection came up in time"
+    UNSENT = "its last byte never reached the kernel"
+    LEFT = "its client had left before its first byte did"
+    BROKEN = "the connection broke after it was sent"
+    SILENT = "no answer in time after it was sent"
+
+
+# Only the last two may have run: see interface.py, contract 7.
+FACTS = {
+    Fact.REFUSED: api.Outcome.UNREACHABLE,
+    Fact.NEVER_UP: api.Outcome.UNREACHABLE,
+    Fact.UNSENT: api.Outcome.NOT_SENT,
+    Fact.LEFT: api.Outcome.NOT_SENT,
+    Fact.BROKEN: api.Outcome.LOST,
+    Fact.SILENT: api.Outcome.TIMED_OUT,
+}
+NEVER_RAN = frozenset((api.Outcome.REFUSED, api.Outcome.UNREACHABLE, api.Outcome.NOT_SENT))
+
+
+@dataclass(frozen=True, slots=True)
+class Seen:
+    """What is looked at, all at one instant."""
+
+    client_waits: bool
+    host_serves: bool  # by the list: it neither drains nor is gone
+    in_time: bool  # of the attempt
+    harmless: bool  # a run beside those of earlier attempts is none or is dropped
+    turn_holds: bool  # where its host is cold: it was decided so lately that it counts in our turn there
+
+
+def harmless(cls: api.TaskClass, first_ms: float | None, now: float, tick_ms: float) -> bool:
+    """Whether one more attempt does no harm now; `first_ms`: when the first that may have run could be in."""
+    if first_ms is None or cls.effect is api.Effect.SAFE:
+        return True
+    return cls.effect is api.Effect.KEYED and now <= first_ms + cls.window_ms - 2.0 * tick_ms
+
+
+def turn_holds(cold: bool, waited_ms: float, window_ms: float) -> bool:
+    """The module's turns at a cold host lie a quarter of its window apart: later ones meet the next."""
+    return not cold or waited_ms <= 0.25 * window_ms
+
+
+def held_back(seen: Seen) -> Fact | None:
+    """Why it may not leave, or None. The client first: nobody is owed anything for the rest then."""
+    if not seen.client_waits:
+        return Fact.LEFT
+    may = seen.host_serves and seen.in_time and seen.harmless and seen.turn_holds
+    return None if may else Fact.UNSENT
--- a/glencleat/node/hosts.py
+++ b/glencleat/node/hosts.py
@@ -19,7 +19,8 @@
 from glencleat.fleet.connecting import Connecting, look_ms
 from glencleat.isup import messages as m
 from glencleat.isup.channel import Host, News, when
-from glencleat.isup.exchange import Attempt, Exchange, Fact
+from glencleat.isup.exchange import Attempt, Exchange
+from glencleat.isup.sending import Fact
 from glencleat.kernel import Loop
 from glencleat.node.life import Do
 from glencleat.node.links import HostLinks, Link
@@ -55,6 +56,7 @@
         self.random, self.connecting = random, Connecting()
         self.hosts: dict[str, HostLinks] = {}
         self.peers = 1  # allocators that look at the same hosts, this one included
+        self.cold_ms = 0.0  # a host that has just started is warm by then
         self.trace: Trace | None = None
         self.addresses: dict[tuple[str, int], str] = {}
         self.line: dict[Attempt, None] = {}  # their hosts have no link, and nothing could be given up for one
@@ -67,6 +69,11 @@
     def links(self) -> int:
         return sum(len(host.links) for host in self.hosts.values())
 
+    @property
+    def cutting(self) -> bool:
+        """Releases wait for a connection to their host."""
+        return any(host.cuts for host in self.hosts.values())
+
     # ---- what the exchange asks ----
 
     def offer(self, attempt: Attempt) -> None:
@@ -102,6 +109,12 @@
         """Told once the exchange is done with offering it."""
         self.loop.call_in(0.0, lambda: self.exchange.failed(attempt, fact))
 
+    def cold(self, host: HostLinks) -> bool:
+        """By the list: it started a short time ago."""
+        told = self.channel.hosts.get(host.name)
+        ready = told.machine.ready_at_ms if told is not None else None
+        return ready is not None and self.loop.now() < ready + self.cold_ms
+
     def _freed(self) -> None:
         if self.line and not self.serving:
             self.serving = True
@@ -137,7 +150,7 @@
             link
             for link in host.links
             if not link.doubtful and task not in link.spent and self._open(link)
-            if not (silent and link.stream is not None)
+            if not (link.stream is not None and (silent or link.stream.out))  # nothing queues behind others
         ]
         free = [link for link in usable if not link.load]
         if free:
--- a/glencleat/node/links.py
+++ b/glencleat/node/links.py
@@ -13,7 +13,8 @@
 from glencleat.fleet.asking import HOST, Asking
 from glencleat.isup import messages as m
 from glencleat.fleet.connecting import Connecting
-from glencleat.isup.exchange import Attempt, Exchange, Fact
+from glencleat.isup.exchange import Attempt, Exchange
+from glencleat.isup.sending import Fact
 from glencleat.kernel import ConnectFailed, Loop, Stream, StreamClosed, connect
 from glencleat.kernel.loop import Coroutine
 from glencleat.node.life import Life
@@ -37,6 +38,7 @@
     trace: Trace | None
 
     def answer(self, attempt: Attempt, fact: Fact) -> None: ...
+    def cold(self, host: HostLinks) -> bool: ...
     def up(self, host: HostLinks, link: Link) -> None: ...
     def back(self, host: HostLinks) -> None: ...
     def failed(self, host: HostLinks, refused: bool) -> None: ...
@@ -87,6 +89,9 @@
             return Worth.HELD  # it takes no new connection while its tasks run: there is no way back
         return Worth.LISTENED if self.loop.now() - self.since > VISIT_MS else Worth.LISTENING
 
+    def last_look(self) -> None:
+        """What is unread on it is read after it is left."""
+
     def give_up(self) -> None:
         self.host.given_up = len(self.host.links) == 1
         self.leave("room is wanted")
@@ -136,6 +141,11 @@
 
     def _send(self, attempt: Attempt) -> None:
         assert self.stream is not None
+        held_back = self.hosts.exchange.held_back(attempt, self.host.serves, self.hosts.cold(self.host))
+        if held_back is not None:
+            attempt.link = None
+            self.hosts.answer(attempt, held_back)
+            return
         data = attempt.setup_message(self.loop.now())
         self.out[attempt] = self.stream.queued + len(data)
         self.write(data)
@@ -254,6 +264,11 @@
         self.again_at = 0.0
         self.cuts: dict[int, None] = {}
 
+    @property
+    def serves(self) -> bool:
+        """Something new may be sent there, by the list."""
+        return not (self.gone or self.draining)
+
     @property
     def alone(self) -> bool:
         """No link to it is up."""
--- a/glencleat/node/owners.py
+++ b/glencleat/node/owners.py
@@ -12,6 +12,7 @@
 from glencleat.descriptors import Demand, Descriptors, Side, Worth
 from glencleat.isup import messages as m
 from glencleat.isup.exchange import Exchange
+from glencleat.isup.inbox import Inbox
 from glencleat.kernel import Listener, Loop, Stream, StreamClosed
 from glencleat.kernel.loop import Coroutine
 
@@ -22,6 +23,8 @@
 SPEAK_MS = 2_000.0  # for the first whole message, and for each one begun
 TURN = 16  # messages of one connection before others have their turn
 READ = 16_384  # bytes of one connection at a time
+LOOK = 1 << 17  # bytes of one connection that may wait here where its end or a cancel is looked for
+BACKLOGS = 64  # shares of the listen backlog that are taken in at one look
 MOST_BAD = 50  # set-ups turned away unread on one connection before it is closed
 MOST_WAITED_MS = 60_000.0  # a clock that was set says more
 UNSENT = 1 << 18  # bytes that a slow reader may leave with us
@@ -34,22 +37,32 @@
     side = Side.OWNERS
 
     def __init__(self, owners: Owners, stream: Stream, now: float) -> None:
-        self.owners, self.stream, self.decoder = owners, stream, m.Decoder()
+        self.owners, self.stream, self.inbox = owners, stream, Inbox()
         self.open: set[int] = set()
         self.born = self.used = now
         self.spoke = False  # a message came whole
         self.proven = False  # a task of its came to stand: no bad client's ever does
         self.bad = 0
-        self.begun: float | None = None  # since when a message is not whole
+        self.begun: tuple[int, float] | None = None  # where a message that is not whole begins, since when
 
     def worth(self) -> Worth:
-        if self.open or (self.proven and self.owners.friends == 1):
+        if self.open or self.inbox.waiting or (self.proven and self.owners.friends == 1):
             return Worth.HELD  # an answer is owed on it, or it is the last one that releases can go by
         return Worth.FRIEND if self.proven else Worth.STRANGER
 
+    def last_look(self) -> None:
+        self.owners.look(self)
+
     def give_up(self) -> None:
         self.stream.close("room is wanted")
 
+    def dates(self, now: float) -> None:
+        """Notes since when a message is half here; one that drips on has begun once."""
+        if not self.inbox.partial:
+            self.begun = None
+        elif self.begun is None or self.begun[0] != self.inbox.taken:
+            self.begun = self.inbox.taken, now
+
 
 class Owners:
     """The listener and all connections. `exchange` is set by whoever joins the parts."""
@@ -62,6 +75,7 @@
         self.owed: deque[tuple[float, bytes]] = deque(maxlen=OWED)
         self.listener: Listener | None = None
         self.leaving = False
+        self.closed_at = float("inf")  # Unix milliseconds; who asks later is refused
         self.ready: Callable[[], bool] = lambda: True  # there is somewhere to place
         self.friends = 0  # proven ones, of those connected
         self.trace: Trace | None = None
@@ -75,8 +89,29 @@
         return self.listener.address
 
     def close(self) -> None:
+        """Nobody comes any more, and what those who are here still ask is refused."""
         if self.listener is not None:
             self.listener.close()
+            self.listener, self.closed_at = None, self.loop.clock.wall()
+
+    def take_all_in(self) -> tuple[bool, bool]:
+        """All that has come by this instant is taken in: newcomers, what lies unread. Whether anything did or
+        waits its turn, and whether some message is half here."""
+        came = False
+        for _ in range(BACKLOGS):
+            if self.listener is None or not self.listener.take():
+                break
+            came = True
+        for owner in list(self.owners):
+            taken = owner.inbox.taken + len(owner.inbox.buffer)
+            self.look(owner)
+            came |= owner.inbox.waiting or owner.inbox.taken + len(owner.inbox.buffer) != taken
+        return came, any(owner.begun is not None for owner in self.owners)
+
+    @property
+    def unsent(self) -> bool:
+        """Some answer has not been handed to the system yet."""
+        return any(owner.stream.out for owner in self.owners)
 
     # ---- connections ----
 
@@ -93,41 +128,74 @@
         self.descriptors.free(owner)
 
     def _serve(self, owner: Owner) -> Coroutine:
+        inbox = owner.inbox
         try:
-            while True:
-                data = yield from owner.stream.read(READ)
-                if not data:
-                    raise StreamClosed("the owner closed it")
-                owner.used = self.loop.now()
-                owner.decoder.feed(data)
-                while self._turn(owner):
+            while inbox.waiting or not inbox.ended:
+                came = owner.stream.readable and self._take_in(owner, READ)
+                if inbox.ended or owner.stream.closed is not None:
+                    inbox.ended = True
+                    self.exchange.owner_gone(owner)  # before what lies unread: it may be set-ups
+                if self._turn(owner):
                     yield from self.loop.sleep(0.0)
-                owner.begun = owner.used if owner.decoder.partial else None
-                self.descriptors.file(owner, used=True)
-        except (StreamClosed, m.PeerError) as error:
+                elif not (came or inbox.ended):
+                    yield from owner.stream.wait()
+            owner.stream.close("the owner closed it")
+        except StreamClosed:
+            inbox.ended = True
+        except m.PeerError as error:
             owner.stream.close(str(error))
-            if isinstance(error, m.PeerError):
-                self.log(f"an owner's connection closed: {error}")
+            self.log(f"an owner's connection closed: {error}")
         finally:
             self.owners.pop(owner, None)
             self.exchange.owner_gone(owner)
 
+    def _take_in(self, owner: Owner, most: int) -> bool:
+        """Reads what has come by this instant, as far as `most` bytes wait; whether something came."""
+        inbox, came = owner.inbox, False
+        try:
+            while not inbox.ended and len(inbox.buffer) < most:
+                data = owner.stream.take(READ)
+                if data is None:
+                    break
+                came, owner.used = True, self.loop.now()
+                if data:
+                    inbox.feed(data, owner.stream.arrived)
+                else:
+                    inbox.ended = True
+        except StreamClosed:
+            came = inbox.ended = True
+        owner.dates(self.loop.now())
+        return came
+
+    def look(self, owner: Owner) -> None:
+        """Takes in what has come by this instant, whoever's turn it is: an end or a cancel counts at once."""
+        if self._take_in(owner, LOOK):
+            owner.stream.nudge()
+        elif len(owner.inbox.buffer) >= LOOK and owner.stream.hung_up():
+            owner.inbox.ended = True
+
+    def waits(self, owner: Owner, task: int) -> bool:
+        self.look(owner)
+        return owner.inbox.waits(task)
+
     def _turn(self, owner: Owner) -> bool:
-        """Up to TURN messages; whether there may be more."""
-        count = 0
-        for message in owner.decoder.messages(TURN):
-            count += 1
-            self._message(owner, message)
-            if owner.stream.closed is not None:
-                raise StreamClosed(owner.stream.closed)
-        return count == TURN
-
-    def _message(self, owner: Owner, message: m.Message) -> None:
+        """Up to TURN messages; whether there are more."""
+        for _ in range(TURN):
+            found = owner.inbox.next()
+            if found is None:
+                break
+            self._message(owner, *found)
+        owner.dates(self.loop.now())
+        self.descriptors.file(owner, used=True)
+        return owner.inbox.waiting
+
+    def _message(self, owner: Owner, message: m.Message, arrived: float | None) -> None:
         owner.spoke = True
         if self.trace is not None:
             self.trace.message("owner", message)
         if message.kind == m.SETUP:
-            owner.bad += not self.exchange.owner_asks(owner, message, self._waited(owner))
+            late = (arrived or self.loop.clock.wall()) > self.closed_at
+            owner.bad += not self.exchange.owner_asks(owner, message, self._waited(arrived), late)
             if owner.bad > MOST_BAD:
                 raise m.PeerError(f"{owner.bad} set-ups that can't be used")
         elif message.kind == m.RELEASE:
@@ -137,11 +205,10 @@
             takes = not self.leaving and self.ready()
             self._write(owner, m.caused(m.TESTED, message.task, int(takes)))
 
-    def _waited(self, owner: Owner) -> float:
-        """How long the last bytes waited in our socket and loop: gone from what the owner waits.
+    def _waited(self, arrived: float | None) -> float:
+        """How long a message waited in our socket and loop: gone from what the owner waits.
 
         After a standstill all that waited comes at once, with deadlines that would else seem fresh."""
-        arrived = owner.stream.arrived
         return 0.0 if arrived is None else min(MOST_WAITED_MS, max(0.0, self.loop.clock.wall() - arrived))
 
     def _write(self, owner: Owner, data: bytes) -> bool:
@@ -178,8 +245,10 @@
         now = self.loop.now()
         for owner in list(self.owners):
             silent = not owner.spoke and now - owner.born > SPEAK_MS
-            if silent or (owner.begun is not None and now - owner.begun > SPEAK_MS):
-                owner.stream.close("no whole message in time")
+            if silent or (owner.begun is not None and now - owner.begun[1] > SPEAK_MS):
+                self.look(owner)  # after a standstill all of it may lie unread
+                if not owner.inbox.waiting:
+                    owner.stream.close("no whole message in time")
             self.descriptors.file(owner)
         while self.owed and now - self.owed[0][0] > OWED_MS:
             self.owed.popleft()
--- a/glencleat/node/process.py
+++ b/glencleat/node/process.py
@@ -21,8 +21,9 @@
 from glencleat.descriptors import Descriptors
 from glencleat.fleet.asking import LIST, Asking
 from glencleat.isup.channel import Channel, News, address
-from glencleat.isup.exchange import Attempt, Exchange, Fact
+from glencleat.isup.exchange import Attempt, Exchange
 from glencleat.isup.messages import PeerError
+from glencleat.isup.sending import Fact
 from glencleat.kernel import Loop, Signals, Timer
 from glencleat.logic import Scheduler
 from glencleat.node.feed import Feed
@@ -93,7 +94,7 @@
         self.hosts = Hosts(loop, self.channel, self.descriptors, *limits, random, log)
         self.started = loop.now()
         self.owners.ready = self._ready
-        self.hosts.peers = config.settings.peers
+        self.hosts.peers, self.hosts.cold_ms = config.settings.peers, config.settings.cold_ms
         module = Scheduler(config.settings, config.seed)
         self.exchange = Exchange(config.settings, module, self, config.connect_ms)
         self.exchange.machines = self.channel.machines
@@ -126,6 +127,9 @@
     def to_owner(self, owner: Any, data: bytes, owed: bool) -> None:
         self.owners.to_owner(owner, data, owed)
 
+    def waits(self, owner: Any, task: int) -> bool:
+        return self.owners.waits(owner, task)
+
     def proves(self, owner: Any) -> None:
         self.owners.proves(owner)
 
--- a/tests/live.py
+++ b/tests/live.py
@@ -3,7 +3,8 @@
 from glencleat import interface as api
 from glencleat.isup import messages as m
 from glencleat.isup.channel import Host, News
-from glencleat.isup.exchange import Exchange, Fact
+from glencleat.isup.exchange import Exchange
+from glencleat.isup.sending import Fact
 from tests.fakes import Timing
 
 SAFE = api.TaskClass("safe", api.Effect.SAFE, 1000.0, 8000.0, 1.0)
@@ -60,7 +61,7 @@
         super().__init__()
         self.module = module or Script()
         self.offers, self.withdrawn, self.cuts, self.logs, self.tests = [], [], [], [], []
-        self.fact, self.testable = Fact.SILENT, True
+        self.fact, self.testable, self.cancelled = Fact.SILENT, True, set()
         self.exchange = Exchange(settings, self.module, self, 250.0)
         self.owner = Owner()
 
@@ -69,6 +70,9 @@
     def to_owner(self, owner, data, owed):
         (owner if not owner.closed else self.owner).got.extend(read(data))
 
+    def waits(self, owner, task):
+        return not owner.closed and task not in self.cancelled
+
     def proves(self, owner):
         owner.proven = True
 
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -61,6 +61,7 @@
         self.address = self.owners.listen(("127.0.0.1", 0))
         self.clients, self.calls = [], 0
         self.to_owner, self.proves, self.offer = self.owners.to_owner, self.owners.proves, self.hosts.offer
+        self.waits = self.owners.waits
         self.withdraw, self.cut, self.test = self.hosts.withdraw, self.hosts.cut, self.hosts.test
 
     def list(self, *told, whole=False, phase=api.Phase.SERVING):
@@ -91,6 +92,9 @@
         sock.send(setup(task, **fields))
         self.until(lambda: sum(isinstance(e, api.Asked) for e in self.module.events) == self.calls)
 
+    def told(self, kind):
+        return [event for event in self.module.events if isinstance(event, kind)]
+
     def back(self, count=1, ms=4000.0):
         found = lambda: [e.outcome for e in self.module.events if isinstance(e, api.Returned)]  # noqa: E731
         self.until(lambda: len(found()) >= count, ms)
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -12,11 +12,14 @@
 
 class Holder:
     def __init__(self, pool, side, worth):
-        self.pool, self.side, self.now = pool, side, worth
+        self.pool, self.side, self.now, self.at_last = pool, side, worth, None
 
     def worth(self):
         return self.now
 
+    def last_look(self):
+        self.now = self.at_last if self.at_last is not None else self.now
+
     def give_up(self):
         self.pool.free(self)
 
@@ -126,3 +129,13 @@
         assert set(pool.filed) == alive and len(alive) <= pool.room <= limit - ASIDE
         assert pool.count == {side: sum(h.side is side for h in alive) for side in Side}
         assert sum(map(len, pool.order)) == len(alive)
+
+
+def test_what_is_found_busy_at_the_last_look_stays_and_the_next_goes():
+    pool, made = full(Worth.STRANGER, Worth.STRANGER)
+    made[0].at_last = Worth.HELD
+    assert pool.make_room(Demand.OWNER)
+    assert made[0] in pool.filed and made[1] not in pool.filed
+    pool, made = full(Worth.STRANGER)
+    made[0].at_last = Worth.HELD
+    assert not pool.make_room(Demand.OWNER) and made[0] in pool.filed
--- a/tests/test_isup_exchange.py
+++ b/tests/test_isup_exchange.py
@@ -5,7 +5,8 @@
 from glencleat import Scheduler
 from glencleat import interface as api
 from glencleat.isup import messages as m
-from glencleat.isup.exchange import FACTS, Fact, State
+from glencleat.isup.exchange import State
+from glencleat.isup.sending import FACTS, Fact
 from tests.live import SETTINGS, Owner, World, machine, news, read
 
 PROOFS = {api.Outcome.REFUSED, api.Outcome.UNREACHABLE, api.Outcome.NOT_SENT}
@@ -53,7 +54,7 @@
     world.asks(7, bind())
     world.exchange.failed(world.offers[0], fact)
     assert world.outcomes() == [FACTS[fact]]
-    assert (FACTS[fact] in PROOFS) == (fact in (Fact.REFUSED, Fact.NEVER_UP, Fact.UNSENT))
+    assert (FACTS[fact] in PROOFS) == (fact in (Fact.REFUSED, Fact.NEVER_UP, Fact.UNSENT, Fact.LEFT))
     world.exchange.failed(world.offers[0], fact)  # a second word on it changes nothing
     assert len(world.outcomes()) == 1
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -759,7 +759,7 @@
     good.send(m.encode(m.TEST, 9))
     seen = []
     original = world.owners._message
-    world.owners._message = lambda owner, message: (seen.append(message.kind), original(owner, message))
+    world.owners._message = lambda owner, message, at: (seen.append(message.kind), original(owner, message, at))
     world.until(lambda: m.TEST in seen)
     assert len(seen) <= 3 * owners.TURN
 
--- /dev/null
+++ b/tests/test_races.py
@@ -0,0 +1,346 @@
+"""Races of the live path on real connections, each made to happen every time.
+
+One loop runs the program and its peers: as long as the test does not run it, whatever is sent lies unread, so
+that the order in which things come is the test's. What is held, and where, is said in each."""
+
+import itertools
+
+import pytest
+
+from glencleat import interface as api
+from glencleat.descriptors import Demand, Side
+from glencleat.isup import messages as m
+from glencleat.isup.ends import KEEP_MS
+from glencleat.isup.inbox import Inbox
+from glencleat.isup.sending import Fact, Seen, harmless, held_back, turn_holds
+from glencleat.node import owners
+from tests.live import KEYED, SAFE, UNSAFE, setup
+from tests.live import World as Virtual
+from tests.sockets import Peer, World, kinds, stands
+
+
+@pytest.fixture
+def world():
+    made = World()
+    yield made
+    for sock in made.clients:
+        sock.close()
+
+
+def cancel(task):
+    return m.caused(m.RELEASE, task, m.GIVEN_UP)
+
+
+def settled(world, rounds=30):
+    """Everything that lies ready is handled, and what follows from it."""
+    for _ in range(rounds):
+        world.loop.call_in(1.0, lambda: None)
+        world.loop.round()
+
+
+def leave(sock, how):
+    if how == "cancels":
+        sock.send(cancel(1))
+    else:
+        sock.close()
+
+
+def linked(world):
+    """A host with a link up, on which task 9 came to stand, and a client."""
+    peer, sock, other = Peer(world.loop, stands), world.client(), world.client()
+    world.list(("h1", peer.address))
+    world.ask(other, 9)
+    world.until(lambda: "h1" in world.exchange.standing)
+    return peer, sock
+
+
+def sent(peer):
+    return [message.task for _, message in peer.got if message.kind == m.SETUP]
+
+
+LEAVES = pytest.mark.parametrize("how", ["cancels", "closes"])
+
+
+# ---- a client that left ----
+
+
+@LEAVES
+def test_a_client_that_left_before_its_set_up_was_read_is_not_served(world, how):
+    peer, sock = linked(world)
+    world.module.next.append([api.Bind(2, "h1", 2000.0)])
+    sock.send(setup(1))
+    leave(sock, how)  # both lie unread
+    settled(world)
+    assert sent(peer) == [9] and world.exchange.open == 0 and list(world.exchange.standing["h1"]) == [9]
+
+
+def test_an_end_behind_hundreds_of_set_ups_is_seen_before_the_first(world):
+    """Sixteen messages of one connection have their turn at a time; before, the rest went on for the dead."""
+    peer, sock = Peer(world.loop, stands), world.client()
+    world.list(("h1", peer.address))
+    world.module.next += [[api.Bind(n, "h1", 2000.0)] for n in range(1, 301)]
+    sock.send(b"".join(setup(n) for n in range(1, 301)))
+    sock.close()
+    settled(world)
+    assert m.SETUP not in kinds(peer) and not world.told(api.Asked)
+
+
+@LEAVES
+def test_a_client_that_left_while_a_connection_came_up_is_not_served(world, how):
+    """Held: the link is up before the client leaves, and nobody has been told of either."""
+    peer, sock = Peer(world.loop, stands), world.client()
+    world.list(("h1", peer.address))
+    world.ask(sock, 1)
+    world.loop.poller.poll(0.0)  # the client's socket is not at the head of what is ready any more
+    for _ in range(len(world.loop.ready)):  # the connect is begun, and is up at once; the loop polls nothing
+        world.loop._step(*world.loop.ready.popleft())
+    leave(sock, how)
+    settled(world)
+    assert len(peer.streams) == 1 and m.SETUP not in kinds(peer)
+    assert world.back() == [api.Outcome.NOT_SENT] and world.exchange.open == 0
+
+
+@LEAVES
+def test_a_client_that_left_between_two_attempts_has_no_second_one(world, how):
+    """Held: the refusal and the client's leaving both lie unread, the refusal first."""
+    first, second = Peer(world.loop), Peer(world.loop, stands)
+    sock, other = world.client(), world.client()
+    world.list(("h1", first.address), ("h2", second.address))
+    world.ask(other, 9, host="h2")
+    world.until(lambda: "h2" in world.exchange.standing)  # a link is up there
+    world.ask(sock, 1)
+    world.until(lambda: first.got)
+    world.module.next.append([api.Bind(2, "h2", 2000.0)])
+    first.streams[0].send(m.caused(m.RELEASE, 1, m.FULL))
+    leave(sock, how)
+    settled(world)
+    assert sent(second) == [9]
+    assert world.exchange.open == 0
+
+
+@LEAVES
+def test_a_client_that_left_while_it_waited_for_a_descriptor_is_not_served(world, how):
+    """Held: the descriptor is free before the loop has told of the client's leaving."""
+    peer, sock = linked(world)
+    (link,) = world.hosts.hosts["h1"].links
+    peer.script = lambda stream, message: None
+    world.ask(sock, 5)  # which keeps the link
+    link.doubtful, world.descriptors.room = True, 0  # it takes nothing more, and there is no other
+    world.ask(sock, 1)
+    assert len(world.hosts.line) == 1
+    link.doubtful = False
+    leave(sock, how)
+    world.hosts._serve_line()
+    settled(world)
+    assert sent(peer) == [9, 5]
+
+
+@LEAVES
+def test_a_yes_for_a_client_that_left_is_taken_back(world, how):
+    """Held: the host's yes and the client's leaving both lie unread, the yes first."""
+    peer, sock = Peer(world.loop), world.client()
+    world.list(("h1", peer.address))
+    world.ask(sock, 1)
+    world.until(lambda: peer.got)
+    stands(*peer.got[0])
+    leave(sock, how)
+    settled(world)
+    assert kinds(peer) == [m.SETUP, m.RELEASE] and not world.exchange.standing
+    assert world.back() == [api.Outcome.STOPPED] and not world.told(api.Accepted)
+
+
+def test_what_a_client_that_left_says_of_standing_tasks_still_counts(world):
+    peer, sock = Peer(world.loop, stands), world.client()
+    world.list(("h1", peer.address))
+    world.ask(sock, 1)
+    world.until(lambda: "h1" in world.exchange.standing)
+    last = world.client()
+    last.send(b"".join(m.encode(m.PROGRESS, n) for n in range(3 * owners.TURN)) + cancel(1))
+    last.close()
+    settled(world)
+    assert m.RELEASE in kinds(peer) and not world.exchange.standing
+
+
+def test_an_inbox_tells_what_lies_in_it():
+    inbox = Inbox()
+    data = setup(1) + setup(2) + cancel(2) + setup(2)[:20]
+    for byte in data:
+        inbox.feed(bytes((byte,)), 5.0)
+    assert (inbox.waits(1), inbox.waits(2)) == (True, False)
+    found = [inbox.next() for _ in range(3)]
+    assert [message.kind for message, _ in found] == [m.SETUP, m.SETUP, m.RELEASE]
+    assert inbox.next() is None and inbox.partial and inbox.waits(2) and len(inbox.arrivals) == 2  # not one a byte
+    inbox.feed(setup(2)[20:], 9.0)
+    assert inbox.next()[1] == 9.0 and not inbox.partial
+    inbox.feed(b"\0\1", 10.0)
+    assert inbox.waiting and not inbox.partial
+    with pytest.raises(m.PeerError):
+        inbox.next()
+    inbox.ended = True
+    assert not inbox.waits(1)
+
+
+# ---- what is looked at last before the first byte leaves ----
+
+
+def test_an_attempt_leaves_only_if_all_is_as_it_was_when_it_was_decided():
+    for values in itertools.product((False, True), repeat=5):
+        seen = Seen(*values)
+        expected = None if all(values) else Fact.LEFT if not seen.client_waits else Fact.UNSENT
+        assert held_back(seen) is expected
+    assert harmless(SAFE, 0.0, 1e9, 2.0) and harmless(UNSAFE, None, 1e9, 2.0) and not harmless(UNSAFE, 0.0, 0.0, 2.0)
+    assert harmless(KEYED, 10.0, 10.0 + 4996.0, 2.0) and not harmless(KEYED, 10.0, 10.0 + 4996.5, 2.0)
+    assert turn_holds(False, 9e9, 1.0) and turn_holds(True, 250.0, 1000.0) and not turn_holds(True, 251.0, 1000.0)
+
+
+@pytest.mark.parametrize("phase", [api.Phase.DRAINING, api.Phase.GONE])
+def test_what_waited_for_a_connection_is_not_sent_to_a_host_that_drains(world, phase):
+    """Held: the link is up, nobody has been told, when the list tells the drain."""
+    peer, sock = Peer(world.loop, stands), world.client()
+    world.list(("h1", peer.address))
+    world.ask(sock, 1)
+    world.list(("h1", peer.address), phase=phase)
+    settled(world)
+    assert m.SETUP not in kinds(peer) and world.back() == [api.Outcome.NOT_SENT]
+
+
+def test_what_was_decided_too_long_ago_is_not_sent_to_a_cold_host(world, monkeypatch):
+    """It would meet the turn of another allocator there."""
+    peer, sock = Peer(world.loop, stands), world.client()
+    world.list(("h1", peer.address))
+    monkeypatch.setattr(world.hosts, "cold", lambda host: True)
+    world.ask(sock, 1)
+    (attempt,) = (a for link in world.hosts.hosts["h1"].links for a in link.waiting)
+    attempt.began -= 1.0  # SETTINGS has no window: whatever waited at all has waited too long
+    settled(world)
+    assert m.SETUP not in kinds(peer) and world.back() == [api.Outcome.NOT_SENT]
+
+
+def test_a_keyed_attempt_decided_in_its_window_does_not_leave_after_it():
+    world = Virtual()
+    world.asks(7, api.Bind(1, "h1", 300.0), cls="keyed")
+    world.module.next.append([api.Bind(1, "h2", 6000.0)])
+    world.advance(300.0)
+    first, second = world.offers
+    assert world.outcomes() == [api.Outcome.TIMED_OUT]
+    world.advance(KEYED.window_ms - 2.0 - 300.0)
+    assert world.exchange.held_back(second, True, False) is None
+    world.advance(1.0)
+    assert world.exchange.held_back(second, True, False) is Fact.UNSENT
+
+
+def test_nothing_queues_behind_bytes_that_a_host_does_not_read(world):
+    peer, sock = Peer(world.loop, stands), world.client()
+    world.list(("h1", peer.address))
+    world.ask(sock, 1)
+    world.until(lambda: "h1" in world.exchange.standing)
+    (link,) = world.hosts.hosts["h1"].links
+    link.stream.out += b"\0"  # as if the socket had taken no more
+    world.ask(sock, 2)
+    world.until(lambda: len(peer.streams) == 2 and m.SETUP in kinds(peer)[1:])
+    assert peer.got[-1][0] is peer.streams[1]
+
+
+# ---- idle connections ----
+
+
+def test_a_set_up_that_lies_unread_keeps_its_connection(world, monkeypatch):
+    """Held: the sweep comes before the reader, as after a standstill."""
+    monkeypatch.setattr(owners, "SPEAK_MS", -1.0)
+    sock = world.client()
+    world.until(lambda: world.owners.owners)
+    (owner,) = world.owners.owners
+    sock.send(setup(1))
+    world.owners._sweep()
+    assert owner.stream.closed is None
+    settled(world)
+    assert world.told(api.Asked)
+
+
+def test_a_connection_is_not_idle_while_a_set_up_lies_unread_on_it(world):
+    """Held: a newcomer is let in before the reader has its turn."""
+    world.descriptors.room, world.descriptors.rights = 2, {Side.OWNERS: 2, Side.LINKS: 0}
+    quiet, busy = world.client(), world.client()
+    world.until(lambda: len(world.owners.owners) == 2)
+    first, second = world.owners.owners
+    quiet.send(setup(1))
+    assert world.descriptors.make_room(Demand.OWNER)
+    assert first.stream.closed is None and second.stream.closed is not None
+    settled(world)
+    assert world.told(api.Asked) and world.says(busy) == b""
+
+
+def test_one_that_drips_a_message_is_closed_in_time(world, monkeypatch):
+    monkeypatch.setattr(owners, "SPEAK_MS", 100.0)
+    monkeypatch.setattr(owners, "SWEEP_MS", 10.0)
+    world.owners._sweep()
+    sock = world.client()
+    sock.send(m.encode(m.TEST, 1))
+    drip = iter(setup(1))
+
+    def more():
+        if sock.fileno() >= 0 and world.owners.owners:
+            sock.send(bytes((next(drip),)))
+            world.loop.call_in(5.0, more)
+
+    world.until(lambda: world.owners.owners)
+    more()
+    world.until(lambda: not world.owners.owners, ms=600.0)  # a message of 60 bytes and more drips on for longer
+
+
+# ---- hand-overs ----
+
+
+def named(task, host="h1"):
+    return setup(task, extras=f"cores:1;memory:1;service:s;at:{host}", wait=None)
+
+
+def test_an_end_that_came_before_its_task_was_named_is_told(world):
+    """After a restart: the host tells what ended on our first connection, before any client has come."""
+    peer, sock = Peer(world.loop, stands), world.client()
+    world.list(("h1", peer.address))
+    world.ask(sock, 1)
+    world.until(lambda: "h1" in world.exchange.standing)
+    world.says(sock)
+    peer.streams[0].send(m.caused(m.RELEASE, 77, m.ENDED) + m.caused(m.RELEASE, 78, m.RESET))
+    settled(world)
+    sock.send(named(77) + named(78) + named(79))
+    settled(world)
+    assert list(world.exchange.standing["h1"]) == [1, 79]
+    assert world.says(sock) == m.caused(m.RELEASE, 77, m.ENDED) + m.caused(m.RELEASE, 78, m.RESET)
+
+
+def test_a_task_named_again_as_its_release_is_on_its_way_stays_over(world):
+    peer, sock = Peer(world.loop, stands), world.client()
+    world.list(("h1", peer.address))
+    world.ask(sock, 1)
+    world.until(lambda: "h1" in world.exchange.standing)
+    world.says(sock)
+    peer.streams[0].send(m.caused(m.RELEASE, 1, m.ENDED))
+    settled(world)
+    sock.send(named(1))  # sent before the release was read
+    settled(world)
+    assert not world.exchange.standing and world.says(sock) == m.caused(m.RELEASE, 1, m.ENDED)
+    with pytest.raises(BlockingIOError):
+        sock.recv(100)  # told once
+
+
+def test_a_task_that_was_called_lost_behind_a_cut_may_be_handed_over(world):
+    """Its host never said that it ended."""
+    peer, sock = Peer(world.loop, stands), world.client()
+    world.list(("h1", peer.address))
+    world.ask(sock, 1)
+    world.until(lambda: "h1" in world.exchange.standing)
+    world.exchange.host_lost("h1")
+    sock.send(named(1))
+    settled(world)
+    assert list(world.exchange.standing["h1"]) == [1]
+
+
+def test_ends_are_kept_for_a_time():
+    world = Virtual()
+    world.asks(1, api.Bind(1, "h1", 300.0))
+    world.host(m.RELEASE, 77, cause=m.ENDED)
+    world.advance(KEEP_MS + 1.0)
+    world.asks(77, extras="cores:1;memory:1;service:s;at:h1", wait=None)
+    assert 77 in world.exchange.standing["h1"]
