After a standstill news and answers are read before timers act; releases are kept until heard

The channel's task is urgent now, and runs before the timers of its round; - an attempt whose answer lay unread at its time-out was given up: an unsafe one had failed that stood. One that comes a second late waits; - a release written to a host on a link that broke was never written again: the task ran on for nobody. It is kept until the host says that it heard, a thousand for each host at most; - a connection with an unsent answer was given up as idle. It is held now, and closed when its client takes nothing of it for 5 s, so that such clients can't hold descriptors; - owner_gone named tasks that the module had answered on hearing of the one before: a KeyError, and those behind it were never taken back.

--- a/glencleat/isup/exchange.py
+++ b/glencleat/isup/exchange.py
@@ -84,6 +84,9 @@
     def withdraw(self, attempt: Attempt) -> Fact:
         """Takes it back: the give-up is written, or its connection closed. What is known of it."""
 
+    def unread(self, attempt: Attempt) -> bool:
+        """Whether something came on the connection that it went by and has not been read."""
+
     def cut(self, host: str, task: int) -> None:
         """Releases a standing task at its host, at once or as soon as the host can be reached."""
 
@@ -171,9 +174,14 @@
         attempt.timer = self.ports.call_in(action.timeout_ms, lambda: self._timed_out(attempt))
         self.ports.offer(attempt)
 
-    def _timed_out(self, attempt: Attempt) -> None:
-        if attempt.out:
-            self._back(attempt, FACTS[self.ports.withdraw(attempt)])
+    def _timed_out(self, attempt: Attempt, looked: bool = False) -> None:
+        if not attempt.out:
+            return
+        if not looked and self.ports.unread(attempt):
+            # After a standstill its answer may lie there: what was out in time is no time-out.
+            attempt.timer = self.ports.call_in(0.0, lambda: self._timed_out(attempt, looked=True))
+            return
+        self._back(attempt, FACTS[self.ports.withdraw(attempt)])
 
     def _refuse(self, action: api.Refuse) -> None:
         stay = {m.STAY_AWAY: b"%d" % round(action.retry_after_ms)} if action.retry_after_ms >= 1.0 else {}
@@ -462,7 +470,8 @@
     def owner_gone(self, owner: Owner) -> None:
         """The connection has ended: nobody waits for what was open on it. What stands goes on."""
         for task in list(owner.open):
-            self._leaves(self.tasks[task])
+            if task in self.tasks:  # else the module answered it on hearing of one before
+                self._leaves(self.tasks[task])
 
     def _leaves(self, call: Call) -> None:
         if call.attempt is not None and call.state is State.OUT:
--- a/glencleat/kernel/loop.py
+++ b/glencleat/kernel/loop.py
@@ -81,10 +81,12 @@
 class Task:
     """A running generator. Its children are cancelled when it ends."""
 
-    __slots__ = ("gen", "name", "children", "parent", "done", "result", "error", "disarm", "joiners")
+    __slots__ = (
+        "gen", "name", "parent", "urgent", "children", "done", "result", "error", "disarm", "joiners"
+    )  # fmt: skip
 
-    def __init__(self, gen: Coroutine, name: str, parent: Task | None) -> None:
-        self.gen, self.name, self.parent = gen, name, parent
+    def __init__(self, gen: Coroutine, name: str, parent: Task | None, urgent: bool = False) -> None:
+        self.gen, self.name, self.parent, self.urgent = gen, name, parent, urgent
         self.children: set[Task] = set()
         self.done, self.result = False, None
         self.error: BaseException | None = None
@@ -110,6 +112,7 @@
         self.poller = poller or EpollPoller()
         self.timers: Timers = timers or TimerWheel(self.clock.now())
         self.ready: deque[tuple[Task, Any, BaseException | None]] = deque()
+        self.first: deque[tuple[Task, Any, BaseException | None]] = deque()  # the urgent ones of these
         self.due: deque[Timer] = deque()  # of this round; an error in one leaves the others to the next
         self.running = False
         self.current: Task | None = None
@@ -125,8 +128,11 @@
     def call_in(self, in_ms: float, call: Callable[[], None]) -> Timer:
         return self.timers.add(self.clock.now() + in_ms, call)
 
-    def spawn(self, gen: Coroutine, name: str, parent: Task | None = None) -> Task:
-        task = Task(gen, name, parent)
+    def spawn(self, gen: Coroutine, name: str, parent: Task | None = None, urgent: bool = False) -> Task:
+        """`urgent`: what the poller wakes it for is handled before all timers and other tasks of that round.
+
+        For what all the others have to know: after a standstill they would act on what is no longer so."""
+        task = Task(gen, name, parent, urgent)
         if parent is not None:
             parent.children.add(task)
         self.ready.append((task, None, None))
@@ -135,7 +141,7 @@
     def wake(self, task: Task, value: Any = None) -> None:
         """Ends the task's present wait; it goes on in this round of the loop."""
         task.disarm = None
-        self.ready.append((task, value, None))
+        (self.first if task.urgent else self.ready).append((task, value, None))
 
     def cancel(self, task: Task) -> None:
         if task.done:
@@ -197,15 +203,17 @@
         task.joiners = []
 
     def round(self, wait: bool = True) -> None:
-        """One turn: what the poller tells, what is due, then the tasks that are ready.
+        """One turn: what the poller tells, urgent tasks, what is due, then the tasks that are ready.
 
         Tasks come last, so that a loop that one of them has ended is not left waiting in the poller."""
-        if self.ready or self.due or not wait:
+        if self.ready or self.first or self.due or not wait:
             timeout: float | None = 0.0
         else:
             due = self.timers.next_due()
             timeout = None if due is None else due - self.clock.now()
         self.poller.poll(timeout)
+        for _ in range(len(self.first)):
+            self._step(*self.first.popleft())
         self.due.extend(self.timers.pop_due(self.clock.now()))
         while self.due:
             timer = self.due.popleft()
--- a/glencleat/node/feed.py
+++ b/glencleat/node/feed.py
@@ -36,7 +36,7 @@
         self.interrupt: Callable[[], None] | None = None  # ends the present wait
         self.up_at: float | None = None  # since when this connection tells something
         self.breaks = 0
-        loop.spawn(self._run(), "command channel")
+        loop.spawn(self._run(), "command channel", urgent=True)
 
     def move(self, place: tuple[str, int]) -> None:
         """Another address from now on; the numbers go on. The old one's failures say nothing of it."""
--- a/glencleat/node/hosts.py
+++ b/glencleat/node/hosts.py
@@ -29,7 +29,7 @@
     from glencleat.isup.channel import Channel
     from glencleat.node.trace import Trace
 
-SWEEP_MS = 200.0
+SWEEP_MS, LATE_MS = 200.0, 1_000.0  # between two sweeps; one that comes so late tells of a standstill
 PER_HOST = 8  # links: one open set-up each where there is room, since one bad byte costs all on its link
 SURPLUS_MS = 4_000.0  # a link not needed for so long goes if another is up; owners keep theirs as long
 MOST_LINE = 500  # attempts that wait for a descriptor
@@ -63,6 +63,7 @@
         self.waited = 0  # attempts that came into it
         self.serving = False
         descriptors.freed = self._freed
+        self.swept = loop.now()
         loop.call_in(SWEEP_MS, self._sweep)
 
     @property
@@ -72,7 +73,7 @@
     @property
     def cutting(self) -> bool:
         """Releases wait for a connection to their host."""
-        return any(host.cuts for host in self.hosts.values())
+        return any(host.uncut for host in self.hosts.values())
 
     # ---- what the exchange asks ----
 
@@ -97,6 +98,10 @@
             return Fact.UNSENT
         return link.withdraw(attempt)
 
+    def unread(self, attempt: Attempt) -> bool:
+        link: Link | None = attempt.link
+        return link is not None and link.stream is not None and link.stream.readable
+
     def _wait(self, attempt: Attempt) -> None:
         """For a descriptor, within its time: a connect that fails would be tried again at once."""
         if len(self.line) >= MOST_LINE:
@@ -184,12 +189,20 @@
         if host is None:
             return
         link = next((li for li in host.links if self._kept(li)), None)
-        if link is not None:
-            link.write(m.caused(m.RELEASE, task, m.ENDED))
-        elif len(host.cuts) < MOST_CUTS:
+        if len(host.cuts) < MOST_CUTS:
             host.cuts[task] = None
+        if link is not None:
+            self._cut(host, link, task)
+        else:
             self._again(host, Demand.ATTEMPT)
 
+    @staticmethod
+    def _cut(host: HostLinks, link: Link, task: int) -> None:
+        """Writes a release; the link may break with it unread, so it is kept until the host says it heard."""
+        if task in host.cuts:
+            host.cuts[task] = link
+        link.write(m.caused(m.RELEASE, task, m.ENDED))
+
     def test(self, name: str, token: int) -> bool:
         host = self.hosts.get(name)
         link = next((li for li in host.links if li.stream and self._open(li)), None) if host else None
@@ -203,9 +216,8 @@
     def up(self, host: HostLinks, link: Link) -> None:
         host.up(self.loop.now())
         self.back(host)
-        for task in host.cuts:
-            link.write(m.caused(m.RELEASE, task, m.ENDED))
-        host.cuts.clear()
+        for task in host.uncut:
+            self._cut(host, link, task)
         self._file(host)
         self._freed()
 
@@ -323,6 +335,9 @@
     def _sweep(self) -> None:
         self.loop.call_in(SWEEP_MS, self._sweep)
         now = self.loop.now()
+        late, self.swept = now - self.swept > LATE_MS, now
+        if late:
+            return  # after a standstill what hosts said meanwhile lies unread: it is read first
         self._freed()  # a moment ago too many may have been begun
         for name in [name for name in self.exchange.standing if name not in self.hosts]:
             self.hosts[name] = HostLinks(name, now, self.random)
@@ -331,7 +346,7 @@
         for host in sorted(self.hosts.values(), key=lambda host: host.heard):
             if host.name in self.exchange.standing:
                 self._look(host, now)
-            elif host.cuts:
+            elif host.uncut:
                 self._again(host, Demand.ATTEMPT)
             self._tidy(host, now)
             self._file(host)
--- a/glencleat/node/links.py
+++ b/glencleat/node/links.py
@@ -83,7 +83,7 @@
             return Worth.HELD
         up = (li for li in host.links if li is not self and li.stream is not None and not li.doubtful)
         others = any(self.visit or not li.visit for li in up)  # a visit goes before the link it is beside
-        if others or not (host.cuts or self.hosts.exchange.standing.get(host.name)):
+        if others or not (host.uncut or self.hosts.exchange.standing.get(host.name)):
             return Worth.SPARE
         if host.draining:
             return Worth.HELD  # it takes no new connection while its tasks run: there is no way back
@@ -226,6 +226,8 @@
         if self.hosts.trace is not None:
             self.hosts.trace.message(f"host {self.host.name}", message)
         self.host.says(self.loop.now(), by_itself=message.kind != m.TESTED)
+        if message.kind in (m.RELEASE, m.RELEASE_HEARD):
+            self.host.cuts.pop(message.task, None)
         answered = next((a for a in self.out if a.call.setup.task == message.task), None)
         if answered is not None and message.kind in (m.ANSWER, m.RELEASE):
             del self.out[answered]  # before the module may bind anew: this link is free again
@@ -244,6 +246,11 @@
         assert stream is not None
         stream.close(why)
         self.host.links.discard(self)
+        for task in [task for task, link in self.host.cuts.items() if link is self]:
+            if self.left:
+                del self.host.cuts[task]  # all that was written before we ended it is read
+            else:
+                self.host.cuts[task] = None
         out, self.out = self.out, {}
         for attempt, end in out.items():
             self.hosts.exchange.failed(attempt, Fact.BROKEN if stream.written >= end else Fact.UNSENT)
@@ -262,7 +269,12 @@
         self.started: float | None = None  # its process, as the list told last: Unix milliseconds
         self.links: set[Link] = set()
         self.again_at = 0.0
-        self.cuts: dict[int, None] = {}
+        self.cuts: dict[int, Link | None] = {}  # releases that it has not said it heard, and where they went
+
+    @property
+    def uncut(self) -> list[int]:
+        """Releases that no open link carries."""
+        return [task for task, link in self.cuts.items() if link is None]
 
     @property
     def serves(self) -> bool:
--- a/glencleat/node/owners.py
+++ b/glencleat/node/owners.py
@@ -21,6 +21,7 @@
 
 SWEEP_MS = 250.0
 SPEAK_MS = 2_000.0  # for the first whole message, and for each one begun
+READS_MS = 5_000.0  # for a client to take some of what waits unsent
 TURN = 16  # messages of one connection before others have their turn
 READ = 16_384  # bytes of one connection at a time
 LOOK = 1 << 17  # bytes of one connection that may wait here where its end or a cancel is looked for
@@ -43,10 +44,11 @@
         self.spoke = False  # a message came whole
         self.proven = False  # a task of its came to stand: no bad client's ever does
         self.bad = 0
+        self.stuck = 0, now  # bytes written, and since when they are so many while others wait
         self.begun: tuple[int, float] | None = None  # where a message that is not whole begins, since when
 
     def worth(self) -> Worth:
-        if self.open or self.inbox.waiting or (self.proven and self.owners.friends == 1):
+        if self.open or self.inbox.waiting or self.stream.out or (self.proven and self.owners.friends == 1):
             return Worth.HELD  # an answer is owed on it, or it is the last one that releases can go by
         return Worth.FRIEND if self.proven else Worth.STRANGER
 
@@ -56,6 +58,12 @@
     def give_up(self) -> None:
         self.stream.close("room is wanted")
 
+    def reads(self, now: float) -> bool:
+        """What is written to it goes on, or nothing waits."""
+        if not self.stream.out or self.stuck[0] != self.stream.written:
+            self.stuck = self.stream.written, now
+        return now - self.stuck[1] <= READS_MS
+
     def dates(self, now: float) -> None:
         """Notes since when a message is half here; one that drips on has begun once."""
         if not self.inbox.partial:
@@ -249,6 +257,8 @@
                 self.look(owner)  # after a standstill all of it may lie unread
                 if not owner.inbox.waiting:
                     owner.stream.close("no whole message in time")
+            if not owner.reads(now):
+                owner.stream.close("it reads nothing")  # a descriptor that answers wait on is not given up
             self.descriptors.file(owner)
         while self.owed and now - self.owed[0][0] > OWED_MS:
             self.owed.popleft()
--- a/glencleat/node/process.py
+++ b/glencleat/node/process.py
@@ -141,6 +141,9 @@
     def withdraw(self, attempt: Attempt) -> Fact:
         return self.hosts.withdraw(attempt)
 
+    def unread(self, attempt: Attempt) -> bool:
+        return self.hosts.unread(attempt)
+
     def cut(self, host: str, task: int) -> None:
         self.hosts.cut(host, task)
 
--- a/tests/live.py
+++ b/tests/live.py
@@ -61,7 +61,7 @@
         super().__init__()
         self.module = module or Script()
         self.offers, self.withdrawn, self.cuts, self.logs, self.tests = [], [], [], [], []
-        self.fact, self.testable, self.cancelled = Fact.SILENT, True, set()
+        self.fact, self.testable, self.cancelled, self.lies_unread = Fact.SILENT, True, set(), False
         self.exchange = Exchange(settings, self.module, self, 250.0)
         self.owner = Owner()
 
@@ -84,6 +84,9 @@
         self.withdrawn.append(attempt)
         return self.fact
 
+    def unread(self, attempt):
+        return self.lies_unread
+
     def cut(self, host, task):
         self.cuts.append((host, task))
 
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -61,7 +61,7 @@
         self.address = self.owners.listen(("127.0.0.1", 0))
         self.clients, self.calls = [], 0
         self.to_owner, self.proves, self.offer = self.owners.to_owner, self.owners.proves, self.hosts.offer
-        self.waits = self.owners.waits
+        self.waits, self.unread = self.owners.waits, self.hosts.unread
         self.withdraw, self.cut, self.test = self.hosts.withdraw, self.hosts.cut, self.hosts.test
 
     def list(self, *told, whole=False, phase=api.Phase.SERVING):
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -4,19 +4,22 @@
 that the order in which things come is the test's. What is held, and where, is said in each."""
 
 import itertools
+import json
 
 import pytest
 
 from glencleat import interface as api
 from glencleat.descriptors import Demand, Side
+from glencleat.fleet.asking import Asking, Pace
 from glencleat.isup import messages as m
 from glencleat.isup.ends import KEEP_MS
 from glencleat.isup.inbox import Inbox
 from glencleat.isup.sending import Fact, Seen, harmless, held_back, turn_holds
-from glencleat.node import owners
+from glencleat.node import feed, owners
 from tests.live import KEYED, SAFE, UNSAFE, setup
 from tests.live import World as Virtual
 from tests.sockets import Peer, World, kinds, stands
+from tests.test_node import Tower
 
 
 @pytest.fixture
@@ -241,6 +244,103 @@
     assert peer.got[-1][0] is peer.streams[1]
 
 
+# ---- a standstill: everything that came meanwhile lies unread, and timers are due ----
+
+
+def standstill(world, ms):
+    """The clock goes on without the loop."""
+    now = world.loop.clock.now
+    world.loop.clock.now = lambda: now() + ms
+
+
+def test_an_answer_that_lies_unread_is_no_time_out(world):
+    """Held: the answer came in time; when the loop goes on, the time-out is due."""
+    peer, sock = Peer(world.loop), world.client()
+    world.list(("h1", peer.address))
+    world.ask(sock, 1, timeout=500.0)
+    world.until(lambda: peer.got)
+    stands(*peer.got[0])
+    standstill(world, 600.0)
+    settled(world)
+    assert list(world.exchange.standing["h1"]) == [1] and not world.told(api.Returned)
+
+
+def test_what_lies_unread_at_a_time_out_puts_it_off_once(world):
+    peer, sock = Peer(world.loop), world.client()
+    world.list(("h1", peer.address))
+    world.ask(sock, 1, timeout=500.0)
+    world.until(lambda: peer.got)
+    peer.streams[0].send(m.encode(m.PROGRESS, 1))
+    standstill(world, 600.0)
+    settled(world)
+    assert world.back() == [api.Outcome.TIMED_OUT]
+
+
+def test_a_drain_that_lies_unread_is_known_to_a_timer_that_is_due(world):
+    """Held: the event came while we stood still; a held task's timer is due in the same round."""
+    peer, sock = linked(world)
+    entry = {"instanceId": "h1", "hostPort": f"127.0.0.1:{peer.address[1]}", "zone": "a", "machineType": "std"}
+    drain = {"cursor": 1, "nodes": {"instances": [{**entry, "lifecycle": "DRAINING"}]}}
+    tower = Tower(world.loop, lambda n: b"1\n" if n > 1 else b" ")
+    asking = Asking(Pace(1.0, 1.0, 9e9), world.hosts.random)
+    feed.Feed(world.loop, world.channel, asking, tower.address, world.hosts.list_told, world.logs.append)
+    world.until(lambda: tower.got)
+    sock.send(setup(1))  # the module holds it
+    world.until(lambda: len(world.told(api.Asked)) == 2)
+    world.module.next.append([api.Bind(2, "h1", 2000.0)])
+    tower.streams[0].send(json.dumps(drain).encode() + b"\n")
+    world.loop.call_in(0.0, lambda: world.exchange.telling.tell(api.Reached("h1", True)))  # any event will do
+    standstill(world, 5.0)
+    settled(world)
+    assert sent(peer) == [9] and world.back() == [api.Outcome.NOT_SENT]
+
+
+def test_a_host_is_not_given_up_for_our_own_standstill(world, monkeypatch):
+    """Held: a word of it lies unread, and a sweep is due that last heard of it eight seconds ago."""
+    peer, _ = linked(world)
+    peer.listener.close()
+    host = world.hosts.hosts["h1"]
+    host.fails(world.loop.now(), refused=True, alone=False)
+    peer.streams[0].send(m.encode(m.NOTE, 9, {m.TOPIC: b"cores", m.VALUE: b"1"}))
+    standstill(world, 8_000.0)
+    settled(world)
+    assert list(world.exchange.standing["h1"]) == [9]
+
+
+def test_an_answer_by_the_module_on_hearing_of_a_client_that_left_is_no_fault(world):
+    """It turns away the second call of a connection on hearing of the first."""
+    sock = world.client()
+    sock.send(setup(1) + setup(2))
+    world.until(lambda: len(world.told(api.Asked)) == 2)
+    first, second = (event.call for event in world.told(api.Asked))
+    order = [world.exchange.calls[first].setup.task, world.exchange.calls[second].setup.task]
+    (owner,) = world.owners.owners
+    others = {task: world.exchange.tasks[task].number for task in order}
+    left = next(iter(owner.open))
+    world.module.next.append([api.Refuse(next(n for task, n in others.items() if task != left))])
+    world.exchange.owner_gone(owner)
+    assert not world.exchange.calls and [event.call for event in world.told(api.Left)] == [others[left]]
+
+
+# ---- releases on links that break ----
+
+
+@pytest.mark.parametrize("heard", [True, False])
+def test_a_release_is_written_again_unless_it_was_heard(world, heard):
+    """Held: the link breaks before the host has said anything of it."""
+    peer, sock = linked(world)
+    sock.send(cancel(9))
+    world.until(lambda: m.RELEASE in kinds(peer))
+    if heard:
+        peer.streams[0].send(m.encode(m.RELEASE_HEARD, 9))
+        settled(world)
+    peer.streams[0].close()
+    end = world.loop.now() + 1_500.0
+    world.until(lambda: len(peer.streams) == 2 or world.loop.now() > end)
+    settled(world)
+    assert kinds(peer).count(m.RELEASE) == (1 if heard else 2)
+
+
 # ---- idle connections ----
 
 
@@ -270,6 +370,20 @@
     assert world.told(api.Asked) and world.says(busy) == b""
 
 
+def test_a_connection_is_not_idle_while_an_answer_is_unsent_on_it(world, monkeypatch):
+    world.descriptors.room, world.descriptors.rights = 2, {Side.OWNERS: 2, Side.LINKS: 0}
+    clients = [world.client(), world.client()]
+    world.until(lambda: len(world.owners.owners) == 2)
+    first, second = world.owners.owners
+    first.stream.out += b"\0"  # as if its client had not read the rest
+    world.descriptors.file(first)
+    assert world.descriptors.make_room(Demand.OWNER)
+    assert first.stream.closed is None and second.stream.closed is not None
+    monkeypatch.setattr(owners, "READS_MS", -1.0)
+    world.owners._sweep()
+    assert first.stream.closed == "it reads nothing" and clients
+
+
 def test_one_that_drips_a_message_is_closed_in_time(world, monkeypatch):
     monkeypatch.setattr(owners, "SPEAK_MS", 100.0)
     monkeypatch.setattr(owners, "SWEEP_MS", 10.0)
