--- /dev/null
+++ b/tests/test_fleet_races.py
@@ -0,0 +1,197 @@
+"""Several allocators as processes of their own, some killed or stalled in the middle of it: slow start, the end
+under load, a list that goes quiet. Judged from what their hosts, clients and list service received."""
+
+import time
+from collections import Counter, defaultdict
+
+import pytest
+
+from glencleat.isup import messages as m
+from glencleat.kernel import Loop, StreamClosed, connect
+from glencleat.standins.channel import ChannelService, entry
+from glencleat.standins.live import LiveHost, LiveOwner
+from glencleat.standins.processes import Nodes
+from tests.live import setup
+
+COUNT = 20
+ONE_ANSWER = [m.RELEASE], [m.ANSWER], [m.ANSWER, m.RELEASE]  # refused or failed; placed; and then ended
+DRAIN_MS, WORD_MS = 500.0, 4_000.0  # the settings' grace; when a list that fell silent counts as told
+
+
+class Host(LiveHost):
+    """Keeps when each set-up came."""
+
+    def __init__(self, loop, name):
+        super().__init__(loop, name, life_ms=400.0)
+        self.got = []
+
+    def _take(self, stream, task):
+        self.got.append((self.loop.now(), task))
+        super()._take(stream, task)
+
+
+class Service(ChannelService):
+    """Drips on the connections of the time: bytes that never make a line, and nothing else."""
+
+    dripped = frozenset()
+
+    def drip(self):
+        self.dripped |= self.streams
+        self.streams.clear()
+        self._drip()
+
+    def _drip(self):
+        for stream in self.dripped:
+            stream.put(b" ")
+        self.loop.call_in(50.0, self._drip)
+
+
+class Client:
+    """One connection of a client that keeps what it is told of each request."""
+
+    def __init__(self, loop, address):
+        self.loop, self.asked, self.told, self.stream = loop, [], defaultdict(list), None
+        loop.spawn(self.run(address), "client")
+
+    def run(self, address):
+        decoder = m.Decoder()
+        try:
+            self.stream = yield from connect(self.loop, address, 5_000.0)
+            while data := (yield from self.stream.read()):
+                decoder.feed(data)
+                for message in decoder.messages():
+                    self.told[message.task].append(message.kind)
+        except StreamClosed:
+            pass
+
+    def ask(self, *tasks):
+        self.asked += tasks
+        for task in tasks:
+            self.stream.send(setup(task, cls="unsafe"))
+
+
+class Rig:
+    def __init__(self, folder, hosts):
+        self.loop = Loop()
+        self.hosts = [Host(self.loop, f"h{i}") for i in range(hosts)]
+        self.service = Service(self.loop, [entry(host.name, host.port) for host in self.hosts])
+        self.nodes = Nodes(folder, COUNT, seed=3)
+        self.owners = []
+
+    def start(self, count=COUNT, **settings):
+        for i in range(count):
+            self.nodes.configure(i, self.service.address, self.service.known(), **settings)
+            self.nodes.start(i)
+        self.until(lambda: all(self.nodes.ready(i) for i in range(count)), 30_000.0)
+
+    def ask(self, i, rate):
+        self.owners.append(LiveOwner(self.loop, self.nodes.ready(i), rate, seed=i + 1))
+
+    def until(self, done, ms):
+        end = self.loop.now() + ms
+        while not done():
+            assert self.loop.now() < end, [self.nodes.log(i).read_text()[-300:] for i in range(2)]
+            self.loop.call_in(10.0, lambda: None)
+            self.loop.round()
+
+    def wait(self, ms):
+        end = self.loop.now() + ms
+        self.until(lambda: self.loop.now() >= end, ms + 5_000.0)
+
+
+@pytest.fixture
+def rig(tmp_path, request):
+    made = Rig(tmp_path, request.param)
+    with made.nodes:
+        yield made
+        children = list(made.nodes.children.values())
+    made.service.close()
+    for host in made.hosts:
+        host.end()
+    assert all(child.poll() is not None for child in children)  # nothing that was started is left
+
+
+@pytest.mark.parametrize("rig", [0], indirect=True)
+def test_a_cold_host_is_sent_no_more_when_most_allocators_begin_anew(rig):
+    """Twenty, each with one offer of twenty in two seconds. All have sent theirs as fourteen are killed."""
+    rig.start(rules={"warm-within-ms": 60_000.0, "overload-for-ms": 2_000.0}, domain={"fresh-offers": 20.0})
+    for i in range(COUNT):
+        rig.ask(i, 20.0)
+    rig.until(lambda: sum(owner.ends["asked"] > 0 for owner in rig.owners) == COUNT, 10_000.0)
+    cold = Host(rig.loop, "cold")
+    rig.hosts.append(cold)
+    rig.service.tell([entry("cold", cold.port, started_ms=time.time() * 1e3)])
+    rig.until(lambda: len({task >> 20 for _, task in cold.got}) >= COUNT - 2, 10_000.0)
+    for number in sorted({task >> 20 for _, task in cold.got})[:14]:
+        i = number - 1
+        rig.nodes.end(i)
+        rig.nodes.log(i).unlink()
+        rig.nodes.configure(i, rig.service.address, rig.service.known(),
+                            rules={"warm-within-ms": 60_000.0, "overload-for-ms": 2_000.0},
+                            domain={"fresh-offers": 20.0})  # fmt: skip
+        rig.nodes.start(i)
+    rig.until(lambda: all(rig.nodes.ready(i) for i in range(COUNT)), 30_000.0)
+    again = len(cold.got)
+    for i in range(COUNT):
+        rig.ask(i, 20.0)
+    rig.until(lambda: len({task >> 20 for _, task in cold.got[again:]}) >= 14, 15_000.0)  # and they do begin
+    times = [at for at, _ in cold.got]
+    assert max(sum(at <= other < at + 2_000.0 for other in times) for at in times) <= 20
+
+
+@pytest.mark.parametrize("rig", [2], indirect=True)
+def test_processes_that_end_under_load_answer_all_that_they_took(rig):
+    """Six are told to end; three of these stand still across the window while requests come on new connections and
+    open ones. Each request has one answer, no unsafe one starts twice, and each process ends by itself."""
+    rig.start(count=6)
+    clients = {i: [Client(rig.loop, rig.nodes.ready(i)) for _ in range(3)] for i in range(6)}
+    rig.until(lambda: all(c.stream for found in clients.values() for c in found), 5_000.0)
+    for i, found in clients.items():
+        for number, client in enumerate(found):
+            client.ask(*(1 + 1000 * i + 10 * number + k for k in range(3)))
+        rig.nodes.children[i].terminate()
+    rig.until(lambda: all("stopping" in rig.nodes.log(i).read_text() for i in range(6)), 5_000.0)
+    for i in range(3):
+        rig.nodes.stall(i)
+    late = {i: [Client(rig.loop, rig.nodes.ready(i)) for _ in range(70)] for i in range(3)}  # a round takes in 64
+    rig.until(lambda: all(c.stream for found in late.values() for c in found), 5_000.0)
+    for i, found in late.items():
+        for number, client in enumerate(found):
+            client.ask(1 + 1000 * i + 100 + number)
+        clients[i][0].ask(1 + 1000 * i + 900)
+    rig.wait(1_500.0)
+    for i in range(3):
+        rig.nodes.go_on(i)
+    everyone = [c for found in (*clients.values(), *late.values()) for c in found]
+    rig.until(lambda: all(rig.nodes.children[i].poll() is not None for i in range(6)), 15_000.0)
+    rig.wait(100.0)
+    assert [rig.nodes.children[i].returncode for i in range(6)] == [0] * 6
+    assert [(task, c.told[task]) for c in everyone for task in c.asked if c.told[task] not in ONE_ANSWER] == []
+    starts = Counter(task for host in rig.hosts for _, task in host.got)
+    assert max(starts.values()) == 1
+    assert not any("FAULT" in rig.nodes.log(i).read_text() for i in range(6))
+
+
+@pytest.mark.parametrize("rig", [2], indirect=True)
+def test_a_drain_is_known_in_time_though_the_list_drips_on(rig):
+    """One of the allocators is killed as the list goes quiet, and one stands still meanwhile."""
+    rig.start()
+    for i in range(COUNT):
+        rig.ask(i, 10.0)
+    rig.until(lambda: len(rig.service.streams) == COUNT, 10_000.0)
+    rig.until(lambda: len(rig.hosts[1].got) > COUNT, 10_000.0)
+    rig.service.drip()
+    rig.nodes.end(5)
+    rig.nodes.stall(3)
+    began = rig.loop.now()
+    rig.service.tell([entry("h1", rig.hosts[1].port, "DRAINING")])
+    rig.wait(2_000.0)
+    rig.nodes.go_on(3)
+    rig.until(lambda: len(rig.service.streams) == COUNT - 1, WORD_MS + 1_000.0)
+    rig.wait(began + WORD_MS + 2_000.0 - rig.loop.now())
+    last = {}
+    for at, task in rig.hosts[1].got:
+        last[task >> 20] = at - began
+    late = {number: round(at) for number, at in last.items() if at > WORD_MS + DRAIN_MS + 50.0}
+    assert not late and len(last) >= COUNT // 2
+    assert sum(at > began + WORD_MS for at, _ in rig.hosts[0].got) > COUNT  # they went on elsewhere
