Renames: wait queue, fails fast, cancel, send outcome, draining, disconnected

The live path's own words where the field has one: line and hopeless of node/hosts.py, withdraw, Fact and its table, leaving, LEFT. Renames alone.

--- a/glencleat/isup/exchange.py
+++ b/glencleat/isup/exchange.py
@@ -24,7 +24,7 @@
 from glencleat.isup import messages as m
 from glencleat.isup.channel import News
 from glencleat.isup.ends import Ends
-from glencleat.isup.sending import FACTS, NEVER_RAN, Fact, Seen, harmless, held_back, turn_holds
+from glencleat.isup.sending import OUTCOMES, NEVER_RAN, SendOutcome, Seen, harmless, held_back, turn_holds
 from glencleat.isup.setups import BadSetup, Reader, Setup
 from glencleat.settings import read_report
 
@@ -81,7 +81,7 @@
     def offer(self, attempt: Attempt) -> None:
         """Sends `attempt.setup_message(now)` to its host, and tells of a failure by `failed`, later."""
 
-    def withdraw(self, attempt: Attempt) -> Fact:
+    def cancel(self, attempt: Attempt) -> SendOutcome:
         """Takes it back: the give-up is written, or its connection closed. What is known of it."""
 
     def unread(self, attempt: Attempt) -> bool:
@@ -181,7 +181,7 @@
             # After a standstill its answer may lie there: what was out in time is no time-out.
             attempt.timer = self.ports.call_in(0.0, lambda: self._timed_out(attempt, looked=True))
             return
-        self._back(attempt, FACTS[self.ports.withdraw(attempt)])
+        self._back(attempt, OUTCOMES[self.ports.cancel(attempt)])
 
     def _refuse(self, action: api.Refuse) -> None:
         stay = {m.STAY_AWAY: b"%d" % round(action.retry_after_ms)} if action.retry_after_ms >= 1.0 else {}
@@ -294,12 +294,12 @@
         self.ports.cut(attempt.host, call.setup.task)
         self._back(attempt, api.Outcome.STOPPED)
 
-    def failed(self, attempt: Attempt, fact: Fact) -> None:
+    def failed(self, attempt: Attempt, fact: SendOutcome) -> None:
         """A link's word on an attempt that is out; of one that is back already it changes nothing."""
         if attempt.out:
-            self._back(attempt, FACTS[fact], left=fact is Fact.LEFT)
+            self._back(attempt, OUTCOMES[fact], left=fact is SendOutcome.DISCONNECTED)
 
-    def held_back(self, attempt: Attempt, serves: bool, cold: bool) -> Fact | None:
+    def held_back(self, attempt: Attempt, serves: bool, cold: bool) -> SendOutcome | None:
         """Asked by a link at the last instant before its first byte leaves: why it may not, or None."""
         call, now = attempt.call, self.ports.now()
         seen = Seen(
@@ -475,8 +475,9 @@
 
     def _leaves(self, call: Call) -> None:
         if call.attempt is not None and call.state is State.OUT:
-            fact = self.ports.withdraw(call.attempt)
-            outcome = api.Outcome.STOPPED if fact in (Fact.SILENT, Fact.BROKEN) else FACTS[fact]
+            fact = self.ports.cancel(call.attempt)
+            sent = fact in (SendOutcome.SILENT, SendOutcome.BROKEN)
+            outcome = api.Outcome.STOPPED if sent else OUTCOMES[fact]
             self._back(call.attempt, outcome, left=True)
         else:
             self._forget(call)
--- a/glencleat/isup/sending.py
+++ b/glencleat/isup/sending.py
@@ -12,25 +12,25 @@
 from glencleat import interface as api
 
 
-class Fact(Enum):
+class SendOutcome(Enum):
     """What a link can tell of an attempt that came to nothing without the host's word."""
 
     REFUSED = "the connection was refused"
     NEVER_UP = "no connection came up in time"
-    UNSENT = "its last byte never reached the kernel"
-    LEFT = "its client had left before its first byte did"
+    NEVER_SENT = "its last byte never reached the kernel"
+    DISCONNECTED = "its client had left before its first byte did"
     BROKEN = "the connection broke after it was sent"
     SILENT = "no answer in time after it was sent"
 
 
 # Only the last two may have run: see interface.py, contract 7.
-FACTS = {
-    Fact.REFUSED: api.Outcome.UNREACHABLE,
-    Fact.NEVER_UP: api.Outcome.UNREACHABLE,
-    Fact.UNSENT: api.Outcome.NOT_SENT,
-    Fact.LEFT: api.Outcome.NOT_SENT,
-    Fact.BROKEN: api.Outcome.LOST,
-    Fact.SILENT: api.Outcome.TIMED_OUT,
+OUTCOMES = {
+    SendOutcome.REFUSED: api.Outcome.UNREACHABLE,
+    SendOutcome.NEVER_UP: api.Outcome.UNREACHABLE,
+    SendOutcome.NEVER_SENT: api.Outcome.NOT_SENT,
+    SendOutcome.DISCONNECTED: api.Outcome.NOT_SENT,
+    SendOutcome.BROKEN: api.Outcome.LOST,
+    SendOutcome.SILENT: api.Outcome.TIMED_OUT,
 }
 NEVER_RAN = frozenset((api.Outcome.REFUSED, api.Outcome.UNREACHABLE, api.Outcome.NOT_SENT))
 
@@ -58,9 +58,9 @@
     return not cold or waited_ms <= 0.25 * window_ms
 
 
-def held_back(seen: Seen) -> Fact | None:
+def held_back(seen: Seen) -> SendOutcome | None:
     """Why it may not leave, or None. The client first: nobody is owed anything for the rest then."""
     if not seen.client_waits:
-        return Fact.LEFT
+        return SendOutcome.DISCONNECTED
     may = seen.host_serves and seen.in_time and seen.harmless and seen.turn_holds
-    return None if may else Fact.UNSENT
+    return None if may else SendOutcome.NEVER_SENT
--- a/glencleat/node/hosts.py
+++ b/glencleat/node/hosts.py
@@ -20,7 +20,7 @@
 from glencleat.isup import messages as m
 from glencleat.isup.channel import Host, News, when
 from glencleat.isup.exchange import Attempt, Exchange
-from glencleat.isup.sending import Fact
+from glencleat.isup.sending import SendOutcome
 from glencleat.kernel import Loop
 from glencleat.node.life import Do
 from glencleat.node.links import HostLinks, Link
@@ -32,7 +32,7 @@
 SWEEP_MS, LATE_MS = 200.0, 1_000.0  # between two sweeps; one that comes so late tells of a standstill
 PER_HOST = 8  # links: one open set-up each where there is room, since one bad byte costs all on its link
 SURPLUS_MS = 4_000.0  # a link not needed for so long goes if another is up; owners keep theirs as long
-MOST_LINE = 500  # attempts that wait for a descriptor
+MOST_WAITING = 500  # attempts that wait for a descriptor
 MOST_CUTS = 1_000  # releases that wait for a host
 
 
@@ -59,7 +59,7 @@
         self.cold_ms = 0.0  # a host that has just started is warm by then
         self.trace: Trace | None = None
         self.addresses: dict[tuple[str, int], str] = {}
-        self.line: dict[Attempt, None] = {}  # their hosts have no link, and nothing could be given up for one
+        self.wait_queue: dict[Attempt, None] = {}  # for a link: nothing could be given up for one
         self.waited = 0  # attempts that came into it
         self.serving = False
         descriptors.freed = self._freed
@@ -80,23 +80,23 @@
     def offer(self, attempt: Attempt) -> None:
         host = self.hosts.get(attempt.host)
         if host is None or not host.address[1]:
-            self.answer(attempt, Fact.UNSENT)
-        elif self._hopeless(host):
+            self.answer(attempt, SendOutcome.NEVER_SENT)
+        elif self._fails_fast(host):
             # A try has just failed, the next one is due soon: the same answer, a connect's time earlier.
-            self.answer(attempt, Fact.NEVER_UP)
+            self.answer(attempt, SendOutcome.NEVER_UP)
         elif not self._send(host, attempt):
             self._wait(attempt)
 
-    def _hopeless(self, host: HostLinks) -> bool:
+    def _fails_fast(self, host: HostLinks) -> bool:
         waits = self.loop.now() < host.again_at and all(link.stream for link in host.links)
         return waits and host.silent(self.connect_ms)
 
-    def withdraw(self, attempt: Attempt) -> Fact:
+    def cancel(self, attempt: Attempt) -> SendOutcome:
         link: Link | None = attempt.link
         if link is None:
-            self.line.pop(attempt, None)
-            return Fact.UNSENT
-        return link.withdraw(attempt)
+            self.wait_queue.pop(attempt, None)
+            return SendOutcome.NEVER_SENT
+        return link.cancel(attempt)
 
     def unread(self, attempt: Attempt) -> bool:
         link: Link | None = attempt.link
@@ -104,13 +104,13 @@
 
     def _wait(self, attempt: Attempt) -> None:
         """For a descriptor, within its time: a connect that fails would be tried again at once."""
-        if len(self.line) >= MOST_LINE:
-            self.answer(attempt, Fact.UNSENT)
+        if len(self.wait_queue) >= MOST_WAITING:
+            self.answer(attempt, SendOutcome.NEVER_SENT)
             return
-        self.line[attempt] = None
+        self.wait_queue[attempt] = None
         self.waited += 1
 
-    def answer(self, attempt: Attempt, fact: Fact) -> None:
+    def answer(self, attempt: Attempt, fact: SendOutcome) -> None:
         """Told once the exchange is done with offering it."""
         self.loop.call_in(0.0, lambda: self.exchange.failed(attempt, fact))
 
@@ -121,22 +121,22 @@
         return ready is not None and self.loop.now() < ready + self.cold_ms
 
     def _freed(self) -> None:
-        if self.line and not self.serving:
+        if self.wait_queue and not self.serving:
             self.serving = True
-            self.loop.call_in(0.0, self._serve_line)
+            self.loop.call_in(0.0, self._serve_queue)
 
-    def _serve_line(self) -> None:
+    def _serve_queue(self) -> None:
         """Those who wait, in their order; once nothing is free only those whose host has a link by now."""
         self.serving, full = False, False
-        for attempt in list(self.line):
+        for attempt in list(self.wait_queue):
             host = self.hosts.get(attempt.host)
-            if attempt not in self.line:
+            if attempt not in self.wait_queue:
                 continue  # taken back since, by what the exchange did on hearing of one before it
             if host is None or not host.address[1]:
-                del self.line[attempt]
-                self.exchange.failed(attempt, Fact.UNSENT)
+                del self.wait_queue[attempt]
+                self.exchange.failed(attempt, SendOutcome.NEVER_SENT)
             elif self._send(host, attempt, full):
-                del self.line[attempt]
+                del self.wait_queue[attempt]
             else:
                 full = True
 
--- a/glencleat/node/links.py
+++ b/glencleat/node/links.py
@@ -14,7 +14,7 @@
 from glencleat.isup import messages as m
 from glencleat.fleet.connecting import Connecting
 from glencleat.isup.exchange import Attempt, Exchange
-from glencleat.isup.sending import Fact
+from glencleat.isup.sending import SendOutcome
 from glencleat.kernel import ConnectFailed, Loop, Stream, StreamClosed, connect
 from glencleat.kernel.loop import Coroutine
 from glencleat.node.life import Life
@@ -37,7 +37,7 @@
     connect_ms: float
     trace: Trace | None
 
-    def answer(self, attempt: Attempt, fact: Fact) -> None: ...
+    def answer(self, attempt: Attempt, fact: SendOutcome) -> None: ...
     def cold(self, host: HostLinks) -> bool: ...
     def up(self, host: HostLinks, link: Link) -> None: ...
     def back(self, host: HostLinks) -> None: ...
@@ -127,7 +127,7 @@
         waiting, self.waiting = self.waiting, []
         for attempt in waiting:
             attempt.link = None
-            self.hosts.answer(attempt, Fact.UNSENT)
+            self.hosts.answer(attempt, SendOutcome.NEVER_SENT)
 
     # ---- attempts ----
 
@@ -155,24 +155,24 @@
         if self.stream is not None:
             self.stream.put(data)
 
-    def withdraw(self, attempt: Attempt) -> Fact:
+    def cancel(self, attempt: Attempt) -> SendOutcome:
         if attempt in self.waiting:
             self.waiting.remove(attempt)
-            return Fact.NEVER_UP
+            return SendOutcome.NEVER_UP
         end = self.out.pop(attempt, None)
         if end is None or self.stream is None:
-            return Fact.BROKEN
+            return SendOutcome.BROKEN
         if self.stream.written < end:
             self.stream.close("a set-up given up before it was sent whole")
-            return Fact.UNSENT
+            return SendOutcome.NEVER_SENT
         if self.stream.closed is not None:
-            return Fact.BROKEN
+            return SendOutcome.BROKEN
         self.doubtful = True
         self.spent.add(attempt.call.setup.task)
         self.write(m.caused(m.RELEASE, attempt.call.setup.task, m.GIVEN_UP))
         if self.stream.out or self.decoder.partial:
             self.stream.close("a give-up that can't be written, or an answer that stopped short")
-        return Fact.SILENT
+        return SendOutcome.SILENT
 
     def _run(self) -> Coroutine:
         try:
@@ -185,10 +185,10 @@
                 return  # of an address that is no longer its host's
             if error.code in (errno.EMFILE, errno.ENFILE):
                 # Ours: it says nothing of the host. A sweep would try again at once, and all the others too.
-                fact, self.host.again_at = Fact.UNSENT, self.loop.now() + OURS_MS
+                fact, self.host.again_at = SendOutcome.NEVER_SENT, self.loop.now() + OURS_MS
             else:
                 self.hosts.failed(self.host, error.code == errno.ECONNREFUSED)
-                fact = Fact.REFUSED if error.code == errno.ECONNREFUSED else Fact.NEVER_UP
+                fact = SendOutcome.REFUSED if error.code == errno.ECONNREFUSED else SendOutcome.NEVER_UP
             for attempt in self.waiting:
                 self.hosts.exchange.failed(attempt, fact)
             return
@@ -253,7 +253,8 @@
                 self.host.cuts[task] = None
         out, self.out = self.out, {}
         for attempt, end in out.items():
-            self.hosts.exchange.failed(attempt, Fact.BROKEN if stream.written >= end else Fact.UNSENT)
+            whole = stream.written >= end
+            self.hosts.exchange.failed(attempt, SendOutcome.BROKEN if whole else SendOutcome.NEVER_SENT)
         if not self.left:
             self.hosts.broken(self.host, self, why)
 
--- a/glencleat/node/owners.py
+++ b/glencleat/node/owners.py
@@ -82,7 +82,7 @@
         self.owners: dict[Owner, None] = {}  # in the order they came
         self.owed: deque[tuple[float, bytes]] = deque(maxlen=OWED)
         self.listener: Listener | None = None
-        self.leaving = False
+        self.draining = False
         self.closed_at = float("inf")  # Unix milliseconds; who asks later is refused
         self.ready: Callable[[], bool] = lambda: True  # there is somewhere to place
         self.friends = 0  # proven ones, of those connected
@@ -210,7 +210,7 @@
             message.cause  # noqa: B018 - it must be readable
             self.exchange.owner_releases(owner, message)
         elif message.kind == m.TEST:
-            takes = not self.leaving and self.ready()
+            takes = not self.draining and self.ready()
             self._write(owner, m.caused(m.TESTED, message.task, int(takes)))
 
     def _waited(self, arrived: float | None) -> float:
--- a/glencleat/node/process.py
+++ b/glencleat/node/process.py
@@ -23,7 +23,7 @@
 from glencleat.isup.channel import Channel, News, address
 from glencleat.isup.exchange import Attempt, Exchange
 from glencleat.isup.messages import PeerError
-from glencleat.isup.sending import Fact
+from glencleat.isup.sending import SendOutcome
 from glencleat.kernel import Loop, Signals, Timer
 from glencleat.logic import Scheduler
 from glencleat.node.draining import WINDOW_MS, Draining, Seen, State
@@ -138,8 +138,8 @@
     def offer(self, attempt: Attempt) -> None:
         self.hosts.offer(attempt)
 
-    def withdraw(self, attempt: Attempt) -> Fact:
-        return self.hosts.withdraw(attempt)
+    def cancel(self, attempt: Attempt) -> SendOutcome:
+        return self.hosts.cancel(attempt)
 
     def unread(self, attempt: Attempt) -> bool:
         return self.hosts.unread(attempt)
@@ -186,7 +186,7 @@
     def stop(self) -> None:
         """SIGTERM: `draining.py` says when all is over."""
         if self.draining.begin(self.loop.now()):
-            self.owners.leaving = True
+            self.owners.draining = True
             self.log(f"stopping, {self.exchange.open} calls open")
             self.loop.call_in(WINDOW_MS, self._look)
 
--- a/tests/live.py
+++ b/tests/live.py
@@ -4,7 +4,7 @@
 from glencleat.isup import messages as m
 from glencleat.isup.channel import Host, News
 from glencleat.isup.exchange import Exchange
-from glencleat.isup.sending import Fact
+from glencleat.isup.sending import SendOutcome
 from tests.fakes import Timing
 
 SAFE = api.TaskClass("safe", api.Effect.SAFE, 1000.0, 8000.0, 1.0)
@@ -60,8 +60,8 @@
     def __init__(self, module=None, settings=SETTINGS):
         super().__init__()
         self.module = module or Script()
-        self.offers, self.withdrawn, self.cuts, self.logs, self.tests = [], [], [], [], []
-        self.fact, self.testable, self.cancelled, self.lies_unread = Fact.SILENT, True, set(), False
+        self.offers, self.cancelled_attempts, self.cuts, self.logs, self.tests = [], [], [], [], []
+        self.fact, self.testable, self.cancelled, self.lies_unread = SendOutcome.SILENT, True, set(), False
         self.exchange = Exchange(settings, self.module, self, 250.0)
         self.owner = Owner()
 
@@ -80,8 +80,8 @@
         attempt.link = f"link {len(self.offers)}"
         self.offers.append(attempt)
 
-    def withdraw(self, attempt):
-        self.withdrawn.append(attempt)
+    def cancel(self, attempt):
+        self.cancelled_attempts.append(attempt)
         return self.fact
 
     def unread(self, attempt):
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -62,7 +62,7 @@
         self.clients, self.calls = [], 0
         self.to_owner, self.proves, self.offer = self.owners.to_owner, self.owners.proves, self.hosts.offer
         self.waits, self.unread = self.owners.waits, self.hosts.unread
-        self.withdraw, self.cut, self.test = self.hosts.withdraw, self.hosts.cut, self.hosts.test
+        self.cancel, self.cut, self.test = self.hosts.cancel, self.hosts.cut, self.hosts.test
 
     def list(self, *told, whole=False, phase=api.Phase.SERVING):
         """Machines as (name, address[, started Unix ms])."""
--- a/tests/test_isup_exchange.py
+++ b/tests/test_isup_exchange.py
@@ -6,7 +6,7 @@
 from glencleat import interface as api
 from glencleat.isup import messages as m
 from glencleat.isup.exchange import State
-from glencleat.isup.sending import FACTS, Fact
+from glencleat.isup.sending import OUTCOMES, SendOutcome
 from tests.live import SETTINGS, Owner, World, machine, news, read
 
 PROOFS = {api.Outcome.REFUSED, api.Outcome.UNREACHABLE, api.Outcome.NOT_SENT}
@@ -49,12 +49,12 @@
     assert (outcome in PROOFS) == (cause in (34, 102))
 
 
-@pytest.mark.parametrize("fact", Fact)
+@pytest.mark.parametrize("fact", SendOutcome)
 def test_a_links_word(world, fact):
     world.asks(7, bind())
     world.exchange.failed(world.offers[0], fact)
-    assert world.outcomes() == [FACTS[fact]]
-    assert (FACTS[fact] in PROOFS) == (fact in (Fact.REFUSED, Fact.NEVER_UP, Fact.UNSENT, Fact.LEFT))
+    assert world.outcomes() == [OUTCOMES[fact]]
+    assert (OUTCOMES[fact] in PROOFS) == (fact in (SendOutcome.REFUSED, SendOutcome.NEVER_UP, SendOutcome.NEVER_SENT, SendOutcome.DISCONNECTED))
     world.exchange.failed(world.offers[0], fact)  # a second word on it changes nothing
     assert len(world.outcomes()) == 1
 
@@ -63,16 +63,16 @@
     world.asks(7, bind())
     world.module.next.append([bind(host="h2")])
     world.advance(499.0)
-    assert world.withdrawn == []
+    assert world.cancelled_attempts == []
     order = []
-    world.withdraw = lambda attempt: order.append("give-up") or Fact.SILENT
+    world.cancel = lambda attempt: order.append("give-up") or SendOutcome.SILENT
     world.offer = lambda attempt: order.append("offer")
     world.advance(1.0)
     assert order == ["give-up", "offer"] and world.outcomes() == [api.Outcome.TIMED_OUT]
 
 
 @pytest.mark.parametrize(
-    ("fact", "outcome"), [(Fact.UNSENT, api.Outcome.NOT_SENT), (Fact.NEVER_UP, api.Outcome.UNREACHABLE)]
+    ("fact", "outcome"), [(SendOutcome.NEVER_SENT, api.Outcome.NOT_SENT), (SendOutcome.NEVER_UP, api.Outcome.UNREACHABLE)]
 )
 def test_a_time_out_of_what_never_left(world, fact, outcome):
     world.fact = fact
@@ -163,7 +163,7 @@
     world.exchange.owner_gone(world.owner)
     assert [event.call for event in world.told(api.Left)] == [1, 2]
     assert all(event.over for event in world.told(api.Returned)) and len(world.told(api.Returned)) == 2 * out
-    assert len(world.withdrawn) == 2 * out and world.owner.got == [] and empty(world)
+    assert len(world.cancelled_attempts) == 2 * out and world.owner.got == [] and empty(world)
 
 
 def test_only_its_own_connection_gives_a_set_up_up(world):
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -434,13 +434,13 @@
     world.descriptors.room = world.descriptors.held  # the owner's and the link that is in use
     world.ask(owner, 2, host="h1")
     world.ask(owner, 3, host="h2", timeout=30.0)
-    assert len(world.hosts.line) == 2 and world.back() == [api.Outcome.NOT_SENT]
-    assert len(world.hosts.line) == 1 and not peers[1].streams
+    assert len(world.hosts.wait_queue) == 2 and world.back() == [api.Outcome.NOT_SENT]
+    assert len(world.hosts.wait_queue) == 1 and not peers[1].streams
     world.until(lambda: peers[0].got)
     stands(*peers[0].got[0])
     peers[0].streams[0].send(m.caused(m.RELEASE, 1, m.ENDED))
     world.until(lambda: peers[1].got)
-    assert world.back(1) == [api.Outcome.NOT_SENT, api.Outcome.ENDED] and not world.hosts.line
+    assert world.back(1) == [api.Outcome.NOT_SENT, api.Outcome.ENDED] and not world.hosts.wait_queue
     assert world.descriptors.most == world.descriptors.room
 
 
@@ -452,12 +452,12 @@
     world.descriptors.room = 1
     for task in (1, 2):
         world.ask(owner, task, host=f"h{task - 1}")
-    first, second = world.hosts.line
+    first, second = world.hosts.wait_queue
     world.hosts.hosts["h0"].address = ("", 0)
-    world.exchange.failed = lambda attempt, fact: world.hosts.withdraw(second)
+    world.exchange.failed = lambda attempt, fact: world.hosts.cancel(second)
     world.descriptors.room = 9
-    world.hosts._serve_line()
-    assert not world.hosts.line and second.link is None and not world.hosts.hosts["h1"].links
+    world.hosts._serve_queue()
+    assert not world.hosts.wait_queue and second.link is None and not world.hosts.hosts["h1"].links
 
 
 def test_a_host_that_takes_connections_and_ends_them_is_asked_in_growing_steps(world, monkeypatch):
@@ -516,14 +516,14 @@
 
 
 def test_the_line_is_bounded(world, monkeypatch):
-    monkeypatch.setattr(hosts, "MOST_LINE", 1)
+    monkeypatch.setattr(hosts, "MOST_WAITING", 1)
     peer, owner = Peer(world.loop), world.client()
     world.list(("h1", peer.address))
     world.until(lambda: world.owners.owners)
     world.descriptors.room = 1
     world.ask(owner, 1)
     world.ask(owner, 2)
-    assert world.back() == [api.Outcome.NOT_SENT] and len(world.hosts.line) == 1
+    assert world.back() == [api.Outcome.NOT_SENT] and len(world.hosts.wait_queue) == 1
 
 
 def test_what_nobody_needs_goes_first_whichever_host_it_is(world):
@@ -835,7 +835,7 @@
 def test_tests_are_answered_truthfully(world):
     sock = world.client()
     for number, (listed, leaving) in enumerate(((True, False), (False, False), (True, True))):
-        world.owners.ready, world.owners.leaving = lambda listed=listed: listed, leaving
+        world.owners.ready, world.owners.draining = lambda listed=listed: listed, leaving
         sock.send(m.encode(m.TEST, number, {m.CAUSE: b"\0"}))
         assert world.says(sock) == m.caused(m.TESTED, number, int(listed and not leaving))
 
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -14,7 +14,7 @@
 from glencleat.isup import messages as m
 from glencleat.isup.ends import KEEP_MS
 from glencleat.isup.inbox import Inbox
-from glencleat.isup.sending import Fact, Seen, harmless, held_back, turn_holds
+from glencleat.isup.sending import SendOutcome, Seen, harmless, held_back, turn_holds
 from glencleat.node import feed, owners
 from tests.live import KEYED, SAFE, UNSAFE, setup
 from tests.live import World as Virtual
@@ -130,10 +130,10 @@
     world.ask(sock, 5)  # which keeps the link
     link.doubtful, world.descriptors.room = True, 0  # it takes nothing more, and there is no other
     world.ask(sock, 1)
-    assert len(world.hosts.line) == 1
+    assert len(world.hosts.wait_queue) == 1
     link.doubtful = False
     leave(sock, how)
-    world.hosts._serve_line()
+    world.hosts._serve_queue()
     settled(world)
     assert sent(peer) == [9, 5]
 
@@ -189,7 +189,7 @@
 def test_an_attempt_leaves_only_if_all_is_as_it_was_when_it_was_decided():
     for values in itertools.product((False, True), repeat=5):
         seen = Seen(*values)
-        expected = None if all(values) else Fact.LEFT if not seen.client_waits else Fact.UNSENT
+        expected = None if all(values) else SendOutcome.DISCONNECTED if not seen.client_waits else SendOutcome.NEVER_SENT
         assert held_back(seen) is expected
     assert harmless(SAFE, 0.0, 1e9, 2.0) and harmless(UNSAFE, None, 1e9, 2.0) and not harmless(UNSAFE, 0.0, 0.0, 2.0)
     assert harmless(KEYED, 10.0, 10.0 + 4996.0, 2.0) and not harmless(KEYED, 10.0, 10.0 + 4996.5, 2.0)
@@ -229,7 +229,7 @@
     world.advance(KEYED.window_ms - 2.0 - 300.0)
     assert world.exchange.held_back(second, True, False) is None
     world.advance(1.0)
-    assert world.exchange.held_back(second, True, False) is Fact.UNSENT
+    assert world.exchange.held_back(second, True, False) is SendOutcome.NEVER_SENT
 
 
 def test_nothing_queues_behind_bytes_that_a_host_does_not_read(world):
