Nothing is written to a link or a client that has closed, by the system's word at that instant

Seen by reading, each made to happen every time; both tests failed before: - a host's close of a link lay unread as a set-up was written on it: it broke, may have run, and an unsafe one had failed. A link that its host has closed now takes nothing more; what it said before is still read; - a release that a client was owed was written to a connection whose close lay unread, and was heard by nobody. It now goes by another that is there, or waits for the next.

--- a/glencleat/kernel/streams.py
+++ b/glencleat/kernel/streams.py
@@ -109,7 +109,14 @@
         """Whether the peer has closed by this instant, also where what it sent before lies unread."""
         if self.closed is not None:
             return True
-        poll = select.poll()
+        try:
+            if not self.sock.recv(1, socket.MSG_PEEK):
+                return True
+        except (BlockingIOError, InterruptedError):
+            return False
+        except OSError:
+            return True
+        poll = select.poll()  # the dearer question, for what lies behind bytes
         poll.register(self.fd, select.POLLRDHUP)
         return bool(poll.poll(0))
 
--- a/glencleat/node/hosts.py
+++ b/glencleat/node/hosts.py
@@ -142,6 +142,9 @@
 
     def _send(self, host: HostLinks, attempt: Attempt, full: bool = False) -> bool:
         link = self._pick(host, attempt.call.setup.task, full)
+        while link is not None and link.stream is not None and link.stream.hung_up():
+            link.ended = True  # what we sent would be lost, and nobody could tell whether unread
+            link = self._pick(host, attempt.call.setup.task, full)
         if link is None:
             return False
         link.take(attempt)
@@ -154,7 +157,7 @@
         usable = [
             link
             for link in host.links
-            if not link.doubtful and task not in link.spent and self._open(link)
+            if not (link.doubtful or link.ended) and task not in link.spent and self._open(link)
             if not (link.stream is not None and (silent or link.stream.out))  # nothing queues behind others
         ]
         free = [link for link in usable if not link.load]
@@ -234,7 +237,7 @@
                 link.visit = False
 
     def _kept(self, link: Link) -> bool:
-        return link.stream is not None and not link.doubtful and self._open(link)
+        return link.stream is not None and not (link.doubtful or link.ended) and self._open(link)
 
     def _file(self, host: HostLinks) -> None:
         for link in list(host.links):
--- a/glencleat/node/links.py
+++ b/glencleat/node/links.py
@@ -55,6 +55,7 @@
         self.address = host.address  # which may be another by the time that it comes up
         self.visit = visit  # opened beside another to see whether the host lives: not kept unless used
         self.left = False  # we end it: nothing more is sent, and its end says nothing of the host
+        self.ended = False  # the host has closed it: what it said before is read, nothing more is sent
         self.since = 0.0  # when it came up
         self.stream: Stream | None = None
         self.decoder = m.Decoder()
--- a/glencleat/node/owners.py
+++ b/glencleat/node/owners.py
@@ -186,6 +186,11 @@
         self.look(owner)
         return owner.inbox.waits(task)
 
+    def _ended(self, owner: Owner) -> bool:
+        """Its client has closed, as far as can be told now: what is written to it is told to nobody."""
+        self.look(owner)
+        return owner.inbox.ended
+
     def _turn(self, owner: Owner) -> bool:
         """Up to TURN messages; whether there are more."""
         for _ in range(TURN):
@@ -232,14 +237,14 @@
                 self._write(owner, self.owed.popleft()[1])
 
     def to_owner(self, owner: Owner | None, data: bytes, owed: bool) -> None:
-        if owner is not None and self._write(owner, data):
+        if owner is not None and not (owed and self._ended(owner)) and self._write(owner, data):
             self.descriptors.file(owner)
             return
         if not owed:
             return
         # Of the rest nobody knows who listens there: a release told to a bad client is told to nobody.
         for other in sorted((o for o in self.owners if o.proven), key=lambda o: o.used, reverse=True):
-            if self._write(other, data):
+            if not self._ended(other) and self._write(other, data):
                 return
         self.owed.append((self.loop.now(), data))
 
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -16,7 +16,7 @@
 from glencleat.isup.inbox import Inbox
 from glencleat.isup.sending import SendOutcome, Seen, harmless, held_back, turn_holds
 from glencleat.node import feed, owners
-from tests.live import KEYED, SAFE, UNSAFE, setup
+from tests.live import KEYED, SAFE, UNSAFE, read, setup
 from tests.live import World as Virtual
 from tests.sockets import Peer, World, kinds, stands
 from tests.test_node import Tower
@@ -322,6 +322,38 @@
     assert not world.exchange.calls and [event.call for event in world.told(api.Left)] == [others[left]]
 
 
+# ---- links and connections that the other side has closed ----
+
+
+def test_nothing_is_sent_on_a_link_that_its_host_has_closed(world):
+    """Held: the close of an idle link lies unread. What would have been sent on it may have run."""
+    peer, sock = linked(world)
+    peer.streams[0].close()
+    world.module.next.append([api.Bind(2, "h1", 2000.0)])
+    call = setup(1, cls="unsafe")
+    (message,) = read(call)
+    world.exchange.owner_asks(next(iter(world.owners.owners)), message, 0.0)
+    settled(world)
+    assert not world.told(api.Returned) and [stream for stream, _ in peer.got if stream is not peer.streams[0]]
+    assert sorted(world.exchange.standing["h1"]) == [1, 9] and sock
+
+
+def test_a_release_goes_by_a_connection_whose_client_is_there(world):
+    """Held: the close of the connection on which the task came lies unread as its end is told."""
+    peer, sock = Peer(world.loop, stands), world.client()
+    world.list(("h1", peer.address))
+    other = world.client()
+    world.ask(other, 8)
+    world.ask(sock, 1)
+    world.until(lambda: len(world.exchange.standing.get("h1", ())) == 2)
+    assert world.says(sock)  # what lies unread would make its close a reset, which a write is told of
+    sock.close()
+    world.exchange.host_lost("h1")
+    settled(world)
+    told = [(x.kind, x.task) for x in read(world.says(other))]
+    assert told[0] == (m.ANSWER, 8) and sorted(told[1:]) == [(m.RELEASE, 1), (m.RELEASE, 8)]
+
+
 # ---- releases on links that break ----
 
 
