--- a/glencleat/node/links.py
+++ b/glencleat/node/links.py
@@ -143,6 +143,8 @@
     def _send(self, attempt: Attempt) -> None:
         assert self.stream is not None
         held_back = self.hosts.exchange.held_back(attempt, self.host.serves, self.hosts.cold(self.host))
+        if self.ended and held_back is None:
+            held_back = SendOutcome.NEVER_SENT
         if held_back is not None:
             attempt.link = None
             self.hosts.answer(attempt, held_back)
@@ -201,9 +203,10 @@
             self.stream.close("its host has another address")
             return
         self.hosts.up(self.host, self)
-        for attempt in self.waiting:
+        self.ended = self.stream.hung_up()  # taken and ended at once
+        waiting, self.waiting = self.waiting, []
+        for attempt in waiting:
             self._send(attempt)
-        self.waiting.clear()
         try:
             yield from self._read(self.stream)
         except (StreamClosed, m.PeerError) as error:
--- a/glencleat/node/owners.py
+++ b/glencleat/node/owners.py
@@ -111,9 +111,7 @@
                 break
             came = True
         for owner in list(self.owners):
-            taken = owner.inbox.taken + len(owner.inbox.buffer)
-            self.look(owner)
-            came |= owner.inbox.waiting or owner.inbox.taken + len(owner.inbox.buffer) != taken
+            came |= self.look(owner) or owner.inbox.waiting
         return came, any(owner.begun is not None for owner in self.owners)
 
     @property
@@ -175,12 +173,16 @@
         owner.dates(self.loop.now())
         return came
 
-    def look(self, owner: Owner) -> None:
-        """Takes in what has come by this instant, whoever's turn it is: an end or a cancel counts at once."""
-        if self._take_in(owner, LOOK):
+    def look(self, owner: Owner) -> bool:
+        """Takes in what has come by this instant, whoever's turn it is: an end or a cancel counts at once.
+
+        Whether something came."""
+        came = self._take_in(owner, LOOK)
+        if came:
             owner.stream.nudge()
         elif len(owner.inbox.buffer) >= LOOK and owner.stream.hung_up():
             owner.inbox.ended = True
+        return came
 
     def waits(self, owner: Owner, task: int) -> bool:
         self.look(owner)
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -5,6 +5,7 @@
 
 import itertools
 import json
+import socket
 
 import pytest
 
@@ -338,6 +339,20 @@
     assert sorted(world.exchange.standing["h1"]) == [1, 9] and sock
 
 
+def test_nothing_is_sent_on_a_link_that_was_ended_as_it_came_up(world):
+    """Held: the host takes the connection and closes it before we know that it is up."""
+    listener = socket.create_server(("127.0.0.1", 0))
+    sock = world.client()
+    world.list(("h1", listener.getsockname()))
+    world.ask(sock, 1, cls="unsafe")
+    for _ in range(len(world.loop.ready)):
+        world.loop._step(*world.loop.ready.popleft())
+    listener.accept()[0].close()
+    settled(world)
+    assert world.back() == [api.Outcome.NOT_SENT]  # and not lost: it never ran
+    listener.close()
+
+
 def test_a_release_goes_by_a_connection_whose_client_is_there(world):
     """Held: the close of the connection on which the task came lies unread as its end is told."""
     peer, sock = Peer(world.loop, stands), world.client()
