Who sends faster than it is read is read in turns: streams, clients, links, channel

Seen by reading: Stream.read gave bytes without a wait for as long as there were any, so a peer that sends faster than it is read kept the loop to itself; clients' turns count messages, of which a read may bring less than one. Four reads that need no wait are followed by a turn of the others.

--- a/glencleat/kernel/streams.py
+++ b/glencleat/kernel/streams.py
@@ -17,6 +17,7 @@
 from glencleat.kernel.loop import READ, WRITE, Coroutine, Loop, Task
 
 CHUNK = 65_536
+AT_ONCE = 4  # reads of one stream that need no wait before others have their turn
 PAUSE_MS = 50.0  # before a listener without any descriptor looks again
 TIMESTAMP = 35  # Linux's SO_TIMESTAMPNS, which Python does not name: seconds, nanoseconds beside the bytes
 TIMESPEC = struct.Struct("qq")
@@ -52,6 +53,7 @@
         self.flusher: Task | None = None
         self.interest = 0
         self.readable = False
+        self.at_once = 0  # reads in a row that needed no wait
         self.stamped = False
         self.arrived: float | None = None  # when the system took the last bytes read, Unix milliseconds
         loop.poller.watch(self.fd, 0, self._told)
@@ -82,9 +84,16 @@
                 return data
 
     def wait(self) -> Coroutine:
-        """Until there may be something to read, or `nudge`; raises StreamClosed once it is closed."""
+        """Until there may be something to read, or `nudge`; raises StreamClosed once it is closed.
+
+        One who sends faster than we read is read in turns, or its reader would keep the loop to itself."""
         if self.closed is None and not self.readable:
+            self.at_once = 0
             yield self._arm_read
+        else:
+            self.at_once += 1
+            if self.at_once % AT_ONCE == 0:
+                yield from self.loop.sleep(0.0)
         if self.closed is not None:
             raise StreamClosed(self.closed)
 
--- a/glencleat/node/owners.py
+++ b/glencleat/node/owners.py
@@ -141,7 +141,7 @@
                 if inbox.ended or owner.stream.closed is not None:
                     inbox.ended = True
                     self.exchange.owner_gone(owner)  # before what lies unread: it may be set-ups
-                if self._turn(owner):
+                if self._turn(owner) or (came and owner.stream.readable):
                     yield from self.loop.sleep(0.0)
                 elif not (came or inbox.ended):
                     yield from owner.stream.wait()
--- a/tests/test_kernel.py
+++ b/tests/test_kernel.py
@@ -1,5 +1,6 @@
 """The kernel: timers against the plain ones, tasks, streams that bound what a peer can pile up."""
 
+import contextlib
 import socket
 
 import pytest
@@ -288,3 +289,31 @@
         except ZeroDivisionError:
             faults += 1
     assert (faults, rang) == (1, [0, 1, 2, "later"])
+
+
+def test_one_that_sends_faster_than_it_is_read_takes_turns():
+    """Its reader never waits: before, one round went on for as long as bytes came."""
+    loop, got = Loop(), []
+    ours, theirs = socket.socketpair()
+    stream = Stream(loop, ours)
+    theirs.setblocking(False)
+
+    def fill():
+        with contextlib.suppress(BlockingIOError):
+            while True:
+                theirs.send(b"x" * 65_536)
+
+    def read():
+        while True:
+            got.append(len((yield from stream.read(4_096))))
+            fill()  # never empty
+
+    fill()
+    loop.spawn(read(), "reader")
+    for rounds in range(1, 6):
+        loop.call_in(0.0, lambda: None)
+        loop.round()
+        assert len(got) <= rounds * streams.AT_ONCE
+    assert got
+    stream.close()
+    theirs.close()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -764,6 +764,24 @@
     assert len(seen) <= 3 * owners.TURN
 
 
+def test_one_that_sends_long_messages_faster_than_we_read_takes_turns_too(world):
+    """Each read brings less than one of them, so that their number bounds nothing."""
+    flood, good = world.client(), world.client()
+    world.until(lambda: len(world.owners.owners) == 2)
+    data = b"".join(m.encode(m.PROGRESS, i, {m.NAME: b"x" * 16_000}) for i in range(1, 100))
+    while data:
+        try:
+            data = data[flood.send(data) :]
+        except BlockingIOError:
+            break
+    good.send(m.encode(m.TEST, 9))
+    seen = []
+    original = world.owners._message
+    world.owners._message = lambda owner, message, at: (seen.append(message.kind), original(owner, message, at))
+    world.until(lambda: m.TEST in seen)
+    assert len(seen) <= 3
+
+
 def test_a_full_house_closes_who_has_nothing_open(world):
     world.descriptors.room = 3
     world.descriptors.rights = {Side.OWNERS: 3, Side.LINKS: 0}
