Where no window of a cold host is told, what waited for a connection is sent all the same

Seen by reading with another customer's settings in mind: with a window of 0 each attempt that had waited at all for a connection to a cold host went back to the module, again and again (sending.turn_holds).

--- a/glencleat/isup/sending.py
+++ b/glencleat/isup/sending.py
@@ -55,7 +55,7 @@
 
 def turn_holds(cold: bool, waited_ms: float, window_ms: float) -> bool:
     """The module's turns at a cold host lie a quarter of its window apart: later ones meet the next."""
-    return not cold or waited_ms <= 0.25 * window_ms
+    return not cold or window_ms <= 0.0 or waited_ms <= 0.25 * window_ms
 
 
 def held_back(seen: Seen) -> SendOutcome | None:
