--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -124,3 +124,27 @@
 
 def kinds(peer):
     return [message.kind for _, message in peer.got]
+
+
+def cancel(task):
+    return m.caused(m.RELEASE, task, m.GIVEN_UP)
+
+
+def settled(world, rounds=30):
+    """Everything that lies ready is handled, and what follows from it."""
+    for _ in range(rounds):
+        world.loop.call_in(1.0, lambda: None)
+        world.loop.round()
+
+
+def linked(world):
+    """A host with a link up, on which task 9 came to stand, and a client."""
+    peer, sock, other = Peer(world.loop, stands), world.client(), world.client()
+    world.list(("h1", peer.address))
+    world.ask(other, 9)
+    world.until(lambda: "h1" in world.exchange.standing)
+    return peer, sock
+
+
+def sent(peer):
+    return [message.task for _, message in peer.got if message.kind == m.SETUP]
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -4,15 +4,9 @@
 
 from glencleat.fleet.asking import Asking, Pace
 from glencleat.node import feed
-from tests.sockets import World
 from tests.test_node import Tower, list_event
 
 
-@pytest.fixture
-def world():
-    return World()
-
-
 def follow(world, pace, script):
     tower, told = Tower(world.loop, script), []
     made = feed.Feed(world.loop, world.channel, Asking(pace, world.hosts.random), tower.address, told.append, world.logs.append)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -16,15 +16,7 @@
 from glencleat.kernel import ConnectFailed, StreamClosed, streams
 from glencleat.node import feed, hosts, life, links, owners
 from tests.live import setup
-from tests.sockets import Peer, World, kinds, stands
-
-
-@pytest.fixture
-def world():
-    made = World()
-    yield made
-    for sock in made.clients:
-        sock.close()
+from tests.sockets import Peer, kinds, stands
 
 
 # ---- hosts ----
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -5,44 +5,22 @@
 
 import itertools
 import json
-import socket
 from dataclasses import replace
 
 import pytest
 
 from glencleat import interface as api
-from glencleat.descriptors import Demand, Side
 from glencleat.fleet.asking import Asking, Pace
 from glencleat.isup import messages as m
-from glencleat.isup.ends import KEEP_MS
 from glencleat.isup.inbox import Inbox
 from glencleat.isup.sending import SendOutcome, Seen, harmless, held_back, turn_holds
 from glencleat.node import feed, owners
-from tests.live import KEYED, SAFE, SETTINGS, UNSAFE, read, setup
+from tests.live import KEYED, SAFE, SETTINGS, UNSAFE, setup
 from tests.live import World as Virtual
-from tests.sockets import Peer, World, kinds, stands
+from tests.sockets import Peer, cancel, kinds, linked, sent, settled, stands
 from tests.test_node import Tower
 
 
-@pytest.fixture
-def world():
-    made = World()
-    yield made
-    for sock in made.clients:
-        sock.close()
-
-
-def cancel(task):
-    return m.caused(m.RELEASE, task, m.GIVEN_UP)
-
-
-def settled(world, rounds=30):
-    """Everything that lies ready is handled, and what follows from it."""
-    for _ in range(rounds):
-        world.loop.call_in(1.0, lambda: None)
-        world.loop.round()
-
-
 def leave(sock, how):
     if how == "cancels":
         sock.send(cancel(1))
@@ -50,19 +28,6 @@
         sock.close()
 
 
-def linked(world):
-    """A host with a link up, on which task 9 came to stand, and a client."""
-    peer, sock, other = Peer(world.loop, stands), world.client(), world.client()
-    world.list(("h1", peer.address))
-    world.ask(other, 9)
-    world.until(lambda: "h1" in world.exchange.standing)
-    return peer, sock
-
-
-def sent(peer):
-    return [message.task for _, message in peer.got if message.kind == m.SETUP]
-
-
 LEAVES = pytest.mark.parametrize("how", ["cancels", "closes"])
 
 
@@ -323,187 +288,3 @@
     world.module.next.append([api.Refuse(next(n for task, n in others.items() if task != left))])
     world.exchange.owner_gone(owner)
     assert not world.exchange.calls and [event.call for event in world.told(api.Left)] == [others[left]]
-
-
-# ---- links and connections that the other side has closed ----
-
-
-def test_nothing_is_sent_on_a_link_that_its_host_has_closed(world):
-    """Held: the close of an idle link lies unread. What would have been sent on it may have run."""
-    peer, sock = linked(world)
-    peer.streams[0].close()
-    world.module.next.append([api.Bind(2, "h1", 2000.0)])
-    call = setup(1, cls="unsafe")
-    (message,) = read(call)
-    world.exchange.owner_asks(next(iter(world.owners.owners)), message, 0.0)
-    settled(world)
-    assert not world.told(api.Returned) and [stream for stream, _ in peer.got if stream is not peer.streams[0]]
-    assert sorted(world.exchange.standing["h1"]) == [1, 9] and sock
-
-
-def test_nothing_is_sent_on_a_link_that_was_ended_as_it_came_up(world):
-    """Held: the host takes the connection and closes it before we know that it is up."""
-    listener = socket.create_server(("127.0.0.1", 0))
-    sock = world.client()
-    world.list(("h1", listener.getsockname()))
-    world.ask(sock, 1, cls="unsafe")
-    for _ in range(len(world.loop.ready)):
-        world.loop._step(*world.loop.ready.popleft())
-    listener.accept()[0].close()
-    settled(world)
-    assert world.back() == [api.Outcome.NOT_SENT]  # and not lost: it never ran
-    listener.close()
-
-
-def test_a_release_goes_by_a_connection_whose_client_is_there(world):
-    """Held: the close of the connection on which the task came lies unread as its end is told."""
-    peer, sock = Peer(world.loop, stands), world.client()
-    world.list(("h1", peer.address))
-    other = world.client()
-    world.ask(other, 8)
-    world.ask(sock, 1)
-    world.until(lambda: len(world.exchange.standing.get("h1", ())) == 2)
-    assert world.says(sock)  # what lies unread would make its close a reset, which a write is told of
-    sock.close()
-    world.exchange.host_lost("h1")
-    settled(world)
-    told = [(x.kind, x.task) for x in read(world.says(other))]
-    assert told[0] == (m.ANSWER, 8) and sorted(told[1:]) == [(m.RELEASE, 1), (m.RELEASE, 8)]
-
-
-# ---- releases on links that break ----
-
-
-@pytest.mark.parametrize("heard", [True, False])
-def test_a_release_is_written_again_unless_it_was_heard(world, heard):
-    """Held: the link breaks before the host has said anything of it."""
-    peer, sock = linked(world)
-    sock.send(cancel(9))
-    world.until(lambda: m.RELEASE in kinds(peer))
-    if heard:
-        peer.streams[0].send(m.encode(m.RELEASE_HEARD, 9))
-        settled(world)
-    peer.streams[0].close()
-    end = world.loop.now() + 1_500.0
-    world.until(lambda: len(peer.streams) == 2 or world.loop.now() > end)
-    settled(world)
-    assert kinds(peer).count(m.RELEASE) == (1 if heard else 2)
-
-
-# ---- idle connections ----
-
-
-def test_a_set_up_that_lies_unread_keeps_its_connection(world, monkeypatch):
-    """Held: the sweep comes before the reader, as after a standstill."""
-    monkeypatch.setattr(owners, "SPEAK_MS", -1.0)
-    sock = world.client()
-    world.until(lambda: world.owners.owners)
-    (owner,) = world.owners.owners
-    sock.send(setup(1))
-    world.owners._sweep()
-    assert owner.stream.closed is None
-    settled(world)
-    assert world.told(api.Asked)
-
-
-def test_a_connection_is_not_idle_while_a_set_up_lies_unread_on_it(world):
-    """Held: a newcomer is let in before the reader has its turn."""
-    world.descriptors.room, world.descriptors.rights = 2, {Side.OWNERS: 2, Side.LINKS: 0}
-    quiet, busy = world.client(), world.client()
-    world.until(lambda: len(world.owners.owners) == 2)
-    first, second = world.owners.owners
-    quiet.send(setup(1))
-    assert world.descriptors.make_room(Demand.OWNER)
-    assert first.stream.closed is None and second.stream.closed is not None
-    settled(world)
-    assert world.told(api.Asked) and world.says(busy) == b""
-
-
-def test_a_connection_is_not_idle_while_an_answer_is_unsent_on_it(world, monkeypatch):
-    world.descriptors.room, world.descriptors.rights = 2, {Side.OWNERS: 2, Side.LINKS: 0}
-    clients = [world.client(), world.client()]
-    world.until(lambda: len(world.owners.owners) == 2)
-    first, second = world.owners.owners
-    first.stream.out += b"\0"  # as if its client had not read the rest
-    world.descriptors.file(first)
-    assert world.descriptors.make_room(Demand.OWNER)
-    assert first.stream.closed is None and second.stream.closed is not None
-    monkeypatch.setattr(owners, "READS_MS", -1.0)
-    world.owners._sweep()
-    assert first.stream.closed == "it reads nothing" and clients
-
-
-def test_one_that_drips_a_message_is_closed_in_time(world, monkeypatch):
-    monkeypatch.setattr(owners, "SPEAK_MS", 100.0)
-    monkeypatch.setattr(owners, "SWEEP_MS", 10.0)
-    world.owners._sweep()
-    sock = world.client()
-    sock.send(m.encode(m.TEST, 1))
-    drip = iter(setup(1))
-
-    def more():
-        if sock.fileno() >= 0 and world.owners.owners:
-            sock.send(bytes((next(drip),)))
-            world.loop.call_in(5.0, more)
-
-    world.until(lambda: world.owners.owners)
-    more()
-    world.until(lambda: not world.owners.owners, ms=600.0)  # a message of 60 bytes and more drips on for longer
-
-
-# ---- hand-overs ----
-
-
-def named(task, host="h1"):
-    return setup(task, extras=f"cores:1;memory:1;service:s;at:{host}", wait=None)
-
-
-def test_an_end_that_came_before_its_task_was_named_is_told(world):
-    """After a restart: the host tells what ended on our first connection, before any client has come."""
-    peer, sock = Peer(world.loop, stands), world.client()
-    world.list(("h1", peer.address))
-    world.ask(sock, 1)
-    world.until(lambda: "h1" in world.exchange.standing)
-    world.says(sock)
-    peer.streams[0].send(m.caused(m.RELEASE, 77, m.ENDED) + m.caused(m.RELEASE, 78, m.RESET))
-    settled(world)
-    sock.send(named(77) + named(78) + named(79))
-    settled(world)
-    assert list(world.exchange.standing["h1"]) == [1, 79]
-    assert world.says(sock) == m.caused(m.RELEASE, 77, m.ENDED) + m.caused(m.RELEASE, 78, m.RESET)
-
-
-def test_a_task_named_again_as_its_release_is_on_its_way_stays_over(world):
-    peer, sock = Peer(world.loop, stands), world.client()
-    world.list(("h1", peer.address))
-    world.ask(sock, 1)
-    world.until(lambda: "h1" in world.exchange.standing)
-    world.says(sock)
-    peer.streams[0].send(m.caused(m.RELEASE, 1, m.ENDED))
-    settled(world)
-    sock.send(named(1))  # sent before the release was read
-    settled(world)
-    assert not world.exchange.standing and world.says(sock) == m.caused(m.RELEASE, 1, m.ENDED)
-    with pytest.raises(BlockingIOError):
-        sock.recv(100)  # told once
-
-
-def test_a_task_that_was_called_lost_behind_a_cut_may_be_handed_over(world):
-    """Its host never said that it ended."""
-    peer, sock = Peer(world.loop, stands), world.client()
-    world.list(("h1", peer.address))
-    world.ask(sock, 1)
-    world.until(lambda: "h1" in world.exchange.standing)
-    world.exchange.host_lost("h1")
-    sock.send(named(1))
-    settled(world)
-    assert list(world.exchange.standing["h1"]) == [1]
-
-
-def test_ends_are_kept_for_a_time():
-    world = Virtual()
-    world.asks(1, api.Bind(1, "h1", 300.0))
-    world.host(m.RELEASE, 77, cause=m.ENDED)
-    world.advance(KEEP_MS + 1.0)
-    world.asks(77, extras="cores:1;memory:1;service:s;at:h1", wait=None)
-    assert 77 in world.exchange.standing["h1"]
