The system is asked at the last instant only where the round can't tell; newcomers come last

Now one question is left, before an attempt's first byte leaves. The others use what the poller of the round has told, which holds up to a round: so all descriptors of a poll are told before a listener is, and a newcomer can't put out one whose set-up came in the same poll (test_connections; it fails where the listener has its turn in order). A standstill ends with a poll, which tells of all that came meanwhile.

--- a/glencleat/isup/exchange.py
+++ b/glencleat/isup/exchange.py
@@ -72,8 +72,9 @@
     def to_owner(self, owner: Any, data: bytes, owed: bool) -> None:
         """On that connection; if it is gone, what is `owed` goes by any other or by the next."""
 
-    def waits(self, owner: Any, task: int) -> bool:
-        """Whether its client waits for the answer, by all that has come on that connection until now."""
+    def waits(self, owner: Any, task: int, exact: bool) -> bool:
+        """Whether its client waits for the answer, by all that had come on that connection when this round of
+        the loop began; `exact`: by this instant, at the price of asking the system."""
 
     def proves(self, owner: Any) -> None:
         """What came on that connection stands: no bad client's, so that releases may be told there."""
@@ -303,7 +304,7 @@
         """Asked by a link at the last instant before its first byte leaves: why it may not, or None."""
         call, now = attempt.call, self.ports.now()
         seen = Seen(
-            self.ports.waits(call.owner, call.setup.task),
+            self.ports.waits(call.owner, call.setup.task, exact=True),
             serves,
             now < attempt.until,
             harmless(call.setup.cls, call.may_run, now, self.settings.tick_ms),
@@ -358,7 +359,7 @@
 
     def _accepted(self, attempt: Attempt, message: m.Message) -> None:
         call = attempt.call
-        if not self.ports.waits(call.owner, call.setup.task):
+        if not self.ports.waits(call.owner, call.setup.task, exact=False):
             # Its client left before it could be told: nobody would ever end it.
             self.ports.cut(attempt.host, call.setup.task)
             self._back(attempt, api.Outcome.STOPPED, left=True)
@@ -434,7 +435,7 @@
         )
 
     def _take(self, owner: Owner, setup: Setup, left_ms: float) -> None:
-        if not self.ports.waits(owner, setup.task):
+        if not self.ports.waits(owner, setup.task, exact=False):
             self.gone += 1  # its cancel or its client's end came while it lay unread: nothing is owed
             return
         owner.open.add(setup.task)
--- a/glencleat/kernel/loop.py
+++ b/glencleat/kernel/loop.py
@@ -15,6 +15,7 @@
 
 Arm = Callable[["Task"], Callable[[], None]]  # starts a wait, returns what ends it early
 Coroutine = Generator[Arm, Any, Any]
+MOST_EVENTS = 4_096  # of one poll; more than there are descriptors, so that it tells of all that has come
 READ, WRITE = select.EPOLLIN, select.EPOLLOUT
 
 
@@ -41,23 +42,29 @@
 class Poller(Protocol):
     idle_ms: float  # spent waiting, in all
 
-    def watch(self, fd: int, interest: int, call: Callable[[int], None]) -> None: ...
+    def watch(self, fd: int, interest: int, call: Callable[[int], None], last: bool = False) -> None: ...
     def change(self, fd: int, interest: int) -> None: ...
     def forget(self, fd: int) -> None: ...
     def poll(self, timeout_ms: float | None) -> int: ...
 
 
 class EpollPoller:
-    """Level-triggered epoll with a callback for each descriptor."""
+    """Level-triggered epoll with a callback for each descriptor.
+
+    `last`: called once all others of the poll were, for what has to know what they were told: who comes in
+    may put out one on whom something has come."""
 
     def __init__(self) -> None:
         self.epoll = select.epoll()
         self.calls: dict[int, Callable[[int], None]] = {}
+        self.last: set[int] = set()
         self.idle_ms = 0.0
 
-    def watch(self, fd: int, interest: int, call: Callable[[int], None]) -> None:
+    def watch(self, fd: int, interest: int, call: Callable[[int], None], last: bool = False) -> None:
         self.epoll.register(fd, interest)
         self.calls[fd] = call
+        if last:
+            self.last.add(fd)
 
     def change(self, fd: int, interest: int) -> None:
         self.epoll.modify(fd, interest)
@@ -65,12 +72,15 @@
     def forget(self, fd: int) -> None:
         if self.calls.pop(fd, None) is not None:
             self.epoll.unregister(fd)
+            self.last.discard(fd)
 
     def poll(self, timeout_ms: float | None) -> int:
         wait = None if timeout_ms is None else max(0.0, timeout_ms) / 1000.0
         began = time.monotonic()
-        events = self.epoll.poll(wait, 512)
+        events = self.epoll.poll(wait, MOST_EVENTS)
         self.idle_ms += 1_000.0 * (time.monotonic() - began)
+        if self.last:
+            events.sort(key=lambda event: event[0] in self.last)
         for fd, mask in events:
             call = self.calls.get(fd)  # an earlier callback of this round may have closed it
             if call is not None:
--- a/glencleat/kernel/streams.py
+++ b/glencleat/kernel/streams.py
@@ -300,7 +300,7 @@
         self.address: tuple[str, int] = self.sock.getsockname()
         self.open: set[Stream] = set()
         self.spare: int | None = os.open(os.devnull, os.O_RDONLY)
-        loop.poller.watch(self.sock.fileno(), READ, self._told)
+        loop.poller.watch(self.sock.fileno(), READ, self._told, last=True)
 
     def _told(self, _: int) -> None:
         self.take()
--- a/glencleat/node/links.py
+++ b/glencleat/node/links.py
@@ -84,7 +84,7 @@
             return Worth.HELD
         up = (li for li in host.links if li is not self and li.stream is not None and not li.doubtful)
         others = any(self.visit or not li.visit for li in up)  # a visit goes before the link it is beside
-        if others or not (host.uncut or self.hosts.exchange.standing.get(host.name)):
+        if others or not (self.hosts.exchange.standing.get(host.name) or host.uncut):
             return Worth.SPARE
         if host.draining:
             return Worth.HELD  # it takes no new connection while its tasks run: there is no way back
--- a/glencleat/node/owners.py
+++ b/glencleat/node/owners.py
@@ -44,23 +44,23 @@
         self.spoke = False  # a message came whole
         self.proven = False  # a task of its came to stand: no bad client's ever does
         self.bad = 0
-        self.stuck = 0, now  # bytes written, and since when they are so many while others wait
+        self.stuck: tuple[int, float] | None = None  # bytes written, since when so many while others wait
         self.begun: tuple[int, float] | None = None  # where a message that is not whole begins, since when
 
     def worth(self) -> Worth:
-        if self.open or self.inbox.waiting or self.stream.out or (self.proven and self.owners.friends == 1):
+        if self.open or self.inbox.scanned or self.stream.out or (self.proven and self.owners.friends == 1):
             return Worth.HELD  # an answer is owed on it, or it is the last one that releases can go by
         return Worth.FRIEND if self.proven else Worth.STRANGER
 
     def last_look(self) -> None:
-        self.owners.look(self)
+        self.owners.look_if_told(self)
 
     def give_up(self) -> None:
         self.stream.close("room is wanted")
 
     def reads(self, now: float) -> bool:
-        """What is written to it goes on, or nothing waits."""
-        if not self.stream.out or self.stuck[0] != self.stream.written:
+        """What waits unsent for it is being taken."""
+        if self.stuck is None or self.stuck[0] != self.stream.written:
             self.stuck = self.stream.written, now
         return now - self.stuck[1] <= READS_MS
 
@@ -184,13 +184,21 @@
             owner.inbox.ended = True
         return came
 
-    def waits(self, owner: Owner, task: int) -> bool:
-        self.look(owner)
+    def look_if_told(self, owner: Owner) -> None:
+        """The same where the poller has told of something, or can not tell as the reader has its turn."""
+        if owner.stream.readable or owner.stream.reader is None:
+            self.look(owner)
+
+    def waits(self, owner: Owner, task: int, exact: bool) -> bool:
+        if exact:
+            self.look(owner)
+        else:
+            self.look_if_told(owner)
         return owner.inbox.waits(task)
 
     def _ended(self, owner: Owner) -> bool:
-        """Its client has closed, as far as can be told now: what is written to it is told to nobody."""
-        self.look(owner)
+        """Its client has closed, as far as this round can tell: what is written to it is told to nobody."""
+        self.look_if_told(owner)
         return owner.inbox.ended
 
     def _turn(self, owner: Owner) -> bool:
@@ -264,7 +272,9 @@
                 self.look(owner)  # after a standstill all of it may lie unread
                 if not owner.inbox.waiting:
                     owner.stream.close("no whole message in time")
-            if not owner.reads(now):
+            if not owner.stream.out:
+                owner.stuck = None
+            elif not owner.reads(now):
                 owner.stream.close("it reads nothing")  # a descriptor that answers wait on is not given up
             self.descriptors.file(owner)
         while self.owed and now - self.owed[0][0] > OWED_MS:
--- a/glencleat/node/process.py
+++ b/glencleat/node/process.py
@@ -129,8 +129,8 @@
     def to_owner(self, owner: Any, data: bytes, owed: bool) -> None:
         self.owners.to_owner(owner, data, owed)
 
-    def waits(self, owner: Any, task: int) -> bool:
-        return self.owners.waits(owner, task)
+    def waits(self, owner: Any, task: int, exact: bool) -> bool:
+        return self.owners.waits(owner, task, exact)
 
     def proves(self, owner: Any) -> None:
         self.owners.proves(owner)
