One look for a request: a short read tells that a socket is empty, and the poller tells of more

Streams now say at each short read that they are empty and let the poller tell of more, also while their reader has its turn, so that 'nothing was told' holds for the whole round. Two reads a request are left: its bytes, and the look before the first byte leaves.

--- a/glencleat/kernel/streams.py
+++ b/glencleat/kernel/streams.py
@@ -106,14 +106,22 @@
         try:
             data: bytes = self._recv_stamped(size) if self.stamped else self.sock.recv(size)
         except (BlockingIOError, InterruptedError):
-            self.readable = False
+            self._emptied()
             return None
         except OSError as error:
             self.close(f"connection lost: {error.strerror}")
             raise StreamClosed(self.closed or "") from None
-        self.readable = len(data) == size  # else it is empty now, and the poller tells of more
+        if len(data) < size:
+            self._emptied()
+        else:
+            self.readable = True
         return data
 
+    def _emptied(self) -> None:
+        """The poller tells of more, also while the reader has its turn: until then there is nothing."""
+        self.readable = False
+        self._want(self.interest | READ)
+
     def hung_up(self) -> bool:
         """Whether the peer has closed by this instant, also where what it sent before lies unread."""
         if self.closed is not None:
--- a/glencleat/node/owners.py
+++ b/glencleat/node/owners.py
@@ -137,7 +137,7 @@
         inbox = owner.inbox
         try:
             while inbox.waiting or not inbox.ended:
-                came = owner.stream.readable and self._take_in(owner, READ)
+                came = owner.stream.readable and self._take_in(owner, READ, exact=False)
                 if inbox.ended or owner.stream.closed is not None:
                     inbox.ended = True
                     self.exchange.owner_gone(owner)  # before what lies unread: it may be set-ups
@@ -155,8 +155,10 @@
             self.owners.pop(owner, None)
             self.exchange.owner_gone(owner)
 
-    def _take_in(self, owner: Owner, most: int) -> bool:
-        """Reads what has come by this instant, as far as `most` bytes wait; whether something came."""
+    def _take_in(self, owner: Owner, most: int, exact: bool) -> bool:
+        """Reads what has come, as far as `most` bytes wait; whether something came.
+
+        `exact`: until the system says that there is no more; else the poller tells of what comes later."""
         inbox, came = owner.inbox, False
         try:
             while not inbox.ended and len(inbox.buffer) < most:
@@ -168,6 +170,8 @@
                     inbox.feed(data, owner.stream.arrived)
                 else:
                     inbox.ended = True
+                if not (exact or owner.stream.readable):
+                    break
         except StreamClosed:
             came = inbox.ended = True
         owner.dates(self.loop.now())
@@ -177,7 +181,7 @@
         """Takes in what has come by this instant, whoever's turn it is: an end or a cancel counts at once.
 
         Whether something came."""
-        came = self._take_in(owner, LOOK)
+        came = self._take_in(owner, LOOK, exact=True)
         if came:
             owner.stream.nudge()
         elif len(owner.inbox.buffer) >= LOOK and owner.stream.hung_up():
@@ -185,8 +189,8 @@
         return came
 
     def look_if_told(self, owner: Owner) -> None:
-        """The same where the poller has told of something, or can not tell as the reader has its turn."""
-        if owner.stream.readable or owner.stream.reader is None:
+        """The same where the poller has told of something."""
+        if owner.stream.readable:
             self.look(owner)
 
     def waits(self, owner: Owner, task: int, exact: bool) -> bool:
