--- a/benchmarks/acceptance.py
+++ b/benchmarks/acceptance.py
@@ -10,6 +10,8 @@
 from pathlib import Path
 from typing import Any
 
+from benchmarks.common import rows_of
+
 HEAD = ["day", "seed", "hosts", "ended", "score", "served of what the gate wants", "least class",
         "descriptors", "memory", "ready, slowest"]  # fmt: skip
 
@@ -47,10 +49,7 @@
 def main() -> None:
     for told in sys.argv[1:]:
         title, _, place = told.partition("=")
-        print(f"## {title}\n\n| {' | '.join(HEAD)} |\n|{' --- |' * len(HEAD)}")
-        for play in plays(Path(place)):
-            print(f"| {' | '.join(line(play))} |")
-        print()
+        print("\n".join([f"## {title}", "", *rows_of(HEAD, [line(play) for play in plays(Path(place))]), ""]))
 
 
 if __name__ == "__main__":
--- a/benchmarks/cold_fleet.py
+++ b/benchmarks/cold_fleet.py
@@ -19,7 +19,7 @@
 
 from benchmarks.cold_start import until
 from glencleat.check.bounds import busiest
-from glencleat.kernel import Loop, Stream
+from glencleat.kernel import Loop
 from glencleat.kernel.loop import READ
 from glencleat.standins.channel import ChannelService, entry
 from glencleat.standins.live import LiveHost, LiveOwner
@@ -33,22 +33,10 @@
 LIFE_MS, GROUPS, SOCKETS = 4_000.0, 4, 128
 
 
-class CountingHost(LiveHost):
-    """Keeps when each set-up came."""
-
-    def __init__(self, loop: Loop, name: str) -> None:
-        super().__init__(loop, name, LIFE_MS)
-        self.setups: list[float] = []
-
-    def _take(self, stream: Stream, task: int) -> None:
-        self.setups.append(self.loop.now())
-        super()._take(stream, task)
-
-
 def serve_hosts(pipe: Connection, names: list[str]) -> None:
     """A process of hosts: tells their ports, and at the end what each heard at most."""
     loop = Loop()
-    hosts = [CountingHost(loop, name) for name in names]
+    hosts = [LiveHost(loop, name, LIFE_MS) for name in names]
     pipe.send({host.name: host.port for host in hosts})
     over = [False]
     loop.poller.watch(pipe.fileno(), READ, lambda _: over.__setitem__(0, True))
@@ -57,8 +45,8 @@
     warm = pipe.recv() + COLD_MS  # when they started, on the monotonic clock that processes share
     found = []
     for host in hosts:
-        cold = [at for at in host.setups if at < warm]
-        found.append((len(host.setups), busiest(cold, WINDOW_MS), len(host.taken), busiest(host.taken, 1e3)))
+        cold = [at for at, _ in host.got if at < warm]
+        found.append((len(host.got), busiest(cold, WINDOW_MS), len(host.taken), busiest(host.taken, 1e3)))
     pipe.send(found)
 
 
--- a/benchmarks/cold_ramp.py
+++ b/benchmarks/cold_ramp.py
@@ -17,6 +17,7 @@
 
 from benchmarks.common import table
 from glencleat import interface as api
+from glencleat.check.bounds import busiest
 from glencleat.logic import Node, Scheduler
 
 WINDOW_MS, COLD_MS, OFFERS, STEP_MS, STEPS = 1_000.0, 10_000.0, 10.0, 50.0, 120
@@ -99,8 +100,7 @@
             for i in random.sample(range(peers), int(0.7 * peers)):
                 made.pop(i, None)
                 told[i] = max(told[i], now + random.uniform(200.0, 1_000.0))
-    windows = (sum(other < at + WINDOW_MS for other in sent[i:]) for i, at in enumerate(sent))
-    return max(windows, default=0), len(sent) * WINDOW_MS / (STEPS * STEP_MS)
+    return busiest(sent, WINDOW_MS), len(sent) * WINDOW_MS / (STEPS * STEP_MS)
 
 
 def plays(given: tuple[str, int, int]) -> tuple[int, float]:
--- a/benchmarks/common.py
+++ b/benchmarks/common.py
@@ -27,11 +27,16 @@
     return pages * os.sysconf("SC_PAGE_SIZE") / 1e6
 
 
+def rows_of(head: list[str], rows: list[list[str]]) -> list[str]:
+    """The lines of a table."""
+    lines = ["| " + " | ".join(head) + " |", "| " + " | ".join("---" for _ in head) + " |"]
+    return lines + ["| " + " | ".join(row) + " |" for row in rows]
+
+
 def table(name: str, title: str, size: str, head: list[str], rows: list[list[str]], notes: str = "") -> None:
     """Writes and prints one table."""
     lines = [f"# {title}", "", f"{size}. Machine: {machine()}.", ""]
-    lines += ["| " + " | ".join(head) + " |", "| " + " | ".join("---" for _ in head) + " |"]
-    lines += ["| " + " | ".join(row) + " |" for row in rows]
+    lines += rows_of(head, rows)
     if notes:
         lines += ["", notes]
     RESULTS.mkdir(parents=True, exist_ok=True)
--- a/glencleat/standins/live.py
+++ b/glencleat/standins/live.py
@@ -18,13 +18,14 @@
 
 
 class LiveHost:
-    """`taken`: when each connection came. While `away` it takes connections and resets them."""
+    """`taken`: when each connection came; `got`: when each set-up did, and its task. While `away` it takes
+    connections and resets them."""
 
     def __init__(self, loop: Loop, name: str, life_ms: float, decide_ms: float = 5.0) -> None:
         self.loop, self.name, self.life_ms, self.decide_ms = loop, name, life_ms, decide_ms
         self.taken: list[float] = []
         self.streams: set[Stream] = set()
-        self.started = 0
+        self.got: list[tuple[float, int]] = []
         self.away = False
         self.listener = Listener(loop, ("127.0.0.1", 0), self._accepted)
         self.port = int(self.listener.address[1])
@@ -63,7 +64,7 @@
             stream.close("it ended")
 
     def _take(self, stream: Stream, task: int) -> None:
-        self.started += 1
+        self.got.append((self.loop.now(), task))
         yes = m.encode(m.ANSWER, task, {m.DESCRIPTION: b"ok"})
         self.loop.call_in(self.decide_ms, lambda: self._say(stream, yes))
         end = m.caused(m.RELEASE, task, m.ENDED)
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -13,6 +13,15 @@
 from tests.live import SETTINGS, Script, setup
 
 
+def run_until(loop, done, ms, say):
+    """Runs the loop until it is so; `say` tells what there is to see if that took longer."""
+    end = loop.now() + ms
+    while not done():
+        assert loop.now() < end, say()
+        loop.call_in(5.0, lambda: None)
+        loop.round()
+
+
 class Peer:
     """A listener that keeps what each connection said; `script` answers each message."""
 
@@ -78,13 +87,7 @@
         return sock
 
     def until(self, done, ms=4000.0):
-        end = self.loop.now() + ms
-        tick = self.loop.call_in(ms + 5.0, lambda: None)
-        while not done():
-            assert self.loop.now() < end, ("not in time", self.module.events, self.logs)
-            self.loop.call_in(5.0, lambda: None)
-            self.loop.round()
-        tick.cancel()
+        run_until(self.loop, done, ms, lambda: ("not in time", self.module.events, self.logs))
 
     def ask(self, sock, task, host="h1", timeout=2000.0, **fields):
         self.calls += 1
--- a/tests/test_cold_start.py
+++ b/tests/test_cold_start.py
@@ -18,6 +18,7 @@
 from glencleat.standins.processes import MOST, Nodes, ProcessError
 from glencleat.standins.relay import Passed, Relay
 from glencleat.standins.wire import Door, Fault, State as Wire, Weather
+from tests.sockets import run_until
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
 COUNT, CROWD, DOWN_MS = 16, 60, 6_000.0
@@ -201,11 +202,7 @@
         self.nodes = Nodes(folder, COUNT, seed=7)
 
     def until(self, done, ms):
-        end = self.loop.now() + ms
-        while not done():
-            assert self.loop.now() < end, [self.nodes.log(i).read_text()[-400:] for i in range(2)]
-            self.loop.call_in(20.0, lambda: None)
-            self.loop.round()
+        run_until(self.loop, done, ms, lambda: [self.nodes.log(i).read_text()[-400:] for i in range(2)])
 
     def close(self):
         self.relay.close()
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -148,17 +148,23 @@
 # ---- hand-overs ----
 
 
+def placed(world):
+    """A host, and a client whose task 1 stands there and who has read so."""
+    peer, sock = Peer(world.loop, stands), world.client()
+    world.list(("h1", peer.address))
+    world.ask(sock, 1)
+    world.until(lambda: "h1" in world.exchange.standing)
+    world.says(sock)
+    return peer, sock
+
+
 def named(task, host="h1"):
     return setup(task, extras=f"cores:1;memory:1;service:s;at:{host}", wait=None)
 
 
 def test_an_end_that_came_before_its_task_was_named_is_told(world):
     """After a restart: the host tells what ended on our first connection, before any client has come."""
-    peer, sock = Peer(world.loop, stands), world.client()
-    world.list(("h1", peer.address))
-    world.ask(sock, 1)
-    world.until(lambda: "h1" in world.exchange.standing)
-    world.says(sock)
+    peer, sock = placed(world)
     peer.streams[0].send(m.caused(m.RELEASE, 77, m.ENDED) + m.caused(m.RELEASE, 78, m.RESET))
     settled(world)
     sock.send(named(77) + named(78) + named(79))
@@ -168,11 +174,7 @@
 
 
 def test_a_task_named_again_as_its_release_is_on_its_way_stays_over(world):
-    peer, sock = Peer(world.loop, stands), world.client()
-    world.list(("h1", peer.address))
-    world.ask(sock, 1)
-    world.until(lambda: "h1" in world.exchange.standing)
-    world.says(sock)
+    peer, sock = placed(world)
     peer.streams[0].send(m.caused(m.RELEASE, 1, m.ENDED))
     settled(world)
     sock.send(named(1))  # sent before the release was read
@@ -184,10 +186,7 @@
 
 def test_a_task_that_was_called_lost_behind_a_cut_may_be_handed_over(world):
     """Its host never said that it ended."""
-    peer, sock = Peer(world.loop, stands), world.client()
-    world.list(("h1", peer.address))
-    world.ask(sock, 1)
-    world.until(lambda: "h1" in world.exchange.standing)
+    _, sock = placed(world)
     world.exchange.host_lost("h1")
     sock.send(named(1))
     settled(world)
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -55,10 +55,8 @@
     world.until(lambda: made.interrupt is not None)
     made.asking.pace = Pace(1.0, 600_000.0, 9e9)  # what a move draws its wait from
     if when == "connects":
-        made.interrupt()
-        made.move(new.address)  # the try at the old one has been begun by nobody yet
-    else:
-        made.move(new.address)
+        made.interrupt()  # the try at the old one has been begun by nobody yet
+    made.move(new.address)
     world.until(lambda: len(told) == 2)
     assert new.got == [b"resume 1\n"]
 
--- a/tests/test_fleet_races.py
+++ b/tests/test_fleet_races.py
@@ -6,30 +6,20 @@
 
 import pytest
 
+from glencleat.check.bounds import busiest
 from glencleat.isup import messages as m
 from glencleat.kernel import Loop, StreamClosed, connect
 from glencleat.standins.channel import ChannelService, entry
 from glencleat.standins.live import LiveHost, LiveOwner
 from glencleat.standins.processes import Nodes
 from tests.live import setup
+from tests.sockets import run_until
 
-COUNT = 20
+COUNT, LIFE_MS = 20, 400.0
 ONE_ANSWER = [m.RELEASE], [m.ANSWER], [m.ANSWER, m.RELEASE]  # refused or failed; placed; and then ended
 DRAIN_MS, WORD_MS = 500.0, 4_000.0  # the settings' grace; when a list that fell silent counts as told
 
 
-class Host(LiveHost):
-    """Keeps when each set-up came."""
-
-    def __init__(self, loop, name):
-        super().__init__(loop, name, life_ms=400.0)
-        self.got = []
-
-    def _take(self, stream, task):
-        self.got.append((self.loop.now(), task))
-        super()._take(stream, task)
-
-
 class Service(ChannelService):
     """Drips on the connections of the time: bytes that never make a line, and nothing else."""
 
@@ -73,7 +63,7 @@
 class Rig:
     def __init__(self, folder, hosts):
         self.loop = Loop()
-        self.hosts = [Host(self.loop, f"h{i}") for i in range(hosts)]
+        self.hosts = [LiveHost(self.loop, f"h{i}", LIFE_MS) for i in range(hosts)]
         self.service = Service(self.loop, [entry(host.name, host.port) for host in self.hosts])
         self.nodes = Nodes(folder, COUNT, seed=3)
         self.owners = []
@@ -88,11 +78,7 @@
         self.owners.append(LiveOwner(self.loop, self.nodes.ready(i), rate, seed=i + 1))
 
     def until(self, done, ms):
-        end = self.loop.now() + ms
-        while not done():
-            assert self.loop.now() < end, [self.nodes.log(i).read_text()[-300:] for i in range(2)]
-            self.loop.call_in(10.0, lambda: None)
-            self.loop.round()
+        run_until(self.loop, done, ms, lambda: [self.nodes.log(i).read_text()[-300:] for i in range(2)])
 
     def wait(self, ms):
         end = self.loop.now() + ms
@@ -114,11 +100,13 @@
 @pytest.mark.parametrize("rig", [0], indirect=True)
 def test_a_cold_host_is_sent_no_more_when_most_allocators_begin_anew(rig):
     """Twenty, each with one offer of twenty in two seconds. All have sent theirs as fourteen are killed."""
-    rig.start(rules={"warm-within-ms": 60_000.0, "overload-for-ms": 2_000.0}, domain={"fresh-offers": 20.0})
+    rules = {"warm-within-ms": 60_000.0, "overload-for-ms": 2_000.0}
+    settings = {"rules": rules, "domain": {"fresh-offers": 20.0}}
+    rig.start(**settings)
     for i in range(COUNT):
         rig.ask(i, 20.0)
     rig.until(lambda: sum(owner.ends["asked"] > 0 for owner in rig.owners) == COUNT, 10_000.0)
-    cold = Host(rig.loop, "cold")
+    cold = LiveHost(rig.loop, "cold", LIFE_MS)
     rig.hosts.append(cold)
     rig.service.tell([entry("cold", cold.port, started_ms=time.time() * 1e3)])
     rig.until(lambda: len({task >> 20 for _, task in cold.got}) >= COUNT - 2, 10_000.0)
@@ -126,17 +114,14 @@
         i = number - 1
         rig.nodes.end(i)
         rig.nodes.log(i).unlink()
-        rig.nodes.configure(i, rig.service.address, rig.service.known(),
-                            rules={"warm-within-ms": 60_000.0, "overload-for-ms": 2_000.0},
-                            domain={"fresh-offers": 20.0})  # fmt: skip
+        rig.nodes.configure(i, rig.service.address, rig.service.known(), **settings)
         rig.nodes.start(i)
     rig.until(lambda: all(rig.nodes.ready(i) for i in range(COUNT)), 30_000.0)
     again = len(cold.got)
     for i in range(COUNT):
         rig.ask(i, 20.0)
     rig.until(lambda: len({task >> 20 for _, task in cold.got[again:]}) >= 14, 15_000.0)  # and they do begin
-    times = [at for at, _ in cold.got]
-    assert max(sum(at <= other < at + 2_000.0 for other in times) for at in times) <= 20
+    assert busiest([at for at, _ in cold.got], 2_000.0) <= 20
 
 
 @pytest.mark.parametrize("rig", [2], indirect=True)
--- a/tests/test_node_process.py
+++ b/tests/test_node_process.py
@@ -207,28 +207,20 @@
     platform.hold.set()
     sock.send(m.encode(m.TEST, 1, {m.CAUSE: b"\0"}))
     assert reader.next().cause == 1
-    platform.process.send_signal(signal.SIGTERM)
-    platform.line("stopping, 0 calls open")
-    platform.process.send_signal(signal.SIGSTOP)
-    sock.send(setup(8))
-    time.sleep(2.0 * WINDOW_MS / 1e3)  # nothing is waited for but the time itself
-    platform.process.send_signal(signal.SIGCONT)
+    with stalled(platform):
+        sock.send(setup(8))
     assert (reader.next().kind, platform.process.wait(20.0)) == (m.ANSWER, 0)
 
 
+@contextlib.contextmanager
 def stalled(platform):
     """SIGTERM, then a standstill; what is done in the body comes while it lasts, which is past the window."""
-
-    @contextlib.contextmanager
-    def inside():
-        platform.process.send_signal(signal.SIGTERM)
-        platform.line("stopping, 0 calls open")
-        platform.process.send_signal(signal.SIGSTOP)
-        yield
-        time.sleep(2.0 * WINDOW_MS / 1e3)  # nothing is waited for but the time itself
-        platform.process.send_signal(signal.SIGCONT)
-
-    return inside()
+    platform.process.send_signal(signal.SIGTERM)
+    platform.line("stopping, 0 calls open")
+    platform.process.send_signal(signal.SIGSTOP)
+    yield
+    time.sleep(2.0 * WINDOW_MS / 1e3)  # nothing is waited for but the time itself
+    platform.process.send_signal(signal.SIGCONT)
 
 
 def test_connections_that_no_round_could_take_are_answered_at_the_end(platform):
