What is over is freed at once: no pass of the collector stands still under a flood

Ruled out: a burst (540 newcomers a second before and after, 1 to 4 at a look), a loop over the list (120 hosts), leaving links (8 at most).

All of that was garbage in cycles, 15 to 17 objects for each closed connection: Stream.on_close holds functions that hold the stream's keeper (streams.py, close), Inbox.error kept a traceback (inbox.py), a link that never came up kept its attempts (links.py, _run; what was taken back while others failed was also told twice or skipped). Now each is let go of at its end, and nothing is left to the collector.

--- a/glencleat/isup/inbox.py
+++ b/glencleat/isup/inbox.py
@@ -25,7 +25,7 @@
         self.scanned = 0  # of the buffer: whole messages, in which releases were looked for
         self.releases: dict[int, int] = {}  # id -> where the last release of it that waits here ends
         self.arrivals: deque[tuple[int, float | None]] = deque()  # where a piece ends, when the system had it
-        self.error: m.PeerError | None = None  # what comes after the whole messages is none
+        self.error: str | None = None  # why what comes after the whole messages is none
         self.ended = False  # the client closed: whatever else is in here, nobody waits for an answer
 
     @property
@@ -53,7 +53,7 @@
                     self.releases[task] = self.taken + end
                 self.scanned = end
         except m.PeerError as error:
-            self.error = error
+            self.error = str(error)  # its traceback would hold all that leads here
 
     def waits(self, task: int) -> bool:
         """Whether its client still waits for the answer to this open request, by all that is here."""
@@ -63,7 +63,7 @@
         """The next whole message and when its last byte was here; PeerError where the bytes can't be one."""
         if not self.scanned:
             if self.error is not None:
-                raise self.error
+                raise m.PeerError(self.error)
             return None
         size = m.HEAD.unpack_from(self.buffer)[0] + 2
         data = bytes(self.buffer[:size])
--- a/glencleat/kernel/streams.py
+++ b/glencleat/kernel/streams.py
@@ -235,7 +235,8 @@
             if task is not None:
                 self.loop.wake(task)
         self.reader = self.flusher = None
-        for call in self.on_close:
+        calls, self.on_close = self.on_close, []  # they hold what holds the stream: a cycle for each peer
+        for call in calls:
             call(why)
 
 
--- a/glencleat/node/links.py
+++ b/glencleat/node/links.py
@@ -192,8 +192,8 @@
             else:
                 self.hosts.failed(self.host, error.code == errno.ECONNREFUSED)
                 fact = SendOutcome.REFUSED if error.code == errno.ECONNREFUSED else SendOutcome.NEVER_UP
-            for attempt in self.waiting:
-                self.hosts.exchange.failed(attempt, fact)
+            while self.waiting:  # one that is taken back by what follows from another is no longer here
+                self.hosts.exchange.failed(self.waiting.pop(0), fact)
             return
         assert self.stream is not None
         self.hosts.connecting.ended(self.address)
