Newcomers that wait while we stand still have their places: strangers make way in a rush

descriptors.py owns what stands aside, the backlog and what is kept free: as many places as newcomers came in the last 100 ms, an eighth of the room at most, are cleared of strangers (nothing open, no task ever stood) as each newcomer comes in.

--- a/glencleat/descriptors.py
+++ b/glencleat/descriptors.py
@@ -13,6 +13,11 @@
 
 ASIDE = 32  # of the limit: 11 always open (standard, poller, signals, listener and its spare, channel, a file
 # that is read), LEAVING, and 13 that nothing of ours takes, so that the limit is never reached
+BACKLOG = 1_024  # connections that the system may hold for us until we take them: fewer would be dropped
+# in a rush, and come back a second later. To the system they are no descriptors of ours, to operators they are.
+STANDSTILL_MS = 100.0  # a round of the loop may take so long: places are kept free for who comes meanwhile,
+KEPT_FREE = 8  # for this part of the room at most; strangers hold all there is only in a rush
+CALMER = 0.8  # so much of it is kept from one such time to the next
 LEAVING = 8  # links that we end are read until their peer's end; more at once are closed without
 
 
@@ -86,26 +91,52 @@
         self.order: tuple[dict[Holder, None], ...] = tuple({} for _ in Worth)
         self.leaving: set[Holder] = set()
         self.most = self.turned_away = 0
+        self.rush, self.came, self.since = 0.0, 0, 0.0  # newcomers in such a time: lately, since when this one
         self.freed: Callable[[], None] = lambda: None  # one is free, or worth less than it was
 
     @property
     def held(self) -> int:
         return len(self.filed)
 
+    def newcomer(self, now: float) -> bool:
+        """Whether one who comes may come in; `now` in milliseconds.
+
+        In a rush strangers go as well, so that those who come during a standstill, and wait for us to take
+        them, have their places free: the operators count them as ours."""
+        passed = (now - self.since) // STANDSTILL_MS
+        if passed >= 1.0:
+            self.rush = max(self.came * CALMER ** (passed - 1.0), self.rush * CALMER**passed)
+            self.came, self.since = 0, self.since + passed * STANDSTILL_MS
+        self.came += 1
+        if not self.make_room(Demand.OWNER):
+            return False
+        while self.held >= self.room - self.kept_free and self._end_least((Worth.STRANGER,)):
+            pass
+        return True
+
+    @property
+    def kept_free(self) -> int:
+        """Places for those who may come during a standstill, by how many came lately."""
+        return min(int(max(self.rush, self.came)), self.room // KEPT_FREE)
+
     def make_room(self, demand: Demand) -> bool:
         """Whether one more may be opened; ends what is worth less where nothing is free."""
         if self.held < self.room:
             return True
         side = Side.OWNERS if demand is Demand.OWNER else Side.LINKS
         within = self.count[side] < self.rights[side]
-        worths = GIVEN[demand][0 if within else 1]
+        if self._end_least(GIVEN[demand][0 if within else 1]):
+            return self.held < self.room
+        self.turned_away += 1
+        return False
+
+    def _end_least(self, worths: tuple[Worth, ...]) -> bool:
         while (victim := self._least(worths)) is not None:
             worth = victim.worth()
             victim.last_look()
             if victim.worth() is worth:
                 victim.give_up()
-                return self.held < self.room
-        self.turned_away += 1
+                return True
         return False
 
     def _least(self, worths: tuple[Worth, ...]) -> Holder | None:
--- a/glencleat/kernel/streams.py
+++ b/glencleat/kernel/streams.py
@@ -294,6 +294,7 @@
         limit: int = 1 << 20,
         dropped: Callable[[str], None] = lambda why: None,
         make_room: Callable[[], bool] = lambda: False,
+        backlog: int = 1_024,
     ) -> None:
         self.loop, self.accept, self.most, self.limit, self.dropped = loop, accept, most, limit, dropped
         self.make_room = make_room  # asked from `most` on: may a newcomer come in? Closes another for it
@@ -304,7 +305,7 @@
         except OSError:
             self.sock.close()
             raise
-        self.sock.listen(1024)
+        self.sock.listen(backlog)
         self.sock.setblocking(False)
         self.address: tuple[str, int] = self.sock.getsockname()
         self.open: set[Stream] = set()
--- a/glencleat/node/owners.py
+++ b/glencleat/node/owners.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from glencleat.descriptors import Demand, Descriptors, Side, Worth
+from glencleat.descriptors import BACKLOG, Descriptors, Side, Worth
 from glencleat.isup import messages as m
 from glencleat.isup.exchange import Exchange
 from glencleat.isup.inbox import Inbox
@@ -92,7 +92,7 @@
     def listen(self, address: tuple[str, int]) -> tuple[str, int]:
         # With 0 that are let in unasked, the descriptors' owner decides of each.
         self.listener = Listener(
-            self.loop, address, self._accepted, 0, UNSENT, lambda why: None, self._make_room
+            self.loop, address, self._accepted, 0, UNSENT, lambda why: None, self._make_room, BACKLOG
         )
         return self.listener.address
 
@@ -265,7 +265,7 @@
     # ---- room and time ----
 
     def _make_room(self) -> bool:
-        return self.descriptors.make_room(Demand.OWNER)
+        return self.descriptors.newcomer(self.loop.now())
 
     def _sweep(self) -> None:
         self.loop.call_in(SWEEP_MS, self._sweep)
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -7,13 +7,13 @@
 import pytest
 
 from glencleat import interface as api
-from glencleat.descriptors import Demand, Side
+from glencleat.descriptors import ASIDE, STANDSTILL_MS, Demand, Side
 from glencleat.isup import messages as m
 from glencleat.isup.ends import KEEP_MS
 from glencleat.node import owners
 from tests.live import World as Virtual
 from tests.live import read, setup
-from tests.sockets import Peer, cancel, kinds, linked, settled, stands
+from tests.sockets import Peer, World, cancel, kinds, linked, settled, stands
 
 # ---- links and connections that the other side has closed ----
 
@@ -200,3 +200,29 @@
     world.advance(KEEP_MS + 1.0)
     world.asks(77, extras="cores:1;memory:1;service:s;at:h1", wait=None)
     assert 77 in world.exchange.standing["h1"]
+
+
+# ---- newcomers faster than they are taken ----
+
+
+def test_a_flood_that_is_faster_than_rounds_passes_no_limit():
+    """Real connections, `PER` in each standstill's time, none taken meanwhile: all that are ours and all that
+    wait in the listen backlog, which operators count as ours, stay within the limit at each instant."""
+    per, world, now = 48, World(room=400), [1e6]
+    world.loop.clock.now = lambda: now[0]
+    came, most = [], 0
+    try:
+        for _ in range(30):
+            for _ in range(per):
+                came.append(socket.create_connection(world.address))
+            world.loop.poller.poll(0.0)  # what those who were closed by us last time owe is not looked at
+            most = max(most, world.descriptors.held + per)
+            now[0] += STANDSTILL_MS
+            for _ in range(3):
+                world.loop.round(wait=False)
+            assert world.owners.listener.take() == 0, "all were taken"
+        assert most <= 400 + ASIDE and world.descriptors.most <= 400
+        assert world.descriptors.turned_away == 0 and world.descriptors.held > 400 - 2 * per
+    finally:
+        for sock in came:
+            sock.close()
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -4,7 +4,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from glencleat.descriptors import ASIDE, GIVEN, LEAVING, Demand, Descriptors, Side, Worth
+from glencleat.descriptors import ASIDE, GIVEN, KEPT_FREE, LEAVING, STANDSTILL_MS, Demand, Descriptors, Side, Worth
 
 LINK_WORTHS = (Worth.SPARE, Worth.LISTENED, Worth.LISTENING, Worth.HELD)
 OWNER_WORTHS = (Worth.STRANGER, Worth.FRIEND, Worth.HELD)
@@ -139,3 +139,38 @@
     pool, made = full(Worth.STRANGER)
     made[0].at_last = Worth.HELD
     assert not pool.make_room(Demand.OWNER) and made[0] in pool.filed
+
+
+# ---- newcomers ----
+
+
+def crowd(pool, now, count):
+    for _ in range(count):
+        assert pool.newcomer(now)
+        pool.hold(Holder(pool, Side.OWNERS, Worth.STRANGER))
+
+
+@pytest.mark.parametrize("per_standstill", [1, 10, 40, 60])
+def test_a_standstill_in_a_steady_rush_has_its_places(per_standstill):
+    """Strangers come and stay, so many in each standstill's time: as many places are free at its end."""
+    pool = Descriptors(640)
+    for number in range(max(1_400, 20 * per_standstill)):
+        crowd(pool, 1e9 + number * STANDSTILL_MS / per_standstill, 1)
+    assert pool.held + per_standstill <= pool.room + 1
+    assert pool.held >= pool.room - 2 * per_standstill  # and no more than for that
+
+
+def test_what_is_kept_free_is_bounded_and_let_go_of():
+    pool = Descriptors(640)
+    crowd(pool, 1e9, 2_000)
+    assert pool.kept_free == pool.room // KEPT_FREE and pool.held == pool.room - pool.kept_free
+    crowd(pool, 1e9 + 60_000.0, 200)
+    crowd(pool, 1e9 + 90_000.0, 1)
+    assert pool.kept_free == 1
+
+
+def test_only_strangers_make_way_before_there_is_need():
+    pool = Descriptors(640)
+    for _ in range(pool.room - 1):
+        pool.hold(Holder(pool, Side.OWNERS, Worth.FRIEND))
+    assert pool.newcomer(1e9) and pool.held == pool.room - 1
