--- a/glencleat/descriptors.py
+++ b/glencleat/descriptors.py
@@ -13,8 +13,8 @@
 
 ASIDE = 32  # of the limit: 11 always open (standard, poller, signals, listener and its spare, channel, a file
 # that is read), LEAVING, and 13 that nothing of ours takes, so that the limit is never reached
-BACKLOG = 1_024  # connections that the system may hold for us until we take them: fewer would be dropped
-# in a rush, and come back a second later. To the system they are no descriptors of ours, to operators they are.
+BACKLOG = 1_024  # connections that the system may hold until we take them: with fewer, some would be dropped
+# in a rush and come back a second later. To operators these are descriptors of ours.
 STANDSTILL_MS = 100.0  # a round of the loop may take so long: places are kept free for who comes meanwhile,
 KEPT_FREE = 8  # for this part of the room at most; strangers hold all there is only in a rush
 CALMER = 0.8  # so much of it is kept from one such time to the next
@@ -91,7 +91,7 @@
         self.order: tuple[dict[Holder, None], ...] = tuple({} for _ in Worth)
         self.leaving: set[Holder] = set()
         self.most = self.turned_away = 0
-        self.rush, self.came, self.since = 0.0, 0, 0.0  # newcomers in such a time: lately, since when this one
+        self.rush, self.came, self.since = 0.0, 0, 0.0  # newcomers in such a time: lately, now, since when
         self.freed: Callable[[], None] = lambda: None  # one is free, or worth less than it was
 
     @property
--- a/glencleat/isup/messages.py
+++ b/glencleat/isup/messages.py
@@ -106,13 +106,13 @@
     def feed(self, data: bytes) -> None:
         self.buffer += data
 
-    def messages(self, most: int = 1 << 30) -> Iterator[Message]:
-        """Whole messages, up to `most`; PeerError at the first byte that can't be right."""
+    def messages(self) -> Iterator[Message]:
+        """Whole messages; PeerError at the first byte that can't be right."""
         at = 0
         try:
-            while most > 0 and (end := whole(self.buffer, at)) is not None:
+            while (end := whole(self.buffer, at)) is not None:
                 message = decode(bytes(self.buffer[at:end]))
-                at, most = end, most - 1
+                at = end
                 yield message
         finally:
             del self.buffer[:at]
