A pause that can be ended early is the kernel's; owners date half messages once

Need, noticed before: `Feed._rest` was a wait of the kernel's kind within the feed, `Owner.dates` ran twice for each look that brought something. `Pause` in kernel/loop.py with tests of its ends and of being cancelled; `dates` runs where a look or a turn ends. No behaviour changes.

--- a/glencleat/kernel/__init__.py
+++ b/glencleat/kernel/__init__.py
@@ -2,7 +2,7 @@
 
 It imports nothing of glencleat. Clock and sockets come in from outside (`Loop(clock, poller)`)."""
 
-from glencleat.kernel.loop import Cancelled, Clock, Loop, Poller, SystemClock, Task
+from glencleat.kernel.loop import Cancelled, Clock, Loop, Pause, Poller, SystemClock, Task
 from glencleat.kernel.signals import Signals
 from glencleat.kernel.streams import ConnectFailed, Listener, Overflow, Stream, StreamClosed, connect
 from glencleat.kernel.timers import Timer, TimerHeap, TimerWheel
@@ -14,6 +14,7 @@
     "Listener",
     "Loop",
     "Overflow",
+    "Pause",
     "Poller",
     "Signals",
     "Stream",
--- a/glencleat/kernel/loop.py
+++ b/glencleat/kernel/loop.py
@@ -247,3 +247,46 @@
 
     def stop(self) -> None:
         self.running = False
+
+
+class Pause:
+    """A sleep of one task that others can end early.
+
+    >>> loop = Loop()
+    >>> pause = Pause(loop)
+    >>> timer = loop.call_in(1.0, pause.end)
+    >>> loop.run_until(loop.spawn(pause.sleep(60_000.0), "sleeper"))
+    False
+    """
+
+    def __init__(self, loop: Loop) -> None:
+        self.loop = loop
+        self._wake: Callable[[bool], None] | None = None
+
+    @property
+    def asleep(self) -> bool:
+        return self._wake is not None
+
+    def sleep(self, ms: float) -> Coroutine:
+        """Whether it lasted as long as it should."""
+
+        def arm(task: Task) -> Callable[[], None]:
+            def disarm() -> None:
+                timer.cancel()
+                self._wake = None
+
+            def wake(whole: bool) -> None:
+                disarm()
+                self.loop.wake(task, whole)
+
+            timer = self.loop.call_in(ms, lambda: wake(True))
+            self._wake = wake
+            return disarm
+
+        whole = yield arm
+        return whole
+
+    def end(self) -> None:
+        """Nobody may be asleep."""
+        if self._wake is not None:
+            self._wake(False)
--- a/glencleat/node/feed.py
+++ b/glencleat/node/feed.py
@@ -10,8 +10,8 @@
 from glencleat.fleet.asking import Asking
 from glencleat.isup.channel import Channel, News
 from glencleat.isup.messages import PeerError
-from glencleat.kernel import Loop, Stream, StreamClosed, connect
-from glencleat.kernel.loop import Coroutine, Task
+from glencleat.kernel import Loop, Pause, Stream, StreamClosed, connect
+from glencleat.kernel.loop import Coroutine
 
 CONNECT_MS = 500.0
 SILENT_MS = 1_800.0  # a line is due every second
@@ -33,7 +33,7 @@
         self.stream: Stream | None = None
         self.heard = 0.0
         self.half = 0  # bytes since the last whole line, or since as much was counted as a word
-        self.interrupt: Callable[[], None] | None = None  # ends the present wait
+        self.pause = Pause(loop)  # between two tries
         self.up_at: float | None = None  # since when this connection tells something
         self.breaks = 0
         loop.spawn(self._run(), "command channel", urgent=True)
@@ -45,8 +45,7 @@
             self.asking.well()
             if self.stream is not None:
                 self.stream.close("the command channel moved")
-            if self.interrupt is not None:
-                self.interrupt()
+            self.pause.end()
 
     def _run(self) -> Coroutine:
         while True:
@@ -59,29 +58,9 @@
                 self.stream.close()
                 self.stream = None
             lasted = 0.0 if self.up_at is None else self.loop.now() - self.up_at
-            while not (yield from self._rest(self.asking.again(lasted))):
+            while not (yield from self.pause.sleep(self.asking.again(lasted))):
                 lasted = 0.0  # moved meanwhile: a first wait, so that all that move are spread
 
-    def _rest(self, ms: float) -> Coroutine:
-        """Whether it was not interrupted."""
-
-        def arm(task: Task) -> Callable[[], None]:
-            timer = self.loop.call_in(ms, lambda: end(True))
-
-            def disarm() -> None:
-                timer.cancel()
-                self.interrupt = None
-
-            def end(whole: bool) -> None:
-                disarm()
-                self.loop.wake(task, whole)
-
-            self.interrupt = lambda: end(False)
-            return disarm
-
-        whole = yield arm
-        return whole
-
     def _follow(self) -> Coroutine:
         place, self.up_at = self.place, None
         stream: Stream = yield from connect(self.loop, place, CONNECT_MS)
--- a/glencleat/node/owners.py
+++ b/glencleat/node/owners.py
@@ -174,7 +174,6 @@
                     break
         except StreamClosed:
             came = inbox.ended = True
-        owner.dates(self.loop.now())
         return came
 
     def look(self, owner: Owner) -> bool:
@@ -182,6 +181,7 @@
 
         Whether something came."""
         came = self._take_in(owner, LOOK, exact=True)
+        owner.dates(self.loop.now())
         if came:
             owner.stream.nudge()
         elif len(owner.inbox.buffer) >= LOOK and owner.stream.hung_up():
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -52,10 +52,10 @@
     world.until(lambda: told)
     new = Tower(world.loop, lambda n: list_event(2))
     tower.streams[0].close()
-    world.until(lambda: made.interrupt is not None)
+    world.until(lambda: made.pause.asleep)
     made.asking.pace = Pace(1.0, 600_000.0, 9e9)  # what a move draws its wait from
     if when == "connects":
-        made.interrupt()  # the try at the old one has been begun by nobody yet
+        made.pause.end()  # the try at the old one has been begun by nobody yet
     made.move(new.address)
     world.until(lambda: len(told) == 2)
     assert new.got == [b"resume 1\n"]
--- a/tests/test_kernel.py
+++ b/tests/test_kernel.py
@@ -12,6 +12,7 @@
     Listener,
     Loop,
     Overflow,
+    Pause,
     Stream,
     StreamClosed,
     TimerHeap,
@@ -317,3 +318,34 @@
     assert got
     stream.close()
     theirs.close()
+
+
+@pytest.mark.parametrize("early", [True, False])
+def test_a_pause_ends_early_or_in_time_and_once(early):
+    loop = Loop()
+    pause, slept = Pause(loop), []
+
+    def sleeper():
+        slept.append((yield from pause.sleep(60_000.0 if early else 1.0)))
+        slept.append((yield from pause.sleep(1.0)))
+
+    task = loop.spawn(sleeper(), "sleeper")
+    pause.end()  # nobody is asleep yet
+    if early:
+        loop.round(wait=False)
+        assert pause.asleep
+        pause.end()
+        pause.end()
+    loop.run_until(task)
+    assert slept == [not early, True] and not pause.asleep
+
+
+def test_a_pause_that_is_cancelled_wakes_nobody():
+    loop = Loop()
+    pause = Pause(loop)
+    task = loop.spawn(pause.sleep(60_000.0), "sleeper")
+    loop.round(wait=False)
+    loop.cancel(task)
+    loop.round(wait=False)
+    pause.end()
+    assert task.done and not pause.asleep and not loop.ready
