Hosts are looked at when due or when something happened on them, not all in each tick

A dirty set and an index by due time (glencleat/index) now say whose turn it is in a tick; Life.due tells when look may next say something. The exchange tells when a host gains its first standing task or loses its last. Links of a host are kept in the order in which they were made, not in a set's. In check mode, on in tests, each tick recomputes from scratch that whoever is passed over has nothing to be done. Exchange.gone, which nothing showed, is gone.

--- a/glencleat/isup/exchange.py
+++ b/glencleat/isup/exchange.py
@@ -155,7 +155,8 @@
         self.tests: dict[int, str] = {}  # token -> host
         self.tokens = 0
         self.machines: Callable[[], tuple[api.Machine, ...]] = tuple
-        self.bad = self.taken = self.late = self.gone = 0
+        self.stands: Callable[[str], None] = lambda host: None  # told of a host's first, and of its last
+        self.bad = self.taken = self.late = 0
         self.nothing: dict[api.Outcome, int] = {}  # attempts that came to nothing
 
     @property
@@ -281,12 +282,16 @@
             there.pop(call.setup.task, None)
             if not there:
                 del self.standing[host]
+                self.stands(host)
 
     def _stands(self, call: Call, host: str) -> None:
         call.state, call.since = State.STANDS, self.ports.now()
         call.owner.open.discard(call.setup.task)
         self.ports.proves(call.owner)
-        self.standing.setdefault(host, {})[call.setup.task] = call
+        there = self.standing.setdefault(host, {})
+        there[call.setup.task] = call
+        if len(there) == 1:
+            self.stands(host)
 
     def _cut(self, call: Call) -> None:
         """Ends a standing task of ours at its host: moved, or released by its owner."""
@@ -436,8 +441,7 @@
 
     def _take(self, owner: Owner, setup: Setup, left_ms: float) -> None:
         if not self.ports.waits(owner, setup.task, exact=False):
-            self.gone += 1  # its cancel or its client's end came while it lay unread: nothing is owed
-            return
+            return  # its cancel or its client's end came while it lay unread: nothing is owed
         owner.open.add(setup.task)
         self.telling.tell(self._asked(self._new(owner, setup), left_ms))
 
--- a/glencleat/node/hosts.py
+++ b/glencleat/node/hosts.py
@@ -5,7 +5,10 @@
 came up for a longer one, no word of its own on an open link for as long while new ones are refused,
 refused once the list calls it gone, a later start in the list, another id at its address. A link that breaks
 proves nothing, and so does a refusal by a host that drains: it takes no new connections while its tasks run
-on."""
+on.
+
+A tick looks at the hosts on which something has happened and at those whose time has come; the others cost
+nothing. `_next` says when that is, and whoever changes what it reads calls `changed`."""
 
 from __future__ import annotations
 
@@ -14,22 +17,25 @@
 from typing import TYPE_CHECKING
 
 from glencleat import interface as api
-from glencleat.descriptors import Demand, Descriptors
+from glencleat.descriptors import Demand, Descriptors, Worth
 from glencleat.fleet.asking import HOST
 from glencleat.fleet.connecting import Connecting, look_ms
+from glencleat.index.due import DueIndex
+from glencleat.index.turns import Turns
 from glencleat.isup import messages as m
 from glencleat.isup.channel import Host, News, when
 from glencleat.isup.exchange import Attempt, Exchange
 from glencleat.isup.sending import SendOutcome
 from glencleat.kernel import Loop
-from glencleat.node.life import Do
+from glencleat.node import links
+from glencleat.node.life import NEVER, Do
 from glencleat.node.links import HostLinks, Link
 
 if TYPE_CHECKING:
     from glencleat.isup.channel import Channel
     from glencleat.node.trace import Trace
 
-SWEEP_MS, LATE_MS = 200.0, 1_000.0  # between two sweeps; one that comes so late tells of a standstill
+TICK_MS, LATE_MS = 200.0, 1_000.0  # between two ticks; one that comes so late tells of a standstill
 PER_HOST = 8  # links: one open set-up each where there is room, since one bad byte costs all on its link
 SURPLUS_MS = 4_000.0  # a link not needed for so long goes if another is up; owners keep theirs as long
 MOST_WAITING = 500  # attempts that wait for a descriptor
@@ -39,8 +45,6 @@
 class Hosts:
     """All links. `exchange` is set by whoever joins the parts."""
 
-    exchange: Exchange
-
     def __init__(
         self,
         loop: Loop,
@@ -63,17 +67,33 @@
         self.waited = 0  # attempts that came into it
         self.serving = False
         descriptors.freed = self._freed
-        self.swept = loop.now()
-        loop.call_in(SWEEP_MS, self._sweep)
+        self.made = 0  # hosts, which are numbered in the order in which they were made
+        # The longest unheard first: where there are more hosts than descriptors they take turns.
+        self.turns = Turns[HostLinks](order=lambda host: (host.heard, host.number))
+        self.unlisted: dict[str, None] = {}  # where tasks came to stand, and no list names it
+        self.linked: set[HostLinks] = set()  # those with links, and some that have had
+        self.releasing: set[HostLinks] = set()  # those with releases to be heard, and some that have had
+        self.ticks = 0
+        self.ticked = loop.now()
+        loop.call_in(TICK_MS, self._tick)
+
+    @property
+    def exchange(self) -> Exchange:
+        return self._exchange
+
+    @exchange.setter
+    def exchange(self, exchange: Exchange) -> None:
+        self._exchange = exchange
+        exchange.stands = self._stands
 
     @property
     def links(self) -> int:
-        return sum(len(host.links) for host in self.hosts.values())
+        return sum(len(host.links) for host in self.linked)
 
     @property
     def cutting(self) -> bool:
         """Releases wait for a connection to their host."""
-        return any(host.uncut for host in self.hosts.values())
+        return any(host.uncut for host in self.releasing)
 
     # ---- what the exchange asks ----
 
@@ -183,7 +203,8 @@
 
     def _new(self, host: HostLinks, visit: bool = False) -> Link:
         link = Link(self, host, visit)
-        host.links.add(link)
+        host.links[link] = None
+        self.linked.add(host)
         self.descriptors.hold(link)
         return link
 
@@ -194,6 +215,8 @@
         link = next((li for li in host.links if self._kept(li)), None)
         if len(host.cuts) < MOST_CUTS:
             host.cuts[task] = None
+            self.releasing.add(host)
+            self.changed(host)
         if link is not None:
             self._cut(host, link, task)
         else:
@@ -235,6 +258,7 @@
                 link.leave("a newer one is opened")
             else:
                 link.visit = False
+                self.changed(host)
 
     def _kept(self, link: Link) -> bool:
         return link.stream is not None and not (link.doubtful or link.ended) and self._open(link)
@@ -297,9 +321,7 @@
 
     def _told(self, told: Host) -> None:
         name, now = told.machine.name, self.loop.now()
-        host = self.hosts.get(name)
-        if host is None:
-            host = self.hosts[name] = HostLinks(name, now, self.random)
+        host = self.hosts.get(name) or self._add(name)
         if told.machine.phase is api.Phase.GONE:
             host.leaves(now)
             return
@@ -307,6 +329,7 @@
         if told.address != host.address:
             self._drop(host, "its host has another address")
             host.address = told.address
+            self.changed(host)
         other = self.addresses.get(told.address, name)
         self.addresses[told.address] = name
         if other != name and other in self.hosts:
@@ -322,8 +345,14 @@
         host.leaves(self.loop.now())
         self._drop(host, "another host has its address")
         host.address = ("", 0)
+        self.changed(host)
         self._over(host, "another host has its address")
 
+    def _add(self, name: str) -> HostLinks:
+        self.made += 1
+        host = self.hosts[name] = HostLinks(name, self.loop.now(), self.random, self.made, self.changed)
+        return host
+
     def _over(self, host: HostLinks, why: str, before: float = float("inf")) -> None:
         ended = self.exchange.host_lost(host.name, before)
         if ended:
@@ -335,24 +364,94 @@
 
     # ---- now and then ----
 
-    def _sweep(self) -> None:
-        self.loop.call_in(SWEEP_MS, self._sweep)
+    def changed(self, host: HostLinks) -> None:
+        """Something has happened on it that may bring forward when it has to be looked at."""
+        self.turns.mark(host)
+
+    def _stands(self, name: str) -> None:
+        """The first task has come to stand there, or the last one has ended."""
+        host = self.hosts.get(name)
+        if host is None:
+            self.unlisted[name] = None
+        else:
+            self.changed(host)
+
+    def _tick(self) -> None:
+        self.loop.call_in(TICK_MS, self._tick)
         now = self.loop.now()
-        late, self.swept = now - self.swept > LATE_MS, now
+        late, self.ticked = now - self.ticked > LATE_MS, now
         if late:
             return  # after a standstill what hosts said meanwhile lies unread: it is read first
+        self.ticks += 1
         self._freed()  # a moment ago too many may have been begun
-        for name in [name for name in self.exchange.standing if name not in self.hosts]:
-            self.hosts[name] = HostLinks(name, now, self.random)
-            self.hosts[name].leaves(now)
-        # The longest unheard first: where there are more hosts than descriptors they take turns.
-        for host in sorted(self.hosts.values(), key=lambda host: host.heard):
-            if host.name in self.exchange.standing:
-                self._look(host, now)
-            elif host.uncut:
-                self._again(host, Demand.ATTEMPT)
-            self._tidy(host, now)
-            self._file(host)
+        names, self.unlisted = self.unlisted, {}
+        for name in names:
+            if name in self.exchange.standing and name not in self.hosts:
+                self._add(name).leaves(now)
+            elif name in self.hosts:
+                self.changed(self.hosts[name])
+        if DueIndex.checked:
+            self._check(now)
+        for host in self.turns.take(now):
+            if self.hosts.get(host.name) is host:
+                self._visit(host, now)
+            if self.hosts.get(host.name) is not host:
+                self._forget(host)
+
+    def _visit(self, host: HostLinks, now: float) -> None:
+        """All that has to be done at a host by now, and when there is more."""
+        if host.name in self.exchange.standing:
+            self._look(host, now)
+        elif host.uncut:
+            self._again(host, Demand.ATTEMPT)
+        self._tidy(host, now)
+        self._file(host)
+        if not host.links:
+            self.linked.discard(host)
+        if not host.cuts:
+            self.releasing.discard(host)
+        self.turns.put(host, self._next(host))
+
+    def _forget(self, host: HostLinks) -> None:
+        self.linked.discard(host)
+        self.releasing.discard(host)
+        self.turns.put(host, NEVER)
+
+    def _next(self, host: HostLinks) -> float:
+        """When it has to be looked at again if nothing happens on it; what is past: in the next tick.
+
+        Each line answers one of `_look`, `_again`, `_tidy` and `_file`; `_check` sets them against it."""
+        stands, links_of = host.name in self.exchange.standing, host.links
+        due = NEVER
+        if stands:
+            due = host.due(bool(host.address[1]), bool(links_of), look_ms(self.peers))
+        elif host.uncut and host.address[1] and all(link.stream for link in links_of):
+            due = host.again_at
+        if host.gone and not stands and not any(link.load for link in links_of):
+            due = -NEVER
+        for link in links_of:
+            if not link.unused:
+                continue
+            if link.visit and not stands:
+                due = -NEVER
+            elif not link.visit and len(links_of) > 1:
+                due = min(due, link.used + SURPLUS_MS)
+            if not (link.visit or (stands and host.draining)):
+                due = min(due, link.used + self.idle_ms)
+            if self.descriptors.filed.get(link) is Worth.LISTENING:
+                due = min(due, link.since + links.VISIT_MS)
+        return due
+
+    def _check(self, now: float) -> None:
+        """By the plain way: whoever is passed over has nothing to be done, and its links their worth."""
+        turns = self.turns.gather(now)
+        for host in self.hosts.values():
+            if host not in turns:
+                assert self._next(host) > now, (host.name, now, self._next(host), vars(host))
+                for link in host.links:
+                    assert self.descriptors.filed.get(link) in (None, link.worth()), (host.name, vars(link))
+            assert host in self.linked or not host.links
+            assert host in self.releasing or not host.cuts
 
     def _look(self, host: HostLinks, now: float) -> None:
         """Whether a host with standing tasks lives: `life.py` says what is to be done."""
--- a/glencleat/node/life.py
+++ b/glencleat/node/life.py
@@ -132,6 +132,17 @@
         due = now - self.spoke > max(QUIET_MS, look_ms) or not linked or self.failing < now
         return (Do.LOOK if due else Do.NOTHING), ""
 
+    def due(self, addressed: bool, linked: bool, look_ms: float) -> float:
+        """The first instant at which `look`, so asked, may say anything but NOTHING if nothing is seen until
+        then. Before every instant that it gives, `look` says NOTHING; -NEVER where it may say so already."""
+        if not addressed:
+            return self.since + UNLISTED_MS
+        if not linked and not self.given_up or (self.refusing and self.failed_at > self.gone_at):
+            return -NEVER
+        silent = self.spoke + NEVER_UP_MS if self.refusing else NEVER
+        quiet = self.spoke + (HEAR_MS if self.given_up else max(QUIET_MS, look_ms))
+        return min(self.refused + self.proof_ms(), silent, self.failing, quiet)
+
     def _refusing(self, now: float) -> tuple[Do, str] | None:
         if self.failed_at > self.gone_at:
             return Do.OVER, "the list calls it gone, and connections are refused"
--- a/glencleat/node/links.py
+++ b/glencleat/node/links.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import errno
+from collections.abc import Callable
 from random import Random
 from typing import TYPE_CHECKING, Protocol
 
@@ -43,6 +44,7 @@
     def back(self, host: HostLinks) -> None: ...
     def failed(self, host: HostLinks, refused: bool) -> None: ...
     def broken(self, host: HostLinks, link: Link, why: str) -> None: ...
+    def changed(self, host: HostLinks) -> None: ...
 
 
 class Link:
@@ -104,7 +106,7 @@
         host closes the other. A close at once would lose it, and the second in which it must be told on."""
         assert self.stream is not None
         self.left = True
-        self.host.links.discard(self)
+        self.host.remove(self)
         if self.loop.now() - self.since > HOST.steady_ms:
             self.host.asking.well()
         stands = self.hosts.exchange.standing.get(self.host.name)
@@ -124,7 +126,7 @@
         if self.stream is not None:
             self.stream.close(why)
             return
-        self.host.links.discard(self)
+        self.host.remove(self)
         waiting, self.waiting = self.waiting, []
         for attempt in waiting:
             attempt.link = None
@@ -135,6 +137,7 @@
     def take(self, attempt: Attempt) -> None:
         attempt.link, self.visit = self, False
         self.used = self.loop.now()
+        self.hosts.changed(self.host)
         if self.stream is None:
             self.waiting.append(attempt)
         else:
@@ -147,6 +150,7 @@
             held_back = SendOutcome.NEVER_SENT
         if held_back is not None:
             attempt.link = None
+            self.hosts.changed(self.host)
             self.hosts.answer(attempt, held_back)
             return
         data = attempt.setup_message(self.loop.now())
@@ -159,6 +163,7 @@
             self.stream.put(data)
 
     def cancel(self, attempt: Attempt) -> SendOutcome:
+        self.hosts.changed(self.host)
         if attempt in self.waiting:
             self.waiting.remove(attempt)
             return SendOutcome.NEVER_UP
@@ -182,7 +187,7 @@
             self.stream = yield from connect(self.loop, self.address, self.hosts.connect_ms)
         except ConnectFailed as error:
             self.hosts.connecting.ended(self.address)
-            self.host.links.discard(self)
+            self.host.remove(self)
             self.hosts.descriptors.free(self)
             if self.left:
                 return  # of an address that is no longer its host's
@@ -220,7 +225,9 @@
             self.host.heard = self.used = self.loop.now()
             self.host.asking.well()
             self.hosts.back(self.host)
-            self.doubtful = False
+            if self.doubtful:
+                self.doubtful = False
+                self.hosts.changed(self.host)
             self.decoder.feed(data)
             for message in self.decoder.messages():
                 self._message(message)
@@ -230,10 +237,12 @@
         if self.hosts.trace is not None:
             self.hosts.trace.message(f"host {self.host.name}", message)
         self.host.says(self.loop.now(), by_itself=message.kind != m.TESTED)
-        if message.kind in (m.RELEASE, m.RELEASE_HEARD):
-            self.host.cuts.pop(message.task, None)
+        if message.kind in (m.RELEASE, m.RELEASE_HEARD) and message.task in self.host.cuts:
+            del self.host.cuts[message.task]
+            self.hosts.changed(self.host)
         answered = next((a for a in self.out if a.call.setup.task == message.task), None)
         if answered is not None and message.kind in (m.ANSWER, m.RELEASE):
+            self.hosts.changed(self.host)
             del self.out[answered]  # before the module may bind anew: this link is free again
         try:
             self.hosts.exchange.host_says(self.host.name, self, message)
@@ -249,12 +258,13 @@
         stream = self.stream
         assert stream is not None
         stream.close(why)
-        self.host.links.discard(self)
+        self.host.remove(self)
         for task in [task for task, link in self.host.cuts.items() if link is self]:
             if self.left:
                 del self.host.cuts[task]  # all that was written before we ended it is read
             else:
                 self.host.cuts[task] = None
+            self.hosts.changed(self.host)
         out, self.out = self.out, {}
         for attempt, end in out.items():
             whole = stream.written >= end
@@ -264,18 +274,50 @@
 
 
 class HostLinks(Life):
-    """A host, its links, and what is known of whether it lives."""
+    """A host, its links, and what is known of whether it lives. `changed` is told of all that may bring
+    forward when it has to be looked at; what only puts it off is found when that time comes."""
 
-    def __init__(self, name: str, now: float, random: Random) -> None:
+    def __init__(
+        self, name: str, now: float, random: Random, number: int, changed: Callable[[HostLinks], None]
+    ) -> None:
         super().__init__(now)
-        self.name = name
+        self.name, self.number, self.changed = name, number, changed
         self.asking = Asking(HOST, random)  # between two connections, when it could not be reached
         self.address: tuple[str, int] = ("", 0)
         self.started: float | None = None  # its process, as the list told last: Unix milliseconds
-        self.links: set[Link] = set()
+        self.links: dict[Link, None] = {}  # in the order in which they were made
         self.again_at = 0.0
         self.cuts: dict[int, Link | None] = {}  # releases that it has not said it heard, and where they went
 
+    def remove(self, link: Link) -> None:
+        if link in self.links:
+            del self.links[link]
+            self.changed(self)
+
+    # ---- what is seen of it ----
+
+    def leaves(self, now: float) -> None:
+        if not self.gone:
+            self.changed(self)
+        super().leaves(now)
+
+    def listed(self, draining: bool) -> None:
+        if self.gone or self.draining != draining:
+            self.changed(self)
+        super().listed(draining)
+
+    def up(self, now: float) -> None:
+        super().up(now)
+        self.changed(self)
+
+    def fails(self, now: float, refused: bool, alone: bool) -> None:
+        super().fails(now, refused, alone)
+        self.changed(self)
+
+    def breaks(self, now: float, idle: bool, alone: bool) -> bool:
+        self.changed(self)
+        return super().breaks(now, idle, alone)
+
     @property
     def uncut(self) -> list[int]:
         """Releases that no open link carries."""
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,10 +4,12 @@
 import pytest
 from hypothesis import settings
 
+from glencleat.index.due import DueIndex
 from tests.sockets import World
 
 settings.register_profile("fixed", derandomize=True, deadline=None)
 settings.load_profile("fixed")
+DueIndex.checked = True  # every index answers from scratch as well, and `Hosts` looks at all it passes over
 
 
 @pytest.fixture
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -126,7 +126,7 @@
 def test_the_module_is_told_of_hosts_that_looks_do_not_reach(world, monkeypatch):
     """And when one is heard again, if only on a link from before."""
     monkeypatch.setattr(life, "QUIET_MS", 20.0)
-    monkeypatch.setattr(hosts, "SWEEP_MS", 20.0)
+    monkeypatch.setattr(hosts, "TICK_MS", 20.0)
     world.hosts.connect_ms = 10.0
     (peer,), _ = standing(world, 1)
     told = lambda: [(e.machine, e.up) for e in world.module.events if isinstance(e, api.Reached)]  # noqa: E731
@@ -146,7 +146,7 @@
 @pytest.mark.parametrize("heals", [True, False])
 def test_a_cut_ends_what_stands_only_when_its_release_is_nearly_due(world, monkeypatch, heals):
     """3.5 s of failed connections ended thousands of tasks that ran on behind a cut of 6 s."""
-    monkeypatch.setattr(hosts, "SWEEP_MS", 5.0)
+    monkeypatch.setattr(hosts, "TICK_MS", 5.0)
     for name, ms in (("QUIET_MS", 20.0), ("NEVER_UP_MS", 900.0)):
         monkeypatch.setattr(life, name, ms)
     (peer,), _ = standing(world, 1)
@@ -454,7 +454,7 @@
 
 def test_a_host_that_takes_connections_and_ends_them_is_asked_in_growing_steps(world, monkeypatch):
     """With a task there, each link that broke was opened again at once: some thousand times a second."""
-    monkeypatch.setattr(hosts, "SWEEP_MS", 5.0)
+    monkeypatch.setattr(hosts, "TICK_MS", 5.0)
     (peer,), owner = standing(world, 1)
     taken, real = [], peer.listener.accept
 
@@ -533,7 +533,7 @@
 
 def test_more_hosts_than_descriptors_take_turns(world, monkeypatch):
     """Every release is heard, though two links serve six hosts."""
-    monkeypatch.setattr(hosts, "SWEEP_MS", 10.0)
+    monkeypatch.setattr(hosts, "TICK_MS", 10.0)
     monkeypatch.setattr(life, "HEAR_MS", 100.0)
     monkeypatch.setattr(links, "VISIT_MS", 20.0)
     world.descriptors.room, world.descriptors.rights = 3, {Side.OWNERS: 1, Side.LINKS: 2}
