--- /dev/null
+++ b/tests/quiet.py
@@ -0,0 +1,285 @@
+"""`node/hosts.py` with its exchange on a clock of their own: no sockets, and hosts that do as a script says.
+
+Everything that passes between them is written down, so that two ways to do the work can be set side by side."""
+
+import errno
+from collections import Counter
+from random import Random
+
+from glencleat import interface as api
+from glencleat.descriptors import ASIDE, Descriptors
+from glencleat.isup import messages as m
+from glencleat.isup.channel import Channel, Host, News
+from glencleat.isup.exchange import Exchange
+from glencleat.kernel import ConnectFailed, Loop, StreamClosed
+from glencleat.node import links
+from glencleat.node.hosts import Hosts
+from tests.live import SETTINGS, Owner, read, setup
+
+
+class Clock:
+    at = 1_000_000.0
+
+    def now(self):
+        return self.at
+
+    def wall(self):
+        return 1.7e12 + self.at
+
+
+class Poller:
+    """Nothing ever comes of itself: time goes on to the next timer."""
+
+    idle_ms = 0.0
+
+    def __init__(self, clock):
+        self.clock = clock
+
+    def poll(self, timeout_ms):
+        self.clock.at += max(0.0, timeout_ms or 0.0)
+
+
+class FakeStream:
+    readable, out = False, b""
+
+    def __init__(self, world, peer, number):
+        self.world, self.peer, self.number = world, peer, number
+        self.closed, self.queued, self.written, self.on_close = None, 0, 0, []
+        self.inbox, self.reader = [], None
+
+    def put(self, data):
+        if self.closed is None:
+            self.queued += len(data)
+            self.written = self.queued
+            self.world.note("put", self.number, data)
+            self.world.loop.call_in(1.0, lambda: self.peer.hears(self, data))
+
+    def bring(self, data):
+        if self.closed is None:
+            self.inbox.append(data)
+            if self.reader is not None:
+                reader, self.reader = self.reader, None
+                self.world.loop.wake(reader)
+
+    def read(self):
+        while not self.inbox and self.closed is None:
+            yield self._arm
+        if self.closed is not None:
+            raise StreamClosed(self.closed)
+        return self.inbox.pop(0)
+
+    def _arm(self, task):
+        self.reader = task
+
+        def disarm():
+            self.reader = None
+
+        return disarm
+
+    def hung_up(self):
+        return self.closed is not None or b"" in self.inbox
+
+    def shut(self):
+        self.world.note("shut", self.number)
+        self.world.loop.call_in(3.0, lambda: self.bring(b""))
+
+    def close(self, why="closed"):
+        if self.closed is None:
+            self.closed = why
+            self.world.note("close", self.number, why)
+            self.peer.streams.pop(self, None)
+            if self.reader is not None:
+                reader, self.reader = self.reader, None
+                self.world.loop.wake(reader)
+            for call in self.on_close:
+                call(why)
+
+
+class FakeHost:
+    """`mode`: up, refuses, silent (nothing comes up). What has ended is owed until it was heard."""
+
+    def __init__(self, world, name, address):
+        self.world, self.name, self.address = world, name, address
+        self.mode, self.streams, self.tasks, self.owed = "up", {}, {}, {}
+
+    def up(self, stream):
+        self.streams[stream] = None
+        for task in self.owed:
+            stream.bring(m.caused(m.RELEASE, task, m.ENDED))
+
+    def hears(self, stream, data):
+        if self.mode == "silent" or stream.closed is not None:
+            return
+        for message in read(data):
+            task = message.task
+            if message.kind == m.SETUP:
+                self._asked(stream, task)
+            elif message.kind == m.RELEASE_HEARD:
+                self.owed.pop(task, None)
+            elif message.kind == m.RELEASE:
+                self.tasks.pop(task, None)
+                if task % 5:
+                    self.say(stream, m.encode(m.RELEASE_HEARD, task))
+
+    def _asked(self, stream, task):
+        if task % 7 == 3:
+            return  # it hangs
+        if task % 7 == 5:
+            self.say(stream, m.caused(m.RELEASE, task, m.FULL))
+            return
+        self.tasks[task] = stream
+        self.say(stream, m.encode(m.ANSWER, task, {m.DESCRIPTION: b"ok"}), 1.0 + task % 40)
+
+    def say(self, stream, data, in_ms=1.0):
+        self.world.loop.call_in(in_ms, lambda: self.mode != "silent" and stream.bring(data))
+
+    def ends(self, task):
+        """On its own link, or on any, or on the next."""
+        link = self.tasks.pop(task)
+        self.owed[task] = None
+        link = link if link in self.streams else next(iter(self.streams), None)
+        if link is not None:
+            self.say(link, m.caused(m.RELEASE, task, m.ENDED))
+
+    def notes(self):
+        for task, stream in list(self.tasks.items()):
+            if stream in self.streams:
+                self.say(stream, m.encode(m.NOTE, task, {m.TOPIC: b"cores", m.VALUE: b"1"}))
+
+    def breaks(self, most=99):
+        for stream in list(self.streams)[:most]:
+            stream.bring(b"")
+
+
+class Module:
+    """Binds anew, refuses, moves another task or does nothing, by numbers alone."""
+
+    def __init__(self, world):
+        self.world, self.stands = world, {}
+
+    def handle(self, now, event):
+        self.world.note("event", event)
+        if isinstance(event, api.Asked):
+            if event.machine is not None:
+                self.stands[event.call] = None
+                return []
+            return [api.Bind(event.call, self.world.target, 900.0)]
+        if isinstance(event, api.Accepted):
+            self.stands[event.call] = None
+        elif isinstance(event, api.Left):
+            self.stands.pop(event.call, None)
+        elif isinstance(event, api.Returned):
+            return self._back(event)
+        return []
+
+    def _back(self, event):
+        if not event.over:
+            names = sorted(self.world.hosts.hosts)
+            if event.attempt < 2 and names:
+                return [api.Bind(event.call, names[(event.call + event.attempt) % len(names)], 900.0)]
+            return [api.Refuse(event.call)]
+        self.stands.pop(event.call, None)
+        if event.call % 3 == 0 and self.stands:
+            return [api.Move(next(iter(self.stands)))]
+        return []
+
+
+class World:
+    """`kind`: the class of Hosts. The exchange's Ports as well; its owners are one connection that stays."""
+
+    def __init__(self, kind=Hosts, room=40, patch=None):
+        self.clock, self.record, self.counts = Clock(), [], Counter()
+        self.loop = Loop(self.clock, Poller(self.clock))
+        self.descriptors = Descriptors(room + ASIDE)
+        self.descriptors.room = room
+        self.channel = Channel(1.7e12)
+        self.hosts = kind(
+            self.loop, self.channel, self.descriptors, 250.0, 30_000.0, Random(1), lambda text: self.note("log", text)
+        )  # fmt: skip
+        self.now, self.call_in = self.loop.now, self.loop.call_in
+        self.exchange = Exchange(SETTINGS, Module(self), self, 250.0)
+        self.hosts.exchange = self.exchange
+        for name in ("failed", "reached", "host_lost", "host_says", "held_back"):
+            self._spy(name)
+        self.owner, self.peers, self.target, self.no_files = Owner(), {}, "", False
+        self.offer, self.cancel, self.unread = self.hosts.offer, self.hosts.cancel, self.hosts.unread
+        self.cut, self.test = self.hosts.cut, self.hosts.test
+        if patch is not None:
+            patch.setattr(links, "connect", lambda loop, address, ms: self.connect(address, ms))
+
+    def note(self, *what):
+        self.counts[what[0]] += 1
+        self.record.append((self.clock.at, *map(repr, what)))
+
+    def _spy(self, name):
+        real = getattr(self.exchange, name)
+
+        def told(*args, **more):
+            plain = [
+                (a.call.number, a.number) if hasattr(a, "call") else a.host.name if hasattr(a, "host") else a
+                for a in args
+            ]
+            self.note(name, plain, sorted(more.items()))
+            return real(*args, **more)
+
+        setattr(self.exchange, name, told)
+
+    def connect(self, address, timeout_ms):
+        self.note("connect", address)
+        if self.no_files:
+            raise ConnectFailed(address, errno.EMFILE)
+        peer = self.peers.get(address)
+        mode = peer.mode if peer is not None else "silent"
+        yield from self.loop.sleep(2.0 if mode != "silent" else timeout_ms)
+        if mode == "up":
+            stream = FakeStream(self, peer, self.counts["connect"])
+            peer.up(stream)
+            return stream
+        raise ConnectFailed(address, errno.ECONNREFUSED if mode == "refuses" else errno.ETIMEDOUT)
+
+    # ---- Ports that are not the hosts' ----
+
+    def to_owner(self, owner, data, owed):
+        self.note("owner", data)
+
+    def waits(self, owner, task, exact):
+        return True
+
+    def proves(self, owner):
+        pass
+
+    def log(self, text):
+        self.note("log", text)
+
+    # ---- what a script does ----
+
+    def advance(self, ms):
+        end = self.clock.at + ms
+        reached = []
+        self.loop.call_in(ms, lambda: reached.append(True))
+        while not reached:
+            self.loop.round()
+        self.clock.at = max(self.clock.at, end)
+
+    def peer(self, name, port):
+        return self.peers.setdefault(("127.0.0.1", port), FakeHost(self, name, ("127.0.0.1", port)))
+
+    def told(self, *entries, whole=False):
+        """Each of (name, port, phase, when it started in Unix milliseconds)."""
+        found = [
+            Host(api.Machine(name, "std", "a", 0, phase), ("127.0.0.1", port), started)
+            for name, port, phase, started in entries
+        ]
+        self.hosts.list_told(News(whole, tuple(found)))
+
+    def ask(self, task, host, cls="safe", **more):
+        self.target = host
+        (message,) = read(setup(task, cls=cls, **more))
+        self.exchange.owner_asks(self.owner, message, 0.0)
+
+    def adopt(self, task, host):
+        self.ask(task, host, extras=f"cores:1;memory:2;service:web;at:{host}")
+
+    def release(self, task):
+        (message,) = read(m.caused(m.RELEASE, task, m.ENDED))
+        self.exchange.owner_releases(self.owner, message)
