--- a/glencleat/node/links.py
+++ b/glencleat/node/links.py
@@ -150,7 +150,6 @@
             held_back = SendOutcome.NEVER_SENT
         if held_back is not None:
             attempt.link = None
-            self.hosts.changed(self.host)
             self.hosts.answer(attempt, held_back)
             return
         data = attempt.setup_message(self.loop.now())
--- a/tests/test_life.py
+++ b/tests/test_life.py
@@ -1,11 +1,14 @@
 """Which evidence ends what stands at a host: every order of what can be seen of one, at small scope."""
 
+import math
 from dataclasses import dataclass
 from itertools import product
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
-from glencleat.node.life import NEVER_UP_MS, Do, Life
+from glencleat.node.life import NEVER, NEVER_UP_MS, Do, Life
 
 SWEEP_MS, STEP_MS, TRY_MS, CONNECT_MS, TOLD_MS = 200.0, 1_000.0, 1_000.0, 250.0, 8_000.0
 
@@ -169,3 +172,72 @@
         assert life.unreached(CONNECT_MS, alone) is away
         life.up(2_100.0)
         assert not life.unreached(CONNECT_MS, alone)
+
+
+def due_is_exact(life, now, addressed, linked, look_ms):
+    """`look` says NOTHING at every instant from now on before `due`, and something as soon as it is past."""
+    due = life.due(addressed, linked, look_ms)
+    at = lambda when: life.look(when, addressed, linked, look_ms)[0]  # noqa: E731
+    told = (now, now + 1.0, now + 199.0, (now + due) / 2.0, due - 1.0, math.nextafter(due, -NEVER))
+    said = [(when, at(when)) for when in told if now <= when < due and when < NEVER]
+    assert all(do is Do.NOTHING for _, do in said), (said, due, vars(life))
+    if due < NEVER:
+        assert at(max(due + 0.01, now)) is not Do.NOTHING, (due, vars(life))
+    else:
+        assert at(now + 1e9) is Do.NOTHING, vars(life)
+
+
+def test_before_it_is_due_a_look_would_have_said_nothing():
+    """After any two seconds of a host and at each sweep of a third, however it is asked."""
+    asked = list(product((True, False), (True, False), (500.0, 3_000.0), (True, False)))
+    states = set()
+    for before in product(PHASES, repeat=3):
+        run = Run()
+        for number, phase in enumerate(before):
+            run.begin(phase)
+            for _ in range(int(STEP_MS / SWEEP_MS)):
+                if run.sweep(phase)[0] is Do.OVER:
+                    break
+                life = run.life
+                state = (run.now, life.since, life.gone, life.draining, life.gone_at, life.spoke, life.refused,
+                         life.failing, life.failed_at, life.refusing, life.fell)  # fmt: skip
+                if number < 2 or state in states:
+                    continue
+                states.add(state)
+                for addressed, linked, look_ms, given_up in asked:
+                    kept, life.given_up = life.given_up, given_up
+                    due_is_exact(life, run.now, addressed, linked, look_ms)
+                    life.given_up = kept
+    assert len(states) > 1_000
+
+
+SEEN = st.sampled_from(["leaves", "serves", "drains", "up", "says", "answers", "refused", "refused alone", "nothing",
+                        "nothing alone", "breaks", "breaks idle", "breaks alone", "given up"])  # fmt: skip
+
+
+@given(
+    st.lists(st.tuples(st.floats(0.0, 9_000.0), SEEN), max_size=20),
+    st.booleans(),
+    st.booleans(),
+    st.floats(0.0, 3_000.0),
+)
+def test_due_by_drawn_histories(seen, addressed, linked, look_ms):
+    now, life = 0.0, Life(0.0)
+    for ms, what in seen:
+        now += ms
+        match what.split():
+            case ["leaves"]:
+                life.leaves(now)
+            case ["serves"] | ["drains"]:
+                life.listed(what == "drains")
+            case ["up"]:
+                life.up(now)
+            case ["says"] | ["answers"]:
+                life.says(now, by_itself=what == "says")
+            case ["refused" | "nothing" as how, *alone]:
+                life.fails(now, how == "refused", bool(alone))
+            case ["breaks", *how]:
+                life.breaks(now, how == ["idle"], how == ["alone"])
+            case _:
+                life.given_up = True
+        due_is_exact(life, math.nextafter(now, NEVER), addressed, linked, look_ms)
