Fleet test: ends are told in time while hundreds of idle hosts come, go and fall silent

Twenty allocators as processes, 300 hosts; hosts release, die and vanish, 100 idle ones leave and return, one allocator stands still, one is killed and begins anew with its tasks handed over. Each end is told once, within 1 s of a release and 8 s of an end without one.

--- a/glencleat/node/links.py
+++ b/glencleat/node/links.py
@@ -263,7 +263,6 @@
                 del self.host.cuts[task]  # all that was written before we ended it is read
             else:
                 self.host.cuts[task] = None
-            self.hosts.changed(self.host)
         out, self.out = self.out, {}
         for attempt, end in out.items():
             whole = stream.written >= end
--- a/tests/test_fleet_races.py
+++ b/tests/test_fleet_races.py
@@ -1,6 +1,7 @@
 """Several allocators as processes of their own, some killed or stalled in the middle of it: slow start, the end
 under load, a list that goes quiet. Judged from what their hosts, clients and list service received."""
 
+import socket
 import time
 from collections import Counter, defaultdict
 
@@ -180,3 +181,135 @@
     late = {number: round(at) for number, at in last.items() if at > WORD_MS + DRAIN_MS + 50.0}
     assert not late and len(last) >= COUNT // 2
     assert sum(at > began + WORD_MS for at, _ in rig.hosts[0].got) > COUNT  # they went on elsewhere
+
+
+class Holder(LiveHost):
+    """Holds tasks until it is told otherwise. What has ended with a word of it goes out on the link of its set-up,
+    or else on the next connection, by whomever: it can't tell its allocators apart."""
+
+    def __init__(self, loop, name):
+        super().__init__(loop, name, 1e9)
+        self.links, self.owed, self.fillers = {}, set(), []
+
+    def _accepted(self, stream):
+        super()._accepted(stream)
+        for task in self.owed:
+            stream.put(m.caused(m.RELEASE, task, m.ENDED))
+
+    def _take(self, stream, task):
+        self.links[task] = stream
+        super()._take(stream, task)
+
+    def release(self):
+        self.owed |= set(self.links)
+        for task, stream in self.links.items():
+            stream.put(m.caused(m.RELEASE, task, m.ENDED))
+
+    def die(self):
+        self.go()
+        self.listener.close()
+
+    def vanish(self):
+        """Open links stay and say nothing more, connections do not come up: the queue of its listener is full."""
+        self.listener.close()
+        for stream in self.streams:
+            stream.put = lambda data: False
+        full = socket.socket()
+        full.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        full.bind(("127.0.0.1", self.port))
+        full.listen(0)
+        self.fillers = [full]
+        for _ in range(4):
+            self.fillers.append(socket.socket())
+            self.fillers[-1].setblocking(False)
+            self.fillers[-1].connect_ex(("127.0.0.1", self.port))
+
+    def end(self):
+        super().end()
+        for sock in self.fillers:
+            sock.close()
+
+
+class Waiting(Client):
+    """Keeps when it was first told of a task's end."""
+
+    def __init__(self, loop, address):
+        super().__init__(loop, address)
+        self.ends, self.stood = {}, set()
+
+    def run(self, address):
+        decoder = m.Decoder()
+        try:
+            self.stream = yield from connect(self.loop, address, 5_000.0)
+            while data := (yield from self.stream.read()):
+                decoder.feed(data)
+                for message in decoder.messages():
+                    if message.kind == m.ANSWER:
+                        self.stood.add(message.task)
+                    elif message.kind == m.RELEASE:
+                        assert message.task not in self.ends  # told once
+                        self.ends[message.task] = self.loop.now()
+        except StreamClosed:
+            pass
+
+
+WORD_TOLD_MS, END_TOLD_MS = 1_050.0, 8_050.0  # the page's second and eight, each 50 ms longer
+
+
+@pytest.mark.parametrize("rig", [0], indirect=True)
+def test_ends_are_told_in_time_while_hundreds_of_idle_hosts_come_and_go(rig):
+    """Twenty allocators hold tasks on some of 300 hosts. Hosts release, die and fall silent, a hundred idle ones
+    leave the list and a hundred new ones enter it, and allocators are stalled, killed and started again."""
+    rig.hosts += [Holder(rig.loop, f"h{i}") for i in range(300)]
+    rig.service.close()
+    rig.service = Service(rig.loop, [entry(host.name, host.port) for host in rig.hosts])
+    rig.start()
+    clients = [Waiting(rig.loop, rig.nodes.ready(i)) for i in range(COUNT)]
+    rig.until(lambda: all(client.stream for client in clients), 10_000.0)
+    for i, client in enumerate(clients):
+        for task in range(1 + 1_000 * i, 5 + 1_000 * i):  # services of their own: they go to hosts of their own
+            client.stream.send(setup(task, cls="unsafe", extras=f"cores:4;memory:8;service:s{task}"))
+    rig.until(lambda: all(len(c.stood | set(c.ends)) == 4 for c in clients), 15_000.0)
+    where = {task: host for host in rig.hosts for task in host.links}
+    held = {task for client in clients for task in client.stood - set(client.ends)}
+    busy = list(dict.fromkeys(where[task] for task in sorted(held)))
+    idle = [host for host in rig.hosts if not host.links]
+    assert len(held) > 2 * COUNT and len(busy) > 20 and len(idle) > 200
+    speak, dead, silent = (busy[i::3] for i in range(3))
+    rig.service.tell([entry(host.name, host.port, "DELETED") for host in idle[:100]])
+    rig.service.tell([entry(f"new{i}", 20_000 + i) for i in range(100)])
+    rig.nodes.stall(3)
+    rig.nodes.end(5)
+    rig.nodes.log(5).unlink()
+    rig.wait(500.0)
+    began = rig.loop.now()
+    for host in speak:
+        host.release()
+    for host in dead:
+        host.die()
+    for host in silent:
+        host.vanish()
+    rig.service.tell([entry(host.name, host.port) for host in idle[:100]])
+    rig.nodes.configure(5, rig.service.address, rig.service.known())
+    rig.nodes.start(5)
+    rig.wait(1_500.0)
+    rig.nodes.go_on(3)
+    went_on = rig.loop.now()
+    rig.until(lambda: rig.nodes.ready(5), 10_000.0)
+    client = Waiting(rig.loop, rig.nodes.ready(5))
+    rig.until(lambda: client.stream, 5_000.0)
+    again = sorted(task for task in held if task // 1_000 == 5)
+    for task in again:  # handed over by its client
+        extras = f"cores:1;memory:2;service:web;at:{where[task].name}"
+        client.stream.send(setup(task, cls="unsafe", extras=extras))
+    handed, clients[5] = rig.loop.now(), client
+    rig.until(lambda: all(task in clients[task // 1_000].ends for task in held), 12_000.0)
+    late = {}
+    for task in held:
+        i = (task - 1) // 1_000
+        since = {3: went_on, 5: handed}.get(i, began)
+        most = WORD_TOLD_MS if where[task] in speak and i != 5 else END_TOLD_MS
+        if clients[i].ends[task] - since > most:
+            late[task] = where[task].name, clients[i].ends[task] - since, most
+    assert not late
+    assert not any("FAULT" in rig.nodes.log(i).read_text() for i in range(COUNT))
