Tests: what a tick costs, as counts: idle hosts nothing, those gone one look each

Counts of hosts looked at are equal among 100 and 400 hosts, idle or with 20 tasks; a whole list that says nothing new has none looked at. Two marks that drawn streams seldom need have a test of their own.

--- a/tests/test_ticks.py
+++ b/tests/test_ticks.py
@@ -6,7 +6,8 @@
 
 from glencleat import interface as api
 from glencleat.descriptors import Demand
-from glencleat.node import hosts
+from glencleat.isup import messages as m
+from glencleat.node import hosts, life
 from glencleat.node.hosts import Hosts
 from tests.quiet import World
 
@@ -170,3 +171,97 @@
             pytest.fail(f"seed {seed}:\n{plain.record[around]}\n{due.record[around]}")
         assert len(plain.record) == len(due.record) and left(plain) == left(due), seed
         assert plain.hosts.links == due.hosts.links or not plain.hosts.linked
+
+
+# ---- what a tick costs, as counts of work ----
+
+
+def many(count, patch, tasks=0):
+    """`count` hosts that the list names, a task on each of the first."""
+    world = World(patch=patch)
+    for i in range(count):
+        world.peer(f"h{i}", i + 1)
+    everyone = [(f"h{i}", i + 1, api.Phase.SERVING, 0.0) for i in range(count)]
+    world.told(*everyone, whole=True)
+    for i in range(tasks):
+        world.adopt(i + 1, f"h{i}")
+    world.advance(3_000.0)
+    return world, everyone
+
+
+def looked(world, ms):
+    """Hosts looked at in so long, and ticks."""
+    before = world.hosts.turns.taken, world.hosts.ticks
+    world.advance(ms)
+    return world.hosts.turns.taken - before[0], world.hosts.ticks - before[1]
+
+
+def test_idle_hosts_cost_nothing_whatever_their_number(monkeypatch):
+    found = [looked(many(count, monkeypatch)[0], 10_000.0) for count in (100, 400)]
+    assert found[0] == found[1] and found[0][0] == 0 and found[0][1] >= 49
+
+
+def test_hosts_with_tasks_cost_the_same_among_four_times_as_many(monkeypatch):
+    small, large = (looked(many(count, monkeypatch, tasks=20)[0], 10_000.0) for count in (100, 400))
+    assert small == large
+    looks = 10_000.0 / life.QUIET_MS
+    assert 20 * looks * 0.7 < small[0] < 20 * looks * 4.0  # as each is due, comes up, and ends the one before
+
+
+def test_a_whole_list_that_says_nothing_new_has_no_host_looked_at(monkeypatch):
+    world, everyone = many(400, monkeypatch)
+    world.told(*everyone, whole=True)
+    assert looked(world, 1_000.0)[0] == 0
+
+
+@pytest.mark.parametrize("how", ["gone", "left out"])
+def test_hosts_gone_at_once_are_looked_at_once_each(monkeypatch, how):
+    world, everyone = many(400, monkeypatch)
+    if how == "gone":
+        world.told(*((name, port, api.Phase.GONE, 0.0) for name, port, _, _ in everyone[:60]))
+    else:
+        world.told(*everyone[60:], whole=True)
+    assert looked(world, 1_000.0)[0] == 60
+    assert len(world.hosts.hosts) == 340 and looked(world, 1_000.0)[0] == 0
+
+
+def test_what_is_forgotten_leaves_nothing_behind(monkeypatch):
+    world, everyone = many(30, monkeypatch, tasks=20)
+    world.told(*((name, port, api.Phase.GONE, 0.0) for name, port, _, _ in everyone))
+    for peer in world.peers.values():
+        peer.mode = "refuses"
+        peer.breaks()
+    world.advance(10_000.0)
+    turns = world.hosts.turns
+    assert not (world.hosts.hosts or world.exchange.standing or world.hosts.linked or world.hosts.releasing)
+    assert not turns.dirty and not len(turns.due) and world.hosts.links == 0
+
+
+# ---- marks that drawn streams seldom need ----
+
+
+def test_a_link_that_is_heard_again_makes_the_one_beside_it_worth_less(monkeypatch):
+    """The check of a tick fails if it is not filed anew."""
+    world, _ = many(1, monkeypatch)
+    for task in (8, 10):  # the second has no answer, nor has its end: its link is doubtful
+        world.ask(task, "h0", "unsafe")
+    world.advance(1_500.0)
+    host = world.hosts.hosts["h0"]
+    (doubtful,) = (link for link in host.links if link.doubtful)
+    world.advance(500.0)
+    doubtful.stream.bring(m.encode(m.PROGRESS, 10))
+    world.advance(100.0)
+    assert not doubtful.doubtful and host in world.hosts.turns.dirty
+    world.advance(200.0)
+
+
+def test_a_release_heard_of_by_the_host_itself_is_waited_for_no_more(monkeypatch):
+    world, _ = many(1, monkeypatch, tasks=1)
+    world.peers["127.0.0.1", 1].mode = "refuses"
+    world.peers["127.0.0.1", 1].breaks()
+    world.advance(20.0)
+    world.release(1)
+    assert world.hosts.cutting
+    world.peers["127.0.0.1", 1].mode = "up"
+    world.advance(3_000.0)
+    assert not world.hosts.cutting and not world.hosts.releasing
