--- a/glencleat/node/hosts.py
+++ b/glencleat/node/hosts.py
@@ -395,11 +395,13 @@
         for host in self.turns.take(now):
             if self.hosts.get(host.name) is host:
                 self._visit(host, now)
-            if self.hosts.get(host.name) is not host:
+            if self.hosts.get(host.name) is host:
+                self.turns.put(host, self._next(host))
+            else:
                 self._forget(host)
 
     def _visit(self, host: HostLinks, now: float) -> None:
-        """All that has to be done at a host by now, and when there is more."""
+        """All that has to be done at a host by now."""
         if host.name in self.exchange.standing:
             self._look(host, now)
         elif host.uncut:
@@ -410,7 +412,6 @@
             self.linked.discard(host)
         if not host.cuts:
             self.releasing.discard(host)
-        self.turns.put(host, self._next(host))
 
     def _forget(self, host: HostLinks) -> None:
         self.linked.discard(host)
