--- a/glencleat/node/life.py
+++ b/glencleat/node/life.py
@@ -68,10 +68,13 @@
         self.refused = self.failing = NEVER
         self.refusing = self.fell = self.given_up = False
 
-    def says(self, now: float, by_itself: bool) -> None:
+    def hears(self, now: float) -> None:
+        """Bytes of it came, of whatever kind."""
         self.heard = now
-        if by_itself:
-            self.spoke = now
+
+    def speaks(self, now: float) -> None:
+        """It said something of itself, which an answer to a test is not."""
+        self.spoke = now
 
     def fails(self, now: float, refused: bool, alone: bool) -> None:
         """A try failed; `alone`: no link is up."""
--- a/glencleat/node/links.py
+++ b/glencleat/node/links.py
@@ -221,7 +221,8 @@
             data = yield from stream.read()
             if not data:
                 raise StreamClosed("the host closed it")
-            self.host.heard = self.used = self.loop.now()
+            self.used = self.loop.now()
+            self.host.hears(self.used)
             self.host.asking.well()
             self.hosts.back(self.host)
             if self.doubtful:
@@ -235,7 +236,8 @@
     def _message(self, message: m.Message) -> None:
         if self.hosts.trace is not None:
             self.hosts.trace.message(f"host {self.host.name}", message)
-        self.host.says(self.loop.now(), by_itself=message.kind != m.TESTED)
+        if message.kind != m.TESTED:
+            self.host.speaks(self.loop.now())
         if message.kind in (m.RELEASE, m.RELEASE_HEARD) and message.task in self.host.cuts:
             del self.host.cuts[message.task]
             self.hosts.changed(self.host)
--- a/tests/test_life.py
+++ b/tests/test_life.py
@@ -58,10 +58,11 @@
                 self.again_at = at + TRY_MS
         if self.up and phase.says == "own":
             self.word = self.now
-            self.life.says(self.now, by_itself=True)
+            self.life.hears(self.now)
+            self.life.speaks(self.now)
         do, why = self.life.look(self.now, True, self.up or bool(self.pending), 500.0)
         if self.up and phase.says == "tests":  # of the module's, as ours are no more
-            self.life.says(self.now, by_itself=False)
+            self.life.hears(self.now)
         if do is Do.LAST:
             self.again_at = self.now
         if do in (Do.LOOK, Do.LAST) and not self.pending and self.now >= self.again_at:
@@ -167,7 +168,8 @@
         life.fails(1_000.0, refused, alone)
         assert not life.unreached(CONNECT_MS, alone)
         if heard:
-            life.says(1_900.0, by_itself=True)
+            life.hears(1_900.0)
+            life.speaks(1_900.0)
         life.fails(2_000.0, refused, alone)
         assert life.unreached(CONNECT_MS, alone) is away
         life.up(2_100.0)
@@ -233,7 +235,9 @@
             case ["up"]:
                 life.up(now)
             case ["says"] | ["answers"]:
-                life.says(now, by_itself=what == "says")
+                life.hears(now)
+                if what == "says":
+                    life.speaks(now)
             case ["refused" | "nothing" as how, *alone]:
                 life.fails(now, how == "refused", bool(alone))
             case ["breaks", *how]:
