--- a/glencleat/node/hosts.py
+++ b/glencleat/node/hosts.py
@@ -162,8 +162,7 @@
 
     def _send(self, host: HostLinks, attempt: Attempt, full: bool = False) -> bool:
         link = self._pick(host, attempt.call.setup.task, full)
-        while link is not None and link.stream is not None and link.stream.readable and link.stream.hung_up():
-            link.ended = True  # what we sent would be lost, and nobody could tell whether unread
+        while link is not None and link.closed_by_host():
             link = self._pick(host, attempt.call.setup.task, full)
         if link is None:
             return False
--- a/glencleat/node/links.py
+++ b/glencleat/node/links.py
@@ -78,6 +78,14 @@
         """Up, with nothing open on it."""
         return self.stream is not None and not self.load
 
+    def closed_by_host(self, polled: bool = True) -> bool:
+        """Whether nothing more may be sent on it: that would be lost, and nobody could tell whether unread.
+
+        The system is asked where the poller told of something, or, if not `polled`, had no chance to."""
+        if self.stream is not None and (self.stream.readable or not polled) and self.stream.hung_up():
+            self.ended = True
+        return self.ended
+
     # ---- its descriptor ----
 
     def worth(self) -> Worth:
@@ -207,7 +215,7 @@
             self.stream.close("its host has another address")
             return
         self.hosts.up(self.host, self)
-        self.ended = self.stream.hung_up()  # taken and ended at once
+        self.closed_by_host(polled=False)  # it may be taken and ended at once
         waiting, self.waiting = self.waiting, []
         for attempt in waiting:
             self._send(attempt)
