--- a/glencleat/isup/exchange.py
+++ b/glencleat/isup/exchange.py
@@ -22,11 +22,12 @@
 from glencleat.allocator.contract import Contract, Module
 from glencleat.allocator.telling import Telling
 from glencleat.isup import messages as m
+from glencleat.isup import vocabulary
 from glencleat.isup.channel import News
 from glencleat.isup.ends import Ends
 from glencleat.isup.sending import OUTCOMES, NEVER_RAN, SendOutcome, Seen, harmless, held_back, turn_holds
 from glencleat.isup.setups import BadSetup, Reader, Setup
-from glencleat.settings import read_report
+from glencleat.isup.vocabulary import AFTER, BEFORE, TOPICS
 
 
 class State(Enum):
@@ -35,27 +36,6 @@
     STANDS = "stands"
 
 
-BEFORE = {m.FULL: api.Outcome.REFUSED, m.ERROR: api.Outcome.ERROR, m.MOOT: api.Outcome.NOT_SENT}
-AFTER = {m.ENDED: api.Outcome.ENDED, m.STOPPED: api.Outcome.STOPPED}  # every other cause: LOST
-WHYS = {
-    "no_cores": api.Why.CORES,
-    "no_memory": api.Why.MEMORY,
-    "queue_full": api.Why.LINE,
-    "not_here": api.Why.NOT_HERE,
-    "evicted": api.Why.EVICTED,
-    "pushed_out": api.Why.PUSHED_OUT,
-    "sent_away": api.Why.SENT_AWAY,
-}
-TOPICS = {
-    "runs": api.NoteKind.RUNS,
-    "cores": api.NoteKind.CORES,
-    "memory": api.NoteKind.MEMORY,
-    "served": api.NoteKind.SERVED,
-    "pressure": api.NoteKind.MACHINE_MEMORY,
-}
-FIELDS = {"util": "busy", "queue": "q"}  # names on the sockets -> in the settings, where they differ
-
-
 class Owner(Protocol):
     """A connection of owners, as far as the exchange knows it."""
 
@@ -331,7 +311,7 @@
         """A whole message of a host; PeerError if it can't be read, before anything is changed."""
         if message.kind == m.TESTED:
             outcome = api.Outcome.ENDED if message.cause == 1 else api.Outcome.ERROR
-            report = self._report(message)
+            report = vocabulary.report(message)
             if self.tests.get(message.task) == host:
                 self._tested(message.task, outcome, report)
             return
@@ -345,7 +325,7 @@
             else:
                 self.late += 1  # after its time, a second time, or of nothing: the page says it means nothing
         elif message.kind == m.RELEASE:
-            cause, why, report = message.cause, self._why(message), self._report(message)
+            cause, why, report = message.cause, vocabulary.why(message), vocabulary.report(message)
             if attempt is not None and attempt.call.state is State.STANDS:
                 self.ends.heard(message.task, host, cause, True, self.ports.now())
                 self._back(attempt, AFTER.get(cause, api.Outcome.LOST), why, report)
@@ -382,15 +362,6 @@
         if attempt is not None and attempt.call.state is State.STANDS and topic in TOPICS:
             self.telling.tell(api.Noted(attempt.call.number, attempt.host, TOPICS[topic], value))
 
-    @staticmethod
-    def _why(message: m.Message) -> api.Why:
-        return WHYS.get(message.text(m.TOPIC) or "", api.Why.NONE)
-
-    @staticmethod
-    def _report(message: m.Message) -> api.Report | None:
-        raw = m.fields(message.text(m.REPORT) or "")
-        return read_report({FIELDS.get(name, name): m.figure(value) for name, value in raw.items()})
-
     # ---- owners ----
 
     def owner_asks(self, owner: Owner, message: m.Message, waited_ms: float, late: bool = False) -> bool:
