Fleet test: dead ports stay taken, releases on any open link, bounds plus what the machine withheld

In the whole suite, at a load of 27 on 8 cores, the test failed once: an end was not told in 12 s (which one was not shown; it is now). A dead host's port was free, and a listener of another test there would pass for the host: likely, not reproduced; the port stays taken now. Alone it failed once in eight more runs: 1.40 s in place of 1.05, by a process whose longest round was 1.19 s of 0.19 s CPU in all. The time in which the system kept a process or the test waiting (schedstat) is now added to its bounds; on a quiet machine that is nothing.

--- a/tests/test_fleet_races.py
+++ b/tests/test_fleet_races.py
@@ -1,6 +1,7 @@
 """Several allocators as processes of their own, some killed or stalled in the middle of it: slow start, the end
 under load, a list that goes quiet. Judged from what their hosts, clients and list service received."""
 
+import os
 import socket
 import time
 from collections import Counter, defaultdict
@@ -202,21 +203,28 @@
 
     def release(self):
         self.owed |= set(self.links)
-        for task, stream in self.links.items():
-            stream.put(m.caused(m.RELEASE, task, m.ENDED))
+        for task in self.links:  # the link of its set-up may have been left since: on any open one, so on all
+            for stream in list(self.streams):
+                stream.put(m.caused(m.RELEASE, task, m.ENDED))
 
     def die(self):
+        """Its port stays taken, and refuses: a listener of somebody else there would pass for the host."""
         self.go()
         self.listener.close()
+        self.fillers = [self._bound()]
+
+    def _bound(self):
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind(("127.0.0.1", self.port))
+        return sock
 
     def vanish(self):
         """Open links stay and say nothing more, connections do not come up: the queue of its listener is full."""
         self.listener.close()
         for stream in self.streams:
             stream.put = lambda data: False
-        full = socket.socket()
-        full.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        full.bind(("127.0.0.1", self.port))
+        full = self._bound()
         full.listen(0)
         self.fillers = [full]
         for _ in range(4):
@@ -253,6 +261,12 @@
             pass
 
 
+def kept_waiting(pid):
+    """Milliseconds in which a process was ready to run and the machine ran others, in all (schedstat)."""
+    with open(f"/proc/{pid}/schedstat") as file:
+        return int(file.read().split()[1]) / 1e6
+
+
 WORD_TOLD_MS, END_TOLD_MS = 1_050.0, 8_050.0  # the page's second and eight, each 50 ms longer
 
 
@@ -283,6 +297,8 @@
     rig.nodes.log(5).unlink()
     rig.wait(500.0)
     began = rig.loop.now()
+    pids = {i: child.pid for i, child in rig.nodes.children.items()} | {"us": os.getpid()}
+    waits = {i: -kept_waiting(pid) for i, pid in pids.items()}
     for host in speak:
         host.release()
     for host in dead:
@@ -303,12 +319,17 @@
         extras = f"cores:1;memory:2;service:web;at:{where[task].name}"
         client.stream.send(setup(task, cls="unsafe", extras=extras))
     handed, clients[5] = rig.loop.now(), client
-    rig.until(lambda: all(task in clients[task // 1_000].ends for task in held), 12_000.0)
+    untold = lambda: sorted(task for task in held if task not in clients[task // 1_000].ends)  # noqa: E731
+    kind = {host: how for how, found in (("speaks", speak), ("dead", dead), ("silent", silent)) for host in found}
+    said = lambda: [(task, where[task].name, kind[where[task]]) for task in untold()]  # noqa: E731
+    run_until(rig.loop, lambda: not untold(), 12_000.0, lambda: (said(), rig.nodes.log(untold()[0] // 1_000).read_text()[-2_000:]))
+    waits = {i: wait + kept_waiting(pids[i]) for i, wait in waits.items()}
     late = {}
     for task in held:
-        i = (task - 1) // 1_000
+        i = task // 1_000
         since = {3: went_on, 5: handed}.get(i, began)
         most = WORD_TOLD_MS if where[task] in speak and i != 5 else END_TOLD_MS
+        most += waits.get(i, 0.0) + waits["us"]  # on a machine that is busy with others
         if clients[i].ends[task] - since > most:
             late[task] = where[task].name, clients[i].ends[task] - since, most
     assert not late
