--- a/glencleat/node/life.py
+++ b/glencleat/node/life.py
@@ -68,10 +68,13 @@
         self.refused = self.failing = NEVER
         self.refusing = self.fell = self.given_up = False
 
-    def says(self, now: float, by_itself: bool) -> None:
+    def hears(self, now: float) -> None:
+        """Bytes of it came, of whatever kind."""
         self.heard = now
-        if by_itself:
-            self.spoke = now
+
+    def speaks(self, now: float) -> None:
+        """It said something of itself, which an answer to a test is not."""
+        self.spoke = now
 
     def fails(self, now: float, refused: bool, alone: bool) -> None:
         """A try failed; `alone`: no link is up."""
@@ -132,6 +135,17 @@
         due = now - self.spoke > max(QUIET_MS, look_ms) or not linked or self.failing < now
         return (Do.LOOK if due else Do.NOTHING), ""
 
+    def due(self, addressed: bool, linked: bool, look_ms: float) -> float:
+        """The first instant at which `look`, so asked, may say anything but NOTHING if nothing is seen until
+        then. Before every instant that it gives, `look` says NOTHING; -NEVER where it may say so already."""
+        if not addressed:
+            return self.since + UNLISTED_MS
+        if not linked and not self.given_up or (self.refusing and self.failed_at > self.gone_at):
+            return -NEVER
+        silent = self.spoke + NEVER_UP_MS if self.refusing else NEVER
+        quiet = self.spoke + (HEAR_MS if self.given_up else max(QUIET_MS, look_ms))
+        return min(self.refused + self.proof_ms(), silent, self.failing, quiet)
+
     def _refusing(self, now: float) -> tuple[Do, str] | None:
         if self.failed_at > self.gone_at:
             return Do.OVER, "the list calls it gone, and connections are refused"
--- /dev/null
+++ b/tests/test_ticks.py
@@ -0,0 +1,267 @@
+"""Which hosts a tick looks at: as if it had looked at all, and at a cost of what is due alone."""
+
+from random import Random
+
+import pytest
+
+from glencleat import interface as api
+from glencleat.descriptors import Demand
+from glencleat.isup import messages as m
+from glencleat.node import hosts, life
+from glencleat.node.hosts import Hosts
+from tests.quiet import World
+
+STREAMS, BATCH, STEPS = 240, 12, 140
+
+
+class Sweeping(Hosts):
+    """The plain way, which the program went until hosts were looked at when due: all of them in each tick."""
+
+    def _tick(self):
+        self.loop.call_in(hosts.TICK_MS, self._tick)
+        now = self.loop.now()
+        late, self.ticked = now - self.ticked > hosts.LATE_MS, now
+        if late:
+            return
+        self._freed()
+        for name in [name for name in self.exchange.standing if name not in self.hosts]:
+            self._add(name).leaves(now)
+        for host in sorted(self.hosts.values(), key=lambda host: host.heard):
+            if host.name in self.exchange.standing:
+                self._look(host, now)
+            elif host.uncut:
+                self._again(host, Demand.ATTEMPT)
+            self._tidy(host, now)
+            self._file(host)
+
+
+class Script:
+    """What happens to a cluster, drawn from a seed; what is drawn depends on what there is by then."""
+
+    def __init__(self, world, seed):
+        self.world, self.random, self.tasks = world, Random(seed), 0
+        self.names = [f"h{i}" for i in range(self.random.randint(2, 9))]
+        self.port = dict(zip(self.names, range(1, 99), strict=False))
+        self.phase = dict.fromkeys(self.names, api.Phase.SERVING)
+        self.started = dict.fromkeys(self.names, 0.0)
+        self.spans = self.random.choice(((1.0, 400.0), (1.0, 2_500.0), (1.0, 60.0)))
+        for name in self.names:
+            world.peer(name, self.port[name])
+        world.told(*map(self.entry, self.names), whole=True)
+        self.verbs = [
+            self.ask, self.ask, self.ask, self.ask, self.adopt, self.end, self.end, self.end, self.note, self.note,
+            self.release, self.list, self.list, self.whole, self.mode, self.mode, self.mend, self.cut, self.cut,
+            self.move, self.start, self.standstill, self.files, self.rest,
+        ]  # fmt: skip
+
+    def entry(self, name):
+        return name, self.port[name], self.phase[name], self.started[name]
+
+    def any(self, found):
+        found = sorted(found)
+        return self.random.choice(found) if found else None
+
+    def peer(self):
+        return self.world.peers[self.any(self.world.peers)]
+
+    def run(self):
+        for _ in range(STEPS):
+            self.random.choice(self.verbs)()
+            self.world.advance(self.random.uniform(*self.spans))
+        self.world.advance(12_000.0)
+
+    def ask(self):
+        self.tasks += 1
+        self.world.ask(self.tasks, self.any(self.names), self.random.choice(("safe", "unsafe")))
+
+    def adopt(self):
+        self.tasks += 1
+        name = self.any([*self.names, "h-unknown"])
+        self.world.adopt(self.tasks, name)
+        for peer in self.world.peers.values():
+            if peer.name == name:
+                peer.tasks[self.tasks] = None
+
+    def end(self):
+        peer = self.peer()
+        if peer.tasks:
+            peer.ends(self.any(peer.tasks))
+
+    def note(self):
+        self.peer().notes()
+
+    def release(self):
+        task = self.any(self.world.exchange.tasks)
+        if task is not None:
+            self.world.release(task)
+
+    def list(self):
+        name = self.any(self.names)
+        self.phase[name] = self.random.choice(list(api.Phase))
+        self.world.told(self.entry(name))
+
+    def whole(self):
+        left = [name for name in self.names if self.random.random() < 0.8]
+        for name in self.names:
+            self.phase[name] = api.Phase.SERVING if name in left else api.Phase.GONE
+        self.world.told(*map(self.entry, left), whole=True)
+
+    def mode(self):
+        peer = self.peer()
+        peer.mode = self.random.choice(("refuses", "silent", "up"))
+        if peer.mode == "refuses" and self.random.random() < 0.6:
+            peer.breaks()
+
+    def mend(self):
+        for peer in self.world.peers.values():
+            peer.mode = "up"
+
+    def cut(self):
+        self.peer().breaks(self.random.choice((1, 99)))
+
+    def move(self):
+        """To another address, sometimes one that another host has."""
+        name = self.any(self.names)
+        self.port[name] = self.random.randint(1, 12)
+        self.world.peer(name, self.port[name])
+        self.world.told(self.entry(name))
+
+    def start(self):
+        name = self.any(self.names)
+        self.started[name] = self.world.clock.wall() - self.random.uniform(0.0, 5_000.0)
+        self.world.told(self.entry(name))
+
+    def standstill(self):
+        self.world.clock.at += self.random.choice((500.0, 1_500.0, 9_000.0))
+
+    def files(self):
+        self.world.no_files = not self.world.no_files and self.random.random() < 0.5
+
+    def rest(self):
+        self.world.advance(self.random.choice((3_000.0, 6_000.0, 30_000.0)))
+
+
+def played(kind, seed, patch):
+    room = Random(seed).choice((2, 3, 5, 40))
+    world = World(kind, room, patch)
+    Script(world, seed).run()
+    return world
+
+
+def left(world):
+    """What there is at the end, beside the record."""
+    found = {
+        name: (host.again_at, host.heard, host.spoke, host.away, [(li.used, li.visit, li.load) for li in host.links])
+        for name, host in world.hosts.hosts.items()
+    }
+    d, c = world.descriptors, world.hosts.connecting
+    standing = {name: list(tasks) for name, tasks in world.exchange.standing.items()}
+    return found, standing, d.held, d.most, d.turned_away, c.turned_away, c.coming, world.hosts.waited
+
+
+@pytest.mark.parametrize("first", range(0, STREAMS, BATCH))
+def test_all_that_is_told_is_as_if_all_hosts_were_looked_at(first, monkeypatch):
+    """Streams of lists, drains, ends, breaks, refusals, silences and standstills, by both ways."""
+    for seed in range(first, first + BATCH):
+        plain, due = (played(kind, seed, monkeypatch) for kind in (Sweeping, Hosts))
+        pairs = zip(plain.record, due.record, strict=False)
+        differs = next((i for i, (a, b) in enumerate(pairs) if a != b), None)
+        if differs is not None:
+            around = slice(max(0, differs - 4), differs + 3)
+            pytest.fail(f"seed {seed}:\n{plain.record[around]}\n{due.record[around]}")
+        assert len(plain.record) == len(due.record) and left(plain) == left(due), seed
+        assert plain.hosts.links == due.hosts.links or not plain.hosts.linked
+
+
+# ---- what a tick costs, as counts of work ----
+
+
+def many(count, patch, tasks=0):
+    """`count` hosts that the list names, a task on each of the first."""
+    world = World(patch=patch)
+    for i in range(count):
+        world.peer(f"h{i}", i + 1)
+    everyone = [(f"h{i}", i + 1, api.Phase.SERVING, 0.0) for i in range(count)]
+    world.told(*everyone, whole=True)
+    for i in range(tasks):
+        world.adopt(i + 1, f"h{i}")
+    world.advance(3_000.0)
+    return world, everyone
+
+
+def looked(world, ms):
+    """Hosts looked at in so long, and ticks."""
+    before = world.hosts.turns.taken, world.hosts.ticks
+    world.advance(ms)
+    return world.hosts.turns.taken - before[0], world.hosts.ticks - before[1]
+
+
+def test_idle_hosts_cost_nothing_whatever_their_number(monkeypatch):
+    found = [looked(many(count, monkeypatch)[0], 10_000.0) for count in (100, 400)]
+    assert found[0] == found[1] and found[0][0] == 0 and found[0][1] >= 49
+
+
+def test_hosts_with_tasks_cost_the_same_among_four_times_as_many(monkeypatch):
+    small, large = (looked(many(count, monkeypatch, tasks=20)[0], 10_000.0) for count in (100, 400))
+    assert small == large
+    looks = 10_000.0 / life.QUIET_MS
+    assert 20 * looks * 0.7 < small[0] < 20 * looks * 4.0  # as each is due, comes up, and ends the one before
+
+
+def test_a_whole_list_that_says_nothing_new_has_no_host_looked_at(monkeypatch):
+    world, everyone = many(400, monkeypatch)
+    world.told(*everyone, whole=True)
+    assert looked(world, 1_000.0)[0] == 0
+
+
+@pytest.mark.parametrize("how", ["gone", "left out"])
+def test_hosts_gone_at_once_are_looked_at_once_each(monkeypatch, how):
+    world, everyone = many(400, monkeypatch)
+    if how == "gone":
+        world.told(*((name, port, api.Phase.GONE, 0.0) for name, port, _, _ in everyone[:60]))
+    else:
+        world.told(*everyone[60:], whole=True)
+    assert looked(world, 1_000.0)[0] == 60
+    assert len(world.hosts.hosts) == 340 and looked(world, 1_000.0)[0] == 0
+
+
+def test_what_is_forgotten_leaves_nothing_behind(monkeypatch):
+    world, everyone = many(30, monkeypatch, tasks=20)
+    world.told(*((name, port, api.Phase.GONE, 0.0) for name, port, _, _ in everyone))
+    for peer in world.peers.values():
+        peer.mode = "refuses"
+        peer.breaks()
+    world.advance(10_000.0)
+    turns = world.hosts.turns
+    assert not (world.hosts.hosts or world.exchange.standing or world.hosts.linked or world.hosts.releasing)
+    assert not turns.dirty and not len(turns.due) and world.hosts.links == 0
+
+
+# ---- marks that drawn streams seldom need ----
+
+
+def test_a_link_that_is_heard_again_makes_the_one_beside_it_worth_less(monkeypatch):
+    """The check of a tick fails if it is not filed anew."""
+    world, _ = many(1, monkeypatch)
+    for task in (8, 10):  # the second has no answer, nor has its end: its link is doubtful
+        world.ask(task, "h0", "unsafe")
+    world.advance(1_500.0)
+    host = world.hosts.hosts["h0"]
+    (doubtful,) = (link for link in host.links if link.doubtful)
+    world.advance(500.0)
+    doubtful.stream.bring(m.encode(m.PROGRESS, 10))
+    world.advance(100.0)
+    assert not doubtful.doubtful and host in world.hosts.turns.dirty
+    world.advance(200.0)
+
+
+def test_a_release_heard_of_by_the_host_itself_is_waited_for_no_more(monkeypatch):
+    world, _ = many(1, monkeypatch, tasks=1)
+    world.peers["127.0.0.1", 1].mode = "refuses"
+    world.peers["127.0.0.1", 1].breaks()
+    world.advance(20.0)
+    world.release(1)
+    assert world.hosts.cutting
+    world.peers["127.0.0.1", 1].mode = "up"
+    world.advance(3_000.0)
+    assert not world.hosts.cutting and not world.hosts.releasing
