--- a/glencleat/logic.py
+++ b/glencleat/logic.py
@@ -9,11 +9,12 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
-from hashlib import blake2b
-from itertools import islice
+from itertools import chain, islice
 from typing import Any
 
+from glencleat.index.order import Members, Order, hashed
 from glencleat.interface import Accepted, Action, Asked, Bind, Effect, Event, Fail, Left, ListKind, ListTold
 from glencleat.interface import Log, Machine, Noted, NoteKind, Outcome, Phase, Probe, Probed, Refuse, Report
 from glencleat.interface import Reached, Returned, SetTimer, Settings, Size, TaskClass, TimerDue, Watch, Why
@@ -45,6 +46,7 @@
 TURNED_MS, TURNED_MAX_MS = 4_000.0, 16_000.0  # a class or tenant turned away without a reason stays off
 STOOD_STILL_MS = 100.0  # a new task that comes with so much of its time gone waited for us, not we for it
 KNOWN, LOG_MS = 2_000, 1_000.0  # services remembered, the longest unused go first; log lines of a kind apart
+ORDERED = 1_000_000  # references in all hash orders together, 8 bytes each; the longest unused go first
 REASK_MS, REASK_MAX_MS = 500.0, 4_000.0  # asking for the list again after a failure, doubled
 START_MS = (200.0, 800.0, 1_500.0)  # a start by warmth, until starts tell; own starts go in two lanes,
 TWO_LANES, COLD_SLOWER = 0.5, 4.0  # slower on a cold machine; how many lanes and how slow is not told
@@ -166,17 +168,6 @@
         return sum(not t.placed for t in self.due.values())
 
 
-def hashed(text: str) -> int:
-    """A hash that is the same at every scheduler and in every process."""
-    return int.from_bytes(blake2b(text.encode(), digest_size=8).digest(), "big")
-
-
-def mixed(value: int) -> int:
-    """Spreads the bits of two hashes joined by exclusive or; cheaper than hashing each pair of names."""
-    value = (value ^ value >> 31) * 0x9E3779B97F4A7C15 & 0xFFFFFFFFFFFFFFFF
-    return (value ^ value >> 29) * 0xBF58476D1CE4E5B9 & 0xFFFFFFFFFFFFFFFF
-
-
 class Scheduler:
     def __init__(self, settings: Settings, seed: int) -> None:
         check(settings)
@@ -190,8 +181,8 @@
         self.kept: dict[str, dict[str, float]] = {}  # service -> machine -> last time a task of ours held it
         self.ratio = (0.6, 0.7)  # use over ask, in the mean, until our own running tasks tell
         self.starts: dict[tuple[str, int], float] = {}
-        self.serving: list[Node] = []
-        self.orders: dict[str, list[Node]] = {}  # the serving machines in each service's hash order
+        self.serving = Members[Node](ORDERED, KNOWN)  # and each service's hash order of them
+        self.emptied: dict[str, None] = {}  # machines that may be gone and without tasks of ours
         self.fill = (0.0, 0.0)  # shares of machines that others' tasks use, in the mean of those told
         self.timer_at = self.wake_at = float("inf")
         self.answer_ms = self.answer_dev = 100.0
@@ -348,29 +339,33 @@
 
     # ---- choice ----
 
-    def order(self, service: str) -> list[Node]:
+    def order(self, service: str) -> Order[Node]:
         """Rendezvous hash: all schedulers order a service's machines alike, so all warm the same ones."""
-        if service not in self.orders:
-            seed, self.orders = hashed(service), self.orders if len(self.orders) < KNOWN else {}
-            self.orders[service] = sorted(self.serving, key=lambda n: (mixed(seed ^ n.hash), n.name))
-        return self.orders[service]
+        return self.serving.order(service)
+
+    def walk(self, task: Task) -> Iterable[Node]:
+        """The machines to look at: first those where tasks of ours hold or kept the program, then by hash.
 
-    def walk(self, task: Task) -> list[Node]:
-        """The machines to look at: first those where tasks of ours hold or kept the program, then by hash."""
+        Of many, the first and a sample of the others: drawn at once, looked up as the caller gets there."""
         names = [t.node.name for t in self.services.get(task.service, {}).values() if t.node]
         names += self.kept.get(task.service, {})
-        warm = [self.nodes[name] for name in names if name in self.nodes]
-        nodes = list({node.name: node for node in [*warm, *self.order(task.service)]}.values())
-        half = EXAMINED // 2
-        return nodes if len(nodes) <= EXAMINED else nodes[:half] + self.random.sample(nodes[half:], half)
+        warm = {name: self.nodes[name] for name in names if name in self.nodes}
+        order, half = self.order(task.service), EXAMINED // 2
+        listed = [node for node in warm.values() if node in self.serving]
+        count, rest = len(warm) + len(order) - len(listed), order.without(listed)
+        nodes = chain(warm.values(), (node for node in order if node.name not in warm))
+        if count <= EXAMINED:
+            return nodes
+        drawn, first = self.random.sample(range(half - len(warm), count - len(warm)), half), [*warm.values()]
+        return chain(islice(nodes, half), (rest[i] if i >= 0 else first[i] for i in drawn))
 
     def warmth(self, node: Node, service: str) -> int:
         """0: a task of ours holds the program there or did lately; 1: peers may, by hash; 2: unlikely."""
         kept = self.kept.get(service, {}).get(node.name, -1e18)
         since = max(self.now - KEPT_MS, node.up_since())  # a restart loses its programs
-        if kept > since or any(t.node is node for t in self.services.get(service, {}).values()):
+        if kept > since or any(t.service == service for t in node.tasks.values()):
             return 0
-        return 1 if node in self.order(service)[:HASHED] else 2
+        return 1 if node in islice(self.order(service), HASHED) else 2
 
     def cold(self, node: Node) -> float:
         """How cold a machine is that came up lately, from 1 to 0: few starts at a time, no programs."""
@@ -505,6 +500,8 @@
             node.tasks.pop(task.call, None)
             node.due.pop(task.call, None)
             node.sums_at = -1e18
+            if node.told.phase is Phase.GONE:
+                self.emptied[node.name] = None
         self.services.get(task.service, {}).pop(task.call, None)
         if not self.services.get(task.service):
             self.services.pop(task.service, None)
@@ -727,8 +724,8 @@
         self.reask_ms = REASK_MS
         names = {m.name: m for m in event.machines}
         for node in self.nodes.values() if event.kind is ListKind.WHOLE else ():
-            if node.name not in names:
-                node.told = replace(node.told, phase=Phase.GONE)
+            if node.name not in names and node.told.phase is not Phase.GONE:
+                self.list_as(node, replace(node.told, phase=Phase.GONE))
         for told in names.values():
             node = self.nodes.get(told.name)
             if node is None or not node.known:
@@ -737,12 +734,18 @@
                 for task in node.tasks.values():
                     task.node = node
                 self.nodes[told.name] = node
-            node.told, node.told_at, node.sums_at = told, self.now, -1e18
-        for node in [n for n in self.nodes.values() if n.told.phase is Phase.GONE and not n.tasks]:
-            del self.nodes[node.name]
-        serving = [n for n in self.nodes.values() if n.known and n.told.phase is Phase.SERVING]
-        if serving != self.serving:
-            self.serving, self.orders = serving, {}
+            self.list_as(node, told)
+            node.told_at, node.sums_at = self.now, -1e18
+        for name in self.emptied:
+            if (node := self.nodes.get(name)) and node.told.phase is Phase.GONE and not node.tasks:
+                del self.nodes[name]
+        self.emptied = {}
+
+    def list_as(self, node: Node, told: Machine) -> None:
+        node.told = told
+        self.serving.put(node, node.known and told.phase is Phase.SERVING)
+        if told.phase is Phase.GONE:
+            self.emptied[node.name] = None
 
     def hear_report(self, node: Node, report: Report) -> None:
         node.report, node.report_at, node.sums_at = report, self.now, -1e18
