--- a/glencleat/index/order.py
+++ b/glencleat/index/order.py
@@ -2,21 +2,23 @@
 
 An order (highest random weight: Thaler and Ravishankar, 1998) is the members sorted by a hash of key and
 member: any two processes that know the same members agree on it. A member that comes or goes is inserted or
-removed by bisection in the orders that are looked at; one not looked at for long catches up by set difference,
-or is sorted anew where that takes fewer hashes. An order gives what a sort of all members would give: no choice
-is made here. Imports nothing of the project; the decision module calls it."""
+removed by bisection in the orders that are looked at; one not looked at for long is filtered, or sorted anew
+where that takes less. An order gives what a sort of all members would give: no choice is made here.
+Imports nothing of the project; the decision module calls it."""
 
 from __future__ import annotations
 
+from array import array
 from bisect import bisect_left, bisect_right
 from collections import deque
-from collections.abc import Iterable, Iterator
+from collections.abc import Container, Iterable, Iterator
 from hashlib import blake2b
-from itertools import islice
+from itertools import compress, islice
 from typing import ClassVar, Generic, Protocol, TypeVar
 
-CHANGES = 64  # changes remembered; beyond, a set difference costs less than one bisection for each
-COPY = 12  # members that a set difference passes over in the time of one hash (benchmarks/order_index.py)
+CHANGES = 1_024  # changes remembered
+# Measured by benchmarks/order_index.py: members filtered, and members sorted, in the time of one put.
+FILTERED, SORTED = 8, 2
 
 
 class Member(Protocol):
@@ -41,12 +43,12 @@
 
 
 class Order(Generic[T]):
-    """The members in one key's order, as of the version at which it was last asked for."""
+    """The members in one key's order, as of the version at which it was last asked for: 16 bytes a member."""
 
-    __slots__ = ("items", "seed", "version")
+    __slots__ = ("items", "seed", "version", "weights")
 
     def __init__(self, seed: int) -> None:
-        self.seed, self.version, self.items = seed, -1, list[T]()
+        self.seed, self.version, self.items, self.weights = seed, -1, list[T](), array("Q")
 
     def __len__(self) -> int:
         return len(self.items)
@@ -57,12 +59,42 @@
     def __getitem__(self, at: int) -> T:
         return self.items[at]
 
+    def weight(self, item: T) -> int:
+        return mixed(self.seed ^ item.hash)
+
     def key(self, item: T) -> tuple[int, str]:
-        return mixed(self.seed ^ item.hash), item.name
+        return self.weight(item), item.name
 
     def place(self, item: T) -> int:
-        """Where it stands, or would stand: O(log members) hashes."""
-        return bisect_left(self.items, self.key(item), key=self.key)
+        """Where it stands, or would stand: one hash and O(log members) comparisons."""
+        weight = self.weight(item)
+        at = bisect_left(self.weights, weight)
+        while at < len(self.items) and self.weights[at] == weight and self.items[at].name < item.name:
+            at += 1
+        return at
+
+    def put(self, item: T, there: bool) -> None:
+        at = self.place(item)
+        if there:
+            self.items.insert(at, item)
+            self.weights.insert(at, self.weight(item))
+        else:
+            del self.items[at], self.weights[at]
+
+    def sort(self, items: Iterable[T]) -> None:
+        self.items = list(items)
+        by_weight = {mixed(self.seed ^ item.hash): item for item in self.items}
+        if len(by_weight) == len(self.items):
+            self.weights = array("Q", sorted(by_weight))
+            self.items = [by_weight[weight] for weight in self.weights]
+        else:  # two names of one hash
+            self.items.sort(key=self.key)
+            self.weights = array("Q", map(self.weight, self.items))
+
+    def keep(self, items: Container[T]) -> None:
+        """Only these stay."""
+        stay = [item in items for item in self.items]
+        self.items, self.weights = list(compress(self.items, stay)), array("Q", compress(self.weights, stay))
 
     def without(self, skipped: Iterable[T]) -> Without[T]:
         return Without(self, skipped)
@@ -80,8 +112,8 @@
         """The least x with x = at + (those left out up to x), by steps from below."""
         if not self.keys:
             self.keys = sorted(map(self.order.key, self.skipped))
-        items, key, place = self.order.items, self.order.key, at
-        while (further := at + bisect_right(self.keys, key(items[place]))) != place:
+        items, weights, place = self.order.items, self.order.weights, at
+        while (further := at + bisect_right(self.keys, (weights[place], items[place].name))) != place:
             place = further
         return items[place]
 
@@ -92,7 +124,7 @@
     checked: ClassVar[bool] = False  # each answer is compared with a sort of all members (in tests)
 
     def __init__(self, most: int, keys: int) -> None:
-        """`most`: references held by all orders together (8 bytes each); `keys`: orders held."""
+        """`most`: references held by all orders together (16 bytes each); `keys`: orders held."""
         self.most, self.most_keys = most, keys
         self.items: dict[T, None] = {}
         self.version, self.held = 0, 0
@@ -132,31 +164,24 @@
 
     def _catch_up(self, order: Order[T]) -> None:
         behind, size = self.version - order.version, len(self.items)
-        probes = size.bit_length()  # hashes of one bisection
-        if order.version >= 0 and behind <= len(self.changes) and behind * probes * COPY <= size:
+        if order.version >= 0 and behind <= len(self.changes) and behind * FILTERED <= size:
             for item, there in islice(self.changes, len(self.changes) - behind, None):
-                self._change(order, item, there)
+                order.put(item, there)
         else:
-            order.items = [item for item in order.items if item in self.items]
+            order.keep(self.items)
             missing = size - len(order.items)
-            if missing * probes > size:
-                order.items = sorted(self.items, key=order.key)
+            if missing * SORTED > size:
+                order.sort(self.items)
             elif missing:
-                for item in self.items.keys() - set(order.items):
-                    self._change(order, item, True)
+                for item in self.items.keys() - set(order.items):  # in any order: all go to their places
+                    order.put(item, True)
         order.version = self.version
 
-    @staticmethod
-    def _change(order: Order[T], item: T, there: bool) -> None:
-        if there:
-            order.items.insert(order.place(item), item)
-        else:
-            del order.items[order.place(item)]
-
     def check(self, order: Order[T]) -> None:
         """Compares an order, and the count of references, with what a sort of all members gives."""
         plain = sorted(self.items, key=order.key)
-        if len(plain) != len(order.items) or any(a is not b for a, b in zip(plain, order.items, strict=True)):
+        weights = list(map(order.weight, plain))
+        if list(map(id, plain)) != list(map(id, order.items)) or weights != list(order.weights):
             raise AssertionError(f"order {order.seed:x} is not that of its {len(plain)} members")
         if self.held != sum(len(one.items) for one in self.orders.values()):
             raise AssertionError(f"{self.held} references counted")
--- a/glencleat/logic.py
+++ b/glencleat/logic.py
@@ -247,10 +247,12 @@
         if left is None:  # unheard machines count as average; own use times peers is noise with many
             node.others = times(node.size, self.fill)
         else:
-            taken = (node.size[i] - left[i] - node.asks[i] + node.fresh[i] for i in (0, 1))
-            cores, memory = (max(0.0, value) for value in taken)
+            size, fill = node.size, self.fill
+            cores = max(0.0, size[0] - left[0] - asks[0] + fresh[0])
+            memory = max(0.0, size[1] - left[1] - asks[1] + fresh[1])
             node.others = times((cores, memory), self.ratio) if self.set.peers > 1 else (0.0, 0.0)
-            self.fill = tuple(f + FILL * (node.others[i] / node.size[i] - f) for i, f in enumerate(self.fill))
+            cores, memory = node.others[0] / size[0], node.others[1] / size[1]
+            self.fill = fill[0] + FILL * (cores - fill[0]), fill[1] + FILL * (memory - fill[1])
         return node
 
     def left(self, node: Node) -> Pair | None:
@@ -280,10 +282,9 @@
             cores *= 1.0 - (1.0 - LOWER) * lower / node.uses[0]
         return cores + more[0] / node.size[0], (used[1] + more[1]) / node.size[1]
 
-    def bears(self, node: Node, task: Task) -> bool:
+    def bears(self, node: Node, task: Task, load: Pair) -> bool:
         """Whether it would be served there, asking less the longer it waits; signs of pressure bar first."""
-        waited = min(1.0, (self.now - task.came) / max(1.0, task.cls.aim_ms))
-        cores, memory = self.load(node, task)
+        waited, (cores, memory) = min(1.0, (self.now - task.came) / max(1.0, task.cls.aim_ms)), load
         calm = min(1.1, task.cls.calm + FADED * task.cls.fade * waited)
         well = cores <= calm and memory <= FULL + (FULLEST - FULL) * waited
         return well and (self.now >= node.void_until or waited >= 1.0)
@@ -409,20 +410,24 @@
 
     def eta(self, node: Node, task: Task, warmth: int) -> float:
         """Time to the start there: own starts due, in a few lanes, then its own, slower while it is cold."""
-        known = [self.starts.get((task.cls.name, warmth), START_MS[warmth])]
-        known += [self.starts.get((t.cls.name, t.warmth), START_MS[t.warmth]) for t in node.due.values()]
-        due = (max(0.0, ms - (self.now - t.sent)) for ms, t in zip(known[1:], node.due.values(), strict=True))
-        return (TWO_LANES * sum(due) + known[0]) * (1.0 + (COLD_SLOWER - 1.0) * self.cold(node))
+        own, due = self.starts.get((task.cls.name, warmth), START_MS[warmth]), 0.0
+        for t in node.due.values():
+            known = self.starts.get((t.cls.name, t.warmth), START_MS[t.warmth])
+            due += max(0.0, known - (self.now - t.sent))
+        return (TWO_LANES * due + own) * (1.0 + (COLD_SLOWER - 1.0) * self.cold(node))
 
     def room(self, node: Node) -> Pair:
         """Asks that the machine would still take, as far as it is told, newer own binds taken off."""
-        left, fresh = self.left(node) or node.size, self.sums(node).fresh
-        over = times(node.size, (self.set.accept_cores - 1.0, self.set.accept_memory - 1.0))
-        return left[0] + over[0] - fresh[0], left[1] + over[1] - fresh[1]
+        left, size, fresh = self.left(node) or node.size, node.size, self.sums(node).fresh
+        cores, memory = size[0] * (self.set.accept_cores - 1.0), size[1] * (self.set.accept_memory - 1.0)
+        return left[0] + cores - fresh[0], left[1] + memory - fresh[1]
 
-    def accepts(self, node: Node, task: Task) -> bool:
-        """Whether it would take the ask: few offers of ours wait in its short line, and room shows."""
-        return self.now >= node.full_until and node.pending() < LINE and least(self.room(node), task.ask)
+    def accepts(self, node: Node, task: Task) -> Pair | None:
+        """The room, if it would take the ask: few offers of ours wait in its short line, and room shows."""
+        if self.now < node.full_until or (node.due and node.pending() >= LINE):
+            return None
+        room = self.room(node)
+        return room if least(room, task.ask) else None
 
     def choose(self, task: Task) -> Node | None:
         """Hash, coverage, borrowing; first among machines where the task would start in time.
@@ -430,18 +435,20 @@
         A departure: a start without the program takes many times the work, and one in time is worth seconds
         of service. Where no machine would be in time, the soonest, and the hash decides which to warm."""
         need, ranked, good = self.need(task), [], 0
-        there = self.services.get(task.service, {}).values()
+        there = self.services.get(task.service, {}).values() if task.cls.spread != "off" else ()
         taken = [t.node.place(task.cls.spread) for t in there if t.node]
         left = task.cls.aim_ms - (self.now - task.came)
         for node in self.walk(task):
-            if not (self.allowed(node, task, taken) and self.accepts(node, task) and self.bears(node, task)):
+            room = self.accepts(node, task) if self.allowed(node, task, taken) else None
+            load = self.load(node, task) if room else (0.0, 0.0)
+            if room is None or not self.bears(node, task, load):
                 continue
             warmth = self.warmth(node, task.service)
             eta = self.eta(node, task, warmth)
             late = 0 if eta <= left else 1 + int(eta / task.cls.aim_ms)
             away = self.set.cross_zone_price > 0.0 and node.told.zone != self.set.zone
-            crowded = self.load(node, task)[0] > task.cls.calm - SPARE
-            room = self.room(node)  # peers may have taken a last bit of it since
+            crowded = load[0] > task.cls.calm - SPARE
+            # Peers may have taken a last bit of the room since.
             tight = any(room[i] - task.ask[i] < TIGHT_ROOM * node.size[i] for i in (0, 1))
             risky = tight and task.attempts > 0  # a further no may use up its attempts
             ranked.append(((late > 0, away, risky, late, crowded, tight, warmth), node))
--- /dev/null
+++ b/tests/test_order_index.py
@@ -0,0 +1,178 @@
+"""The index of hash orders against sorts, and the scheduler on it against its plain form, action by action."""
+
+import numpy as np
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+import glencleat.logic
+from glencleat import interface as api
+from glencleat.index import order as index
+from glencleat.index.order import Members, hashed
+from glencleat.logic import EXAMINED, Scheduler
+from tests.reference_order import CLASSES, KINDS, Plain, Stream, differ
+
+
+@pytest.fixture(autouse=True)
+def checked(monkeypatch):
+    monkeypatch.setattr(Members, "checked", True)
+
+
+class Item:
+    """A member; with `bits` its hash is short, so that some are equal and names decide."""
+
+    def __init__(self, name, bits=64):
+        self.name, self.hash = name, hashed(name) % 2**bits
+
+
+def plain(members, key):
+    seed = hashed(key)
+    return sorted(members.items, key=lambda item: (index.mixed(seed ^ item.hash), item.name))
+
+
+# ---- the index ----
+
+
+CHANGES = st.lists(st.tuples(st.integers(0, 40), st.sampled_from(["put", "take", "again", "a", "b", "c"])), max_size=120)
+
+
+@given(changes=CHANGES, bits=st.sampled_from([2, 4, 64]), remembered=st.sampled_from([1, 8, 1024]), most=st.integers(1, 120))
+def test_an_order_is_what_a_sort_gives_after_any_changes(changes, bits, remembered, most):
+    members = Members[Item](most, 2)
+    members.changes = index.deque(maxlen=remembered)
+    items = [Item(f"m{i}", bits) for i in range(41)]
+    for number, what in changes:
+        if what in ("put", "take"):
+            members.put(items[number], what == "put")
+        elif what == "again":  # goes and comes back as another of the same name
+            members.put(items[number], False)
+            items[number] = Item(f"m{number}", bits)
+            members.put(items[number], True)
+        else:
+            order = members.order(what)
+            assert list(order) == plain(members, what) and len(order) == len(members)
+            assert len(members.orders) <= 2 and (members.held <= most or len(members.orders) == 1)
+
+
+@given(st.integers(1, 60), st.data())
+def test_places_are_found_as_in_a_copy_without_those_left_out(count, data):
+    members = Members[Item](10_000, 10)
+    bits = data.draw(st.sampled_from([3, 64]))
+    for i in range(count):
+        members.put(Item(f"m{i}", bits), True)
+    order = members.order("s")
+    out = data.draw(st.lists(st.sampled_from(order.items), unique=True))
+    copy, rest = [item for item in order if item not in out], order.without(out)
+    assert [rest[i] for i in range(len(copy))] == copy
+
+
+def test_the_longest_unused_orders_go():
+    members = Members[Item](100, 10)
+    for i in range(30):
+        members.put(Item(f"m{i}"), True)
+    for key in ("a", "b", "c", "a", "d"):
+        members.order(key)
+    assert list(members.orders) == ["c", "a", "d"] and members.held == 90
+    for i in range(30, 60):
+        members.put(Item(f"m{i}"), True)
+    members.order("c")  # it has grown
+    assert list(members.orders) == ["d", "c"] and members.held == 30 + 60
+    members.order("d")
+    assert list(members.orders) == ["d"] and members.held == 60
+
+
+def test_the_check_sees_a_wrong_order_and_a_wrong_count():
+    members = Members[Item](100, 10)
+    for i in range(9):
+        members.put(Item(f"m{i}"), True)
+    order = members.order("a")
+    order.items[3], order.items[4] = order.items[4], order.items[3]
+    with pytest.raises(AssertionError, match="is not that of its 9 members"):
+        members.check(order)
+    order.items[3], order.items[4] = order.items[4], order.items[3]
+    members.check(order)
+    members.held += 1
+    with pytest.raises(AssertionError, match="10 references"):
+        members.check(order)
+
+
+@pytest.mark.parametrize("size", [400, 6_300])
+def test_hashes_follow_changes_not_the_members(size, monkeypatch):
+    monkeypatch.setattr(Members, "checked", False)
+    members, counted = Members[Item](10**6, 100), []
+    for i in range(size):
+        members.put(Item(f"m{i}"), True)
+    members.order("a")
+    real = index.mixed
+    monkeypatch.setattr(index, "mixed", lambda value: counted.append(value) or real(value))
+    members.order("a")
+    assert counted == []
+    for item in list(members.items)[:5]:
+        members.put(item, False)
+    members.order("a")
+    assert len(counted) == 5
+    counted.clear()
+    for item in list(members.items)[: size // 7]:  # many at once: filtered, none hashed
+        members.put(item, False)
+    members.order("a")
+    assert counted == []
+
+
+# ---- the scheduler on it ----
+
+
+@pytest.mark.parametrize("part", range(16))
+def test_equal_actions_by_kept_and_by_plain_orders(part, monkeypatch):
+    """208 seeded streams: hosts come, go, drain, return, whole and failed lists, tasks of all classes."""
+    monkeypatch.setattr(glencleat.logic, "KNOWN", 12)
+    for seed in range(13 * part, 13 * part + 13):
+        rng = np.random.default_rng([seed, 7])
+        hosts, services = int(rng.integers(5, 301)), int(rng.integers(1, 51))
+        monkeypatch.setattr(glencleat.logic, "ORDERED", int(rng.choice([1, 40 * hosts, 10**6])))
+        stream = Stream(seed, hosts, services, churn=float(rng.choice([0.02, 0.15, 0.4])))
+        one, two = Plain(stream.settings, seed), Scheduler(stream.settings, seed)
+        assert differ(one, two, stream, 150) is None, f"seed {seed}, {hosts} hosts, {services} services"
+
+
+def fleet(size, cls=Scheduler):
+    settings = api.Settings(0, 20, "z0", CLASSES, KINDS, 2.0, 1.5, view=True, max_attempts=4)
+    scheduler = cls(settings, 1)
+    machines = [api.Machine(f"h{i}", "std", "z0", i % 9, api.Phase.SERVING, 8.0, 16.0) for i in range(size)]
+    scheduler.handle(0.0, api.ListTold(api.ListKind.WHOLE, tuple(machines)))
+    return scheduler, machines
+
+
+def counted(size, monkeypatch):
+    """Machines listed, machines looked at and hashes, for three machines gone and a placement after it."""
+    scheduler, machines = fleet(size)
+    scheduler.handle(1.0, api.Asked(1, "safe", "s", 1.0, 1.0, 8000.0))
+    monkeypatch.setattr(Members, "checked", False)
+    seen, real, listed, allowed = [], index.mixed, scheduler.list_as, scheduler.allowed
+    with monkeypatch.context() as patched:
+        patched.setattr(index, "mixed", lambda value: seen.append("hash") or real(value))
+        scheduler.list_as = lambda *a: seen.append("listed") or listed(*a)
+        scheduler.allowed = lambda *a: seen.append("looked") or allowed(*a)
+        gone = [api.Machine(m.name, m.kind, m.zone, m.cell, api.Phase.GONE) for m in machines[5:8]]
+        scheduler.handle(2.0, api.ListTold(api.ListKind.CHANGES, tuple(gone)))
+        scheduler.handle(3.0, api.Asked(2, "safe", "s", 1000.0, 1.0, 8000.0))  # none has room: all are looked at
+    return [seen.count(what) for what in ("listed", "looked", "hash")]
+
+
+def test_the_work_of_a_list_event_and_a_placement_is_the_same_at_any_size(monkeypatch):
+    few, many = counted(400, monkeypatch), counted(6_300, monkeypatch)
+    assert few[:2] == many[:2] == [3, EXAMINED]
+    assert max(few[2], many[2]) <= 2 * 3 + 1  # the three that went, and the warm machine's place
+
+
+def test_nine_hundred_gone_one_by_one_or_at_once_leave_the_same():
+    one, machines = fleet(1_600)
+    two, _ = fleet(1_600)
+    gone = [api.Machine(m.name, m.kind, m.zone, m.cell, api.Phase.GONE) for m in machines[:900]]
+    for i, told in enumerate(gone):
+        one.handle(10.0, api.ListTold(api.ListKind.CHANGES, (told,)))
+        if i % 50 == 0:
+            one.order(f"s{i % 3}")
+    two.handle(10.0, api.ListTold(api.ListKind.WHOLE, tuple(machines[900:])))
+    names = [[node.name for node in side.order(s)] for s in ("s0", "s1", "s2") for side in (one, two)]
+    assert names[0] == names[1] and names[2] == names[3] and names[4] == names[5]
+    assert set(one.nodes) == set(two.nodes) == {m.name for m in machines[900:]} and len(names[0]) == 700
