--- a/benchmarks/equal_actions.py
+++ b/benchmarks/equal_actions.py
@@ -3,8 +3,8 @@
     python -m benchmarks.equal_actions REV [SEEDS]
 
 `git show REV:glencleat/logic.py` is loaded as a module of its own; both are told the same events, and each
-answer, the draws and the machines known are compared. Prints each size's count of seeds, events and binds, and
-the CPU seconds of both; ends with 1 at the first difference."""
+answer, the draws and the machines known are compared. Prints each size's seeds, events and binds and the CPU
+seconds of both; ends with 1 at the first difference."""
 
 import subprocess
 import sys
@@ -24,7 +24,8 @@
 
 def at_revision(rev: str) -> type:
     """The Scheduler of a revision; its imports are today's interface."""
-    source = subprocess.run(["git", "show", f"{rev}:glencleat/logic.py"], capture_output=True, text=True, check=True)
+    told = ["git", "show", f"{rev}:glencleat/logic.py"]
+    source = subprocess.run(told, capture_output=True, text=True, check=True)
     module = types.ModuleType("logic_at_revision")
     sys.modules[module.__name__] = module  # where dataclasses look up their annotations
     exec(compile(source.stdout, f"{rev}:logic.py", "exec"), module.__dict__)
@@ -64,7 +65,8 @@
                 sys.exit(1)
             seen.update(sides[0].seen)
             cpu = [total + side.cpu for total, side in zip(cpu, sides, strict=True)]
-        told = ", ".join(f"{seen[t.__name__]:,} {t.__name__}" for t in (api.Asked, api.ListTold, api.Returned, api.Bind))
+        kinds = (api.Asked, api.ListTold, api.Returned, api.Bind)
+        told = ", ".join(f"{seen[t.__name__]:,} {t.__name__}" for t in kinds)
         events = f"{label} hosts: {seeds} seeds, {seeds * steps:,} events ({told})"
         print(f"{events}: equal; CPU {cpu[0]:.1f} s at {rev}, {cpu[1]:.1f} s now", flush=True)
 
--- a/benchmarks/order_index.py
+++ b/benchmarks/order_index.py
@@ -3,7 +3,6 @@
     python -m benchmarks.order_index [REV]     REV: another revision's logic.py measured beside this one"""
 
 import heapq
-import resource
 import statistics
 import subprocess
 import sys
@@ -72,21 +71,23 @@
         16 + sys.getsizeof((1, 2)) + sys.getsizeof(2**63),
     )
     anew = cpu_us(lambda: sorted(items, key=order.key), 3)
-    yield "sorted anew at a change (as it was)", (anew, cpu_us(lambda: [plain[i] for i in positions], 200), anew, 8)
+    at = cpu_us(lambda: [plain[i] for i in positions], 200)
+    yield "sorted anew at a change (as it was)", (anew, at, anew, 8)
     first = cpu_us(lambda: heapq.nsmallest(32, items, key=order.key), 3)
     yield "heap, the first 32 alone (has no other positions)", (first, float("nan"), first, 0)
 
 
 def constants(size):
-    """What one put, a filter and a sort cost: their ratios are FILTERED and SORTED of the index."""
+    """What a member in or out, a scan and a sort cost: their ratios are SCANNED and SORTED of the index."""
     members = Members(10**7, 10)
     for i in range(size):
         members.put(Item(f"h{i}"), True)
     order, new = members.order("s"), Item("new")
     put = cpu_us(lambda: (order.insert(new), order.remove([new])), 200) / 2
-    keep = cpu_us(lambda: (order.keep(members.items), members.items.keys() - set(order.items)), 10)
+    keep = cpu_us(lambda: order.keep(members.items), 10)
     sort = cpu_us(lambda: order.sort(members.items), 3)
-    return [f"{size:,}", f"{put:.1f}", f"{keep:,.0f}", f"{sort:,.0f}", f"{size * put / keep:.1f}", f"{size * put / sort:.1f}"]
+    ratios = [f"{size * put / keep:.1f}", f"{size * put / sort:.1f}"]
+    return [f"{size:,}", f"{put:.1f}", f"{keep:,.0f}", f"{sort:,.0f}", *ratios]
 
 
 class Drive:
@@ -95,7 +96,8 @@
     def __init__(self, cls, hosts):
         safe = api.TaskClass("safe", api.Effect.SAFE, 1000.0, 8000.0, 1.0)
         kinds = {"std": api.Size(16.0, 32.0)}
-        more = dict(view=True, max_attempts=4, drain_ms=1000.0, cold_ms=10_000.0, cold_window_ms=1000.0, cold_offers=6.0)
+        more = dict(view=True, max_attempts=4, drain_ms=1000.0, cold_ms=10_000.0, cold_window_ms=1000.0)
+        more["cold_offers"] = 6.0
         self.module = cls(api.Settings(0, PEERS, "z0", (safe,), kinds, 2.0, 1.5, **more), 3)
         self.random, self.now, self.calls, self.hosts, self.running = Random(5), 1e6, 0, hosts, {}
         self.tell(api.ListTold(api.ListKind.WHOLE, tuple(self.told(i) for i in range(hosts))))
@@ -114,10 +116,12 @@
 
     def place(self):
         self.now, self.calls = self.now + 20.0, self.calls + 1
-        spent, answer = self.tell(api.Asked(self.calls, "safe", f"s{self.random.randrange(SERVICES)}", 0.5, 1.0, 8000.0))
+        service = f"s{self.random.randrange(SERVICES)}"
+        spent, answer = self.tell(api.Asked(self.calls, "safe", service, 0.5, 1.0, 8000.0))
         for bind in (a for a in answer if isinstance(a, api.Bind)):
             self.tell(api.Accepted(bind.call, 0, bind.machine, 20.0))
-            for kind, value in ((api.NoteKind.RUNS, 1.0), (api.NoteKind.CORES, 0.3), (api.NoteKind.MEMORY, 0.6)):
+            notes = (api.NoteKind.RUNS, 1.0), (api.NoteKind.CORES, 0.3), (api.NoteKind.MEMORY, 0.6)
+            for kind, value in notes:
                 self.tell(api.Noted(bind.call, bind.machine, kind, value))
             self.running[bind.call] = bind.machine
         return spent
@@ -130,47 +134,66 @@
         return self.tell(api.ListTold(api.ListKind.CHANGES, (self.told(i, **more),)))[0]
 
 
-def slopes(cls, hosts):
-    """Medians in ms: a placement, an end, list events, placements between them; then a seventh gone."""
-    one = Drive(cls, hosts)
-    began = time.process_time()
-    calm = [(one.place(), one.end()) for _ in range(800)]
-    room, leave, back, between = [], [], [], []
-    for _ in range(300):
-        i = one.random.randrange(hosts)
-        room.append(one.change(i, left=float(one.random.randrange(4, 16))))
-        leave.append(one.change(i, phase=api.Phase.DRAINING))
-        between.append(one.place())
-        one.end()
-        back.append(one.change(i))
-        between.append(one.place())
-        one.end()
-    gone = set(one.random.sample(range(hosts), hosts // 7))
+def slopes(drives):
+    """Medians in ms of each kind of event, the drives taken in turn: all share the machine's moods."""
+    kinds = "placement", "end", "list: room", "list: drain", "list: back"
+    told = [{kind: [] for kind in kinds} for _ in drives]
+    between = [[] for _ in drives]
+    for _ in range(600):
+        for one, row in zip(drives, told, strict=True):
+            row["placement"].append(one.place())
+            row["end"].append(one.end())
+    for _ in range(200):
+        for one, row, more in zip(drives, told, between, strict=True):
+            i = one.random.randrange(one.hosts)
+            row["list: room"].append(one.change(i, left=float(one.random.randrange(4, 16))))
+            row["list: drain"].append(one.change(i, phase=api.Phase.DRAINING))
+            more.append(one.place())
+            one.end()
+            row["list: back"].append(one.change(i))
+            more.append(one.place())
+            one.end()
+    for row, more in zip(told, between, strict=True):
+        row["placement between list events"] = more
+    return [{name: statistics.median(values) for name, values in row.items()} for row in told]
+
+
+def losses(one):
+    """CPU seconds as a seventh of the hosts goes: at once, with each lost task placed anew; one by one."""
+    gone = set(one.random.sample(range(one.hosts), one.hosts // 7))
     lost = [call for call, name in one.running.items() if int(name[1:]) in gone]
+    stay = tuple(one.told(i) for i in range(one.hosts) if i not in gone)
     began = time.process_time()
-    whole, _ = one.tell(api.ListTold(api.ListKind.WHOLE, tuple(one.told(i) for i in range(hosts) if i not in gone)))
+    one.tell(api.ListTold(api.ListKind.WHOLE, stay))
     for call in lost:
         one.end(api.Outcome.LOST, call)
         one.place()
     at_once = time.process_time() - began
-    one.tell(api.ListTold(api.ListKind.WHOLE, tuple(one.told(i) for i in range(hosts))))
-    for _ in range(SERVICES):
+    one.tell(api.ListTold(api.ListKind.WHOLE, tuple(one.told(i) for i in range(one.hosts))))
+    for _ in range(3 * SERVICES):
         one.place()
     began = time.process_time()
     for n, i in enumerate(sorted(gone)):
         one.change(i, phase=api.Phase.GONE)
         if n % 3 == 0:
             one.place()
-    one_by_one = time.process_time() - began
-    medians = [statistics.median(x) for x in (*zip(*calm, strict=True), room, leave, back, between)]
-    return medians, statistics.mean(between), whole, len(gone), len(lost), at_once, one_by_one
-
-
-def resident_mb(cls_name, rev, hosts):
-    """Peak resident memory of a process of its own at this size."""
-    call = f"from benchmarks.order_index import *; Drive({cls_name}, {hosts}); print(resource.getrusage(resource.RUSAGE_SELF).ru_maxrss)"
-    out = subprocess.run([sys.executable, "-c", call.replace("REV", repr(rev))], capture_output=True, text=True, check=True)
-    return int(out.stdout) / 1024
+    return [f"{len(gone)}", f"{len(lost)}", f"{at_once:.3f}", f"{time.process_time() - began:.3f}"]
+
+
+def state_mb(scheduler, rev, hosts):
+    """Resident memory that the scheduler and its driver add, in a process of its own."""
+    call = (
+        "import os\n"
+        "from benchmarks.common import rss_mb\n"
+        "from benchmarks.order_index import Drive, Scheduler, at_revision\n"
+        f"cls = {scheduler}\n"
+        "before = rss_mb(os.getpid())\n"
+        f"one = Drive(cls, {hosts})\n"
+        "print(rss_mb(os.getpid()) - before, before)"
+    )
+    call = call.replace("REV", repr(rev))
+    out = subprocess.run([sys.executable, "-c", call], capture_output=True, text=True, check=True)
+    return f"{float(out.stdout.split()[0]):.1f}"
 
 
 def show(title, head, rows):
@@ -179,28 +202,30 @@
 
 def main() -> None:
     print(machine())
-    rows = [
-        [f"{size:,}", name, *(f"{value:,.1f}" for value in told)]
-        for size in (400, 6_300)
-        for name, told in structures(size)
-    ]
-    show("One service's order", ["members", "structure", "a change, us", "16 positions, us", "built, us", "bytes a member"], rows)
-    head = ["members", "put, us", "filter, us", "sort, us", "members filtered a put", "sorted a put"]
+    rows = []
+    for size in (400, 6_300):
+        rows += [[f"{size:,}", name, *(f"{v:,.1f}" for v in told)] for name, told in structures(size)]
+    head = ["members", "structure", "a change, us", "16 positions, us", "built, us", "bytes a member"]
+    show("One service's order", head, rows)
+    head = ["members", "in or out, us", "scan, us", "sort, us", "scanned meanwhile", "sorted meanwhile"]
     show("Constants", head, [constants(size) for size in (400, 1_600, 6_300)])
     sides = [("now", Scheduler, "Scheduler")]
     rev = sys.argv[1] if len(sys.argv) > 1 else ""
     if rev:
         sides.insert(0, (rev, at_revision(rev), "at_revision(REV)"))
+    sizes = (400, 1_600, 6_300)
+    drives = [Drive(cls, hosts) for _, cls, _ in sides for hosts in sizes]
+    measured = slopes(drives)
+    rows = [[what, *(f"{row[what]:.3f}" for row in measured)] for what in measured[0]]
+    names = [f"{name}, {hosts:,}" for name, _, _ in sides for hosts in sizes]
+    title = f"{SERVICES} services, {TASKS:,} own tasks, {PEERS} peers; medians in ms of CPU, taken in turn"
+    show(title, ["event", *names], rows)
     rows = []
-    for name, cls, told in sides:
-        for hosts in (400, 1_600, 6_300):
-            medians, mean, whole, gone, lost, at_once, singly = slopes(cls, hosts)
-            row = [name, f"{hosts:,}", *(f"{m:.3f}" for m in medians), f"{mean:.3f}", f"{whole:.1f}"]
-            rows.append([*row, f"{gone}, {lost}", f"{at_once:.3f}", f"{singly:.3f}", f"{resident_mb(told, rev, hosts):.1f}"])
-    head = ["logic", "hosts", "placement, ms", "end, ms", "list: room, ms", "list: drain, ms", "list: back, ms"]
-    head += ["placement between, ms", "its mean, ms", "whole list, ms", "gone, tasks lost", "at once, s", "singly, s", "peak MB"]
-    show(f"The module: {SERVICES} services, {TASKS:,} own tasks, {PEERS} peers", head, rows)
-    print("\nAt once: the whole list, each lost task's end and a placement for it. Singly: an event each, a placement each third.")
+    for number, one in enumerate(drives):
+        name, _, told = sides[number // len(sizes)]
+        rows.append([name, f"{one.hosts:,}", *losses(one), state_mb(told, rev, one.hosts)])
+    head = ["logic", "hosts", "gone", "tasks lost", "at once, s", "singly, s", "state, MB"]
+    show("A seventh of the hosts gone, placements going on: CPU seconds; memory of the state", head, rows)
 
 
 if __name__ == "__main__":
--- a/glencleat/index/order.py
+++ b/glencleat/index/order.py
@@ -18,7 +18,7 @@
 
 CHANGES = 512  # changes remembered, with the members that went
 # Measured by benchmarks/order_index.py:
-SCANNED, SORTED = 16, 2  # members asked whether they stay, members sorted, in the time of one taken out or in
+SCANNED, SORTED = 24, 2  # members asked whether they stay, members sorted, in the time of one taken out or in
 FEW = 64  # taken out one by one; more at once by copying what lies between
 
 
@@ -94,7 +94,12 @@
 
     def keep(self, items: Container[T]) -> None:
         """Only these stay."""
-        self._drop([at for at, item in enumerate(self.items) if item not in items])
+        stay = bytearray(map(items.__contains__, self.items))
+        places, at = list[int](), stay.find(0)
+        while at >= 0:
+            places.append(at)
+            at = stay.find(0, at + 1)
+        self._drop(places)
 
     def _drop(self, places: list[int]) -> None:
         if len(places) < FEW:
