--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,11 +5,13 @@
 from hypothesis import settings
 
 from glencleat.index.due import DueIndex
+from glencleat.index.order import Members
 from tests.sockets import World
 
 settings.register_profile("fixed", derandomize=True, deadline=None)
 settings.load_profile("fixed")
-DueIndex.checked = True  # every index answers from scratch as well, and `Hosts` looks at all it passes over
+# Every index answers from scratch as well, and `Hosts` looks at all it passes over.
+DueIndex.checked = Members.checked = True
 
 
 @pytest.fixture
