Scale tests: real allocators among hollow hosts, owners and allocators, sized by a file

Need: a fleet of 6,300 hosts and 41,000 tasks is two years off, and nothing here could load an allocator beyond some hundred hosts; what a change costs at that size was unknown.

Change: `python -m benchmarks.scale SIZE.toml` starts `python -m glencleat node` processes (also of another checkout) among hollow parts of `glencleat/scale`, which speak the protocol on true loopback sockets. It hands tasks over by `at`, loads, loses and restores racks and zones, tells list events, and measures CPU and memory by psutil, messages and bytes by kind at the hollow side's sockets, and times to answers; each request is checked for exactly one answer. Sizes that don't fit are refused in one line (exit 2), an interrupt leaves its table marked partial (130). Import contracts keep the package from the node and the module. Hollow and real are set against each other by the same tool.

--- /dev/null
+++ b/glencleat/scale/counting.py
@@ -0,0 +1,65 @@
+"""Messages and bytes by kind, counted where a hollow part reads and writes them.
+
+Imports `isup.messages`. Hollow hosts, owners and allocators hold a Tally. Bytes are those handed to and taken
+from TCP; headers, handshakes and acknowledgements are not among them, connections are counted beside them."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from glencleat.isup import messages as m
+
+NAMES = {
+    m.SETUP: "set-up",
+    m.PROGRESS: "progress",
+    m.ANSWER: "answer",
+    m.RELEASE: "release",
+    m.RELEASE_HEARD: "release heard",
+    m.NOTE: "note",
+    m.MOVE: "move",
+    m.TEST: "test",
+    m.TESTED: "tested",
+}
+Counts = dict[str, int]
+
+
+def wire_size(message: m.Message) -> int:
+    """Bytes of a message on the wire.
+
+    >>> wire_size(m.Message(m.TESTED, 7, {m.CAUSE: b"x"}))
+    15
+    """
+    return m.HEAD.size + sum(m.PARAMETER.size + len(raw) for raw in message.parameters.values())
+
+
+class Tally:
+    """Counts by allocator: `3 in release` are messages of allocator 3, `3 in release bytes` their bytes.
+
+    >>> tally = Tally()
+    >>> tally.sent(0, m.encode(m.RELEASE_HEARD, 5))
+    >>> tally.counts
+    Counter({'0 out release heard bytes': 11, '0 out release heard': 1})
+    """
+
+    def __init__(self) -> None:
+        self.counts: Counter[str] = Counter()
+
+    def sent(self, allocator: int, data: bytes) -> None:
+        """One whole message."""
+        name = f"{allocator} out {NAMES[data[2]]}"
+        self.counts[name] += 1
+        self.counts[name + " bytes"] += len(data)
+
+    def got(self, allocator: int, message: m.Message) -> None:
+        name = f"{allocator} in {NAMES[message.kind]}"
+        self.counts[name] += 1
+        self.counts[name + " bytes"] += wire_size(message)
+
+    def count(self, allocator: int, what: str, by: int = 1) -> None:
+        self.counts[f"{allocator} {what}"] += by
+
+
+def of_allocator(counts: Counts, allocator: int) -> Counts:
+    """What a Tally's counts say of one allocator, without its number."""
+    begin = f"{allocator} "
+    return {name[len(begin) :]: count for name, count in counts.items() if name.startswith(begin)}
--- /dev/null
+++ b/glencleat/scale/real.py
@@ -0,0 +1,42 @@
+"""The real allocators of a run: processes of `python -m glencleat node`, from this checkout or another.
+
+Imports the stand-ins' processes. `runs.py` starts them. Each has a list of its own addresses for the hosts,
+so that hosts know its connections."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import psutil
+
+from glencleat.standins.processes import SETTINGS, Nodes
+
+COLD = {"warm-within-ms": 16_000.0, "overload-for-ms": 1_000.0, "stop-sending-within-ms": 500.0}
+
+
+class Allocators(Nodes):
+    """`peers`: how many allocators the settings tell of."""
+
+    def __init__(self, folder: Path, count: int, seed: int, sockets: int, tree: Path, peers: int) -> None:
+        super().__init__(folder, count, seed, sockets, tree)
+        self.peers = peers
+
+    def __enter__(self) -> Allocators:
+        return self
+
+    def write(self, number: int, zone: str, channel: tuple[str, int], known: Mapping[str, Any]) -> None:
+        """The configuration of one, over the stand-ins' settings."""
+        path = self.configure(number, channel, known, rules=COLD, domain={"fresh-offers": 24.0})
+        config = msgspec.json.decode(path.read_bytes())
+        config["settings"] = {**SETTINGS, **config["settings"], "peers-total": self.peers, "az": zone}
+        path.write_bytes(msgspec.json.encode(config))
+
+    def process(self, number: int) -> psutil.Process:
+        return psutil.Process(self.children[number].pid)
+
+    def faults(self, number: int) -> int:
+        """Faults of its own that its log tells of."""
+        return self.log(number).read_bytes().count(b"FAULT ")
