Hash orders of numbers, 2 bytes a machine: one for each of 1,270 services at 6,300 hosts

Machines have numbers, and an order is an array of them (index/order.py, Slots, Order); weights are hashed as they are compared, some 13 times for a machine that comes or goes. A name that is away keeps its number; once those that went for good are as many as there are machines, all orders begin anew. The bound is the same 16 MB, now 8,000,000 machines.

Tests: counts of hashes now allow O(log members) for each machine that comes or goes, since none is stored; all else of them is as it was, equal actions on 208 streams included.

--- a/glencleat/index/order.py
+++ b/glencleat/index/order.py
@@ -1,9 +1,10 @@
 """Rendezvous-hash orders of a changing set of members, one for each key, kept by what changed.
 
 An order (highest random weight: Thaler and Ravishankar, 1998) is the members sorted by a hash of key and
-member: any two processes that know the same members agree on it. A member that comes or goes is inserted or
-removed by bisection in the orders that are looked at; one not looked at for long is filtered, or sorted anew
-where that takes less. An order gives what a sort of all members would give: no choice is made here.
+member: any two processes that know the same members agree on it. Members have numbers, and an order is an
+array of these, 2 bytes each, so that there may be one for each of a thousand keys. A member that comes or goes
+is inserted or removed by bisection in the orders that are looked at; one not looked at for long is filtered,
+or sorted anew where that takes less. An order gives what a sort of all members gives: no choice is made here.
 Imports nothing of the project; the decision module calls it."""
 
 from __future__ import annotations
@@ -11,15 +12,16 @@
 from array import array
 from bisect import bisect_left, bisect_right
 from collections import deque
-from collections.abc import Collection, Container, Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator
 from hashlib import blake2b
-from itertools import islice
+from itertools import compress, islice
 from typing import ClassVar, Generic, Protocol, TypeVar, overload
 
-CHANGES = 512  # changes remembered, with the members that went
+CHANGES = 512  # changes remembered
 # Measured by benchmarks/order_index.py:
-SCANNED, SORTED = 24, 2  # members asked whether they stay, members sorted, in the time of one taken out or in
-FEW = 64  # taken out one by one; more at once by copying what lies between
+SCANNED, SORTED = 64, 10  # members asked whether they stay, members sorted, in the time of one put in or out
+SHORT = 1 << 16  # slots that 2 bytes can tell
+SPARE = 64  # slots of members that went, beyond as many as there are, before all are numbered anew
 
 
 class Member(Protocol):
@@ -43,85 +45,78 @@
     return (value ^ value >> 29) * 0xBF58476D1CE4E5B9 & 0xFFFFFFFFFFFFFFFF
 
 
+class Slots(Generic[T]):
+    """Members by number, and their hashes. A name that is away keeps its number, as its place is the same."""
+
+    def __init__(self) -> None:
+        self.numbers: dict[str, int] = {}  # by name
+        self.items: list[T] = []
+        self.hashes = array("Q")
+        self.there = bytearray()
+
+    def number(self, item: T) -> int:
+        """Its number, a new one where its name has none."""
+        found = self.numbers.setdefault(item.name, len(self.items))
+        if found == len(self.items):
+            self.items.append(item)
+            self.hashes.append(item.hash)
+            self.there.append(False)
+        self.items[found] = item
+        return found
+
+
 class Order(Generic[T]):
-    """The members in one key's order, as of the version at which it was last asked for: 16 bytes a member."""
+    """The members in one key's order, as of the version at which it was last asked for."""
 
-    __slots__ = ("items", "seed", "version", "weights")
+    __slots__ = ("numbers", "seed", "slots", "version")
 
-    def __init__(self, seed: int) -> None:
-        self.seed, self.version, self.items, self.weights = seed, -1, list[T](), array("Q")
+    def __init__(self, seed: int, slots: Slots[T]) -> None:
+        self.seed, self.version, self.slots = seed, -1, slots
+        self.numbers = array("H" if len(slots.items) <= SHORT else "I")
 
     def __len__(self) -> int:
-        return len(self.items)
+        return len(self.numbers)
 
     def __iter__(self) -> Iterator[T]:
-        return iter(self.items)
+        return map(self.slots.items.__getitem__, self.numbers)
 
     @overload
     def __getitem__(self, at: int) -> T: ...
     @overload
     def __getitem__(self, at: slice) -> list[T]: ...
     def __getitem__(self, at: int | slice) -> T | list[T]:
-        return self.items[at]
-
-    def weight(self, item: T) -> int:
-        return mixed(self.seed ^ item.hash)
-
-    def key(self, item: T) -> tuple[int, str]:
-        return self.weight(item), item.name
-
-    def place(self, item: T) -> int:
-        """Where it stands, or would stand: one hash and O(log members) comparisons."""
-        weight = self.weight(item)
-        at = bisect_left(self.weights, weight)
-        while at < len(self.items) and self.weights[at] == weight and self.items[at].name < item.name:
-            at += 1
-        return at
-
-    def insert(self, item: T) -> None:
-        at = self.place(item)
-        self.items.insert(at, item)
-        self.weights.insert(at, self.weight(item))
-
-    def remove(self, gone: Collection[T]) -> None:
-        places = []
-        for item in gone:
-            at = bisect_left(self.weights, mixed(self.seed ^ item.hash))
-            while self.items[at] is not item:
-                at += 1
-            places.append(at)
-        self._drop(sorted(places))
-
-    def keep(self, items: Container[T]) -> None:
-        """Only these stay."""
-        stay = bytearray(map(items.__contains__, self.items))
-        places, at = list[int](), stay.find(0)
-        while at >= 0:
-            places.append(at)
-            at = stay.find(0, at + 1)
-        self._drop(places)
-
-    def _drop(self, places: list[int]) -> None:
-        if len(places) < FEW:
-            for at in reversed(places):
-                del self.items[at], self.weights[at]
-            return
-        items, weights, start = list[T](), array("Q"), 0
-        for at in (*places, len(self.items)):
-            items += self.items[start:at]
-            weights += self.weights[start:at]
-            start = at + 1
-        self.items, self.weights = items, weights
-
-    def sort(self, items: Iterable[T]) -> None:
-        self.items = list(items)
-        by_weight = {mixed(self.seed ^ item.hash): item for item in self.items}
-        if len(by_weight) == len(self.items):
-            self.weights = array("Q", sorted(by_weight))
-            self.items = [by_weight[weight] for weight in self.weights]
+        if isinstance(at, slice):
+            return [self.slots.items[number] for number in self.numbers[at]]
+        return self.slots.items[self.numbers[at]]
+
+    def key(self, number: int) -> tuple[int, str]:
+        return mixed(self.seed ^ self.slots.hashes[number]), self.slots.items[number].name
+
+    def key_of(self, item: T) -> tuple[int, str]:
+        return mixed(self.seed ^ item.hash), item.name
+
+    def insert(self, number: int) -> None:
+        """To its place, by O(log members) hashes; nothing else is touched but what lies behind it."""
+        self.numbers.insert(bisect_left(self.numbers, self.key(number), key=self.key), number)
+
+    def remove(self, gone: Collection[int]) -> None:
+        for number in gone:
+            del self.numbers[bisect_left(self.numbers, self.key(number), key=self.key)]
+
+    def keep(self) -> None:
+        """Only those who are there stay."""
+        stay = map(self.slots.there.__getitem__, self.numbers)
+        self.numbers = array(self.numbers.typecode, compress(self.numbers, stay))
+
+    def sort(self) -> None:
+        numbers = list(compress(range(len(self.slots.there)), self.slots.there))
+        seed, hashes = self.seed, self.slots.hashes
+        by_weight = {mixed(seed ^ hashes[number]): number for number in numbers}
+        if len(by_weight) == len(numbers):
+            numbers = [by_weight[weight] for weight in sorted(by_weight)]
         else:  # two names of one hash
-            self.items.sort(key=self.key)
-            self.weights = array("Q", map(self.weight, self.items))
+            numbers.sort(key=self.key)
+        self.numbers = array(self.numbers.typecode, numbers)
 
     def without(self, skipped: Iterable[T]) -> Without[T]:
         return Without(self, skipped)
@@ -137,12 +132,13 @@
 
     def __getitem__(self, at: int) -> T:
         """The least x with x = at + (those left out up to x), by steps from below."""
+        order, place = self.order, at
         if not self.keys:
-            self.keys = sorted(map(self.order.key, self.skipped))
-        items, weights, place = self.order.items, self.order.weights, at
-        while (further := at + bisect_right(self.keys, (weights[place], items[place].name))) != place:
-            place = further
-        return items[place]
+            self.keys = sorted(map(order.key_of, self.skipped))
+        if self.keys:
+            while (further := at + bisect_right(self.keys, order.key(order.numbers[place]))) != place:
+                place = further
+        return order[place]
 
 
 class Members(Generic[T]):
@@ -151,11 +147,12 @@
     checked: ClassVar[bool] = False  # each answer is compared with a sort of all members (in tests)
 
     def __init__(self, most: int, keys: int) -> None:
-        """`most`: references held by all orders together (16 bytes each); `keys`: orders held."""
+        """`most`: members in all orders together (2 bytes each, 4 beyond 65,536 names); `keys`: orders."""
         self.most, self.most_keys = most, keys
         self.items: dict[T, None] = {}
+        self.slots = Slots[T]()
         self.version, self.held = 0, 0
-        self.changes: deque[tuple[T, bool]] = deque(maxlen=CHANGES)
+        self.changes: deque[tuple[int, bool]] = deque(maxlen=CHANGES)
         self.orders: dict[str, Order[T]] = {}
 
     def __contains__(self, item: T) -> bool:
@@ -172,50 +169,65 @@
             self.items[item] = None
         else:
             del self.items[item]
-        self.changes.append((item, there))
-        self.version += 1
+        if there and item.name not in self.slots.numbers:
+            self._number_anew_if_due()
+        number = self.slots.number(item)
+        if self.slots.there[number] != there:
+            self.slots.there[number] = there
+            self.changes.append((number, there))
+            self.version += 1
+
+    def _number_anew_if_due(self) -> None:
+        """Numbers of names that went for good are many, or the next takes more bytes: orders begin anew."""
+        slots = len(self.slots.items)
+        if slots <= 2 * len(self.items) + SPARE and slots != SHORT:
+            return
+        self.slots, self.orders, self.held = Slots[T](), {}, 0
+        self.changes.clear()
+        for item in self.items:
+            self.slots.there[self.slots.number(item)] = True
 
     def order(self, key: str) -> Order[T]:
         """The members in this key's order, up to date until the next `put`; not to be changed."""
-        order = self.orders.pop(key, None) or Order[T](hashed(key))
+        order = self.orders.pop(key, None) or Order[T](hashed(key), self.slots)
         self.orders[key] = order  # the last one used stands last
         if order.version != self.version:
-            before = len(order.items)
+            before = len(order)
             self._catch_up(order)
-            self.held += len(order.items) - before
+            self.held += len(order) - before
             while len(self.orders) > 1 and (self.held > self.most or len(self.orders) > self.most_keys):
-                self.held -= len(self.orders.pop(next(iter(self.orders))).items)
+                self.held -= len(self.orders.pop(next(iter(self.orders))))
             if self.checked:
                 self.check(order)
         return order
 
     def _catch_up(self, order: Order[T]) -> None:
-        behind, came = self.version - order.version, set[T]()
+        behind, came = self.version - order.version, set[int]()
         if order.version >= 0 and behind <= len(self.changes) and behind * SCANNED <= len(self.items):
-            net = dict[T, bool]()
-            for item, there in islice(self.changes, len(self.changes) - behind, None):
-                if net.pop(item, None) is None:  # else it went and is back, or came and went
-                    net[item] = there
-            came.update(item for item, there in net.items() if there)
+            net = dict[int, bool]()
+            for number, there in islice(self.changes, len(self.changes) - behind, None):
+                if net.pop(number, None) is None:  # else it went and is back, or came and went
+                    net[number] = there
+            came.update(number for number, there in net.items() if there)
             order.remove(net.keys() - came)
         else:
-            order.keep(self.items)
+            order.keep()
             if len(order) < len(self.items):
-                came.update(self.items.keys() - set(order.items))
+                came.update(compress(range(len(self.slots.there)), self.slots.there))
+                came.difference_update(order.numbers)
         if len(came) * SORTED > len(self.items):
-            order.sort(self.items)
+            order.sort()
         else:
-            for item in came:  # in whatever order: each goes to its place
-                order.insert(item)
+            for number in came:  # in whatever order: each goes to its place
+                order.insert(number)
         order.version = self.version
 
     def check(self, order: Order[T]) -> None:
         """Compares an order, and the count of references, with what a sort of all members gives."""
-        plain = sorted(self.items, key=order.key)
-        weights = list(map(order.weight, plain))
-        if list(map(id, plain)) != list(map(id, order.items)) or weights != list(order.weights):
+        plain = sorted(self.items, key=order.key_of)
+        if list(map(id, plain)) != list(map(id, order)):
             raise AssertionError(f"order {order.seed:x} is not that of its {len(plain)} members")
-        if self.held != sum(len(one.items) for one in self.orders.values()):
+        if self.held != sum(map(len, self.orders.values())):
             raise AssertionError(f"{self.held} references counted")
 
 
