--- a/benchmarks/slope_node.py
+++ b/benchmarks/slope_node.py
@@ -2,11 +2,12 @@
 
 Imports the program from the tree that PYTHONPATH names; `slope_worker.py` calls it. The list service and the
 hosts stand in this process, all hosts behind one listener: each has a loopback address of its own (127/8).
-Times are CPU seconds of the node as the system counts them, in ticks of 10 ms."""
+Times are CPU seconds of the node as the system's scheduler counts them (nanoseconds; it has one thread)."""
 
 from __future__ import annotations
 
 import os
+import random
 import subprocess
 import sys
 import tempfile
@@ -17,10 +18,11 @@
 
 import msgspec
 
-from slope_worker import CORES, MEMORY, ZONES, entry
+from slope_worker import CORES, MANY, MEMORY, ZONES, entry
 
 SOCKETS = 1_024
-SETTLE_S, IDLE_S, EVENTS = 3.0, 10.0, 100
+SETTLE_S, IDLE_S, EVENTS = 2.0, 6.0, 100
+STEP_S, MOST_S = 0.4, 60.0  # a burst is over when a step costs little more than an idle one
 SETTINGS: dict[str, Any] = {
     "az": "z0",
     "classes": [{"name": "safe", "effect": "pure", "goal-time-ms": 1_000.0, "deadline-ms": 8_000.0}],
@@ -33,8 +35,7 @@
 
 
 def cpu_s(pid: int) -> float:
-    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+    return int(Path(f"/proc/{pid}/schedstat").read_text().split()[0]) / 1e9
 
 
 def resident(pid: int) -> float:
@@ -63,7 +64,8 @@
         }))  # fmt: skip
         variables = {**os.environ, "ROUTER_CONFIG": str(self.config), "ROUTER_NAME": "n0"}
         with self.log.open("wb") as log:
-            self.process = subprocess.Popen([sys.executable, "-m", "glencleat", "node"], env=variables, stderr=log)
+            command = [sys.executable, "-m", "glencleat", "node"]
+            self.process = subprocess.Popen(command, env=variables, stderr=log)
         self.pid = self.process.pid
 
     def _accepted(self, stream: Any) -> None:
@@ -128,8 +130,20 @@
             one.close()
 
 
+def extra(one: Rig, idle: float, tell: Callable[[], None]) -> float:
+    """CPU seconds that what is told costs beyond being idle."""
+    before, steps = cpu_s(one.pid), 0
+    tell()
+    while steps < MOST_S / STEP_S:
+        spent, steps = one.rest(STEP_S), steps + 1
+        if steps > 2 and spent <= 1.5 * idle * STEP_S + 0.004:
+            break
+    return max(0.0, cpu_s(one.pid) - before - idle * steps * STEP_S)
+
+
 def node(hosts: int, tasks: int, services: int, peers: int, seed: int) -> dict[str, float]:
-    """Start, idle with heartbeats only, events of one host, a zone in one event and in one each, a reset."""
+    """Start, idle with heartbeats only, events of one host and of many, a zone in one event and one each."""
+    drawn = random.Random(seed)
     with rig(hosts, peers, seed) as one:
         one.place()
         found = {"node.start": cpu_s(one.pid)}
@@ -137,28 +151,23 @@
         found["node.resident"] = resident(one.pid)
         found["node.idle"] = idle = one.rest(IDLE_S) / IDLE_S
 
-        def extra(tell: Callable[[], None], seconds: float) -> float:
-            before = cpu_s(one.pid)
-            tell()
-            one.until(lambda: False, seconds)
-            return max(0.0, cpu_s(one.pid) - before - idle * seconds)
+        def changed(count: int) -> list[dict[str, Any]]:
+            free = [round(drawn.uniform(4.0, 12.0), 1), 20.0]
+            return [{**told, "free": free} for told in drawn.sample(one.entries, min(count, hosts))]
 
-        def events() -> None:
-            for i in range(EVENTS):
-                number = i * 7919 % hosts
-                one.service.tell([{**one.entries[number], "free": [5.0 + i % 5, 20.0]}])
+        def each(entries: list[dict[str, Any]], phase: str) -> None:
+            for told in entries:
+                one.service.tell([{**told, "lifecycle": phase}])
 
-        found["node.event"] = extra(events, 3.0) / EVENTS
         gone = one.entries[::ZONES]
-        drained = [{**one, "lifecycle": "DRAINING"} for one in gone]
-        found["node.zone_once"] = extra(lambda: one.service.tell(drained), 2.0)
-        found["node.zone_back"] = extra(lambda: one.service.tell(gone), 2.0)
-
-        def each() -> None:
-            for told in gone:
-                one.service.tell([{**told, "lifecycle": "DELETED"}])
-
-        found["node.zone_each"] = extra(each, 8.0)
+        singles = [changed(1) for _ in range(EVENTS)]
+        found["node.event"] = extra(one, idle, lambda: [one.service.tell(t) for t in singles]) / EVENTS
+        several = [changed(MANY) for _ in range(5)]
+        found["node.event_many"] = extra(one, idle, lambda: [one.service.tell(t) for t in several]) / 5
+        drained = [{**told, "lifecycle": "DRAINING"} for told in gone]
+        found["node.zone_once"] = extra(one, idle, lambda: one.service.tell(drained))
+        found["node.zone_back"] = extra(one, idle, lambda: one.service.tell(gone))
+        found["node.zone_each"] = extra(one, idle, lambda: each(gone, "DELETED"))
         found["node.resident_after"] = resident(one.pid)
     return found
 
--- a/benchmarks/slope_worker.py
+++ b/benchmarks/slope_worker.py
@@ -1,10 +1,11 @@
-"""One measurement of one size, in a process of its own: `slopes.py` starts it and reads the JSON that it prints.
+"""One measurement of one size, in a process of its own: `slopes.py` starts it and reads the JSON it prints.
 
     PYTHONPATH=TREE python benchmarks/slope_worker.py module --hosts 400 --tasks 2050 --seed 1
 
-Imports nothing but the program, from the tree that PYTHONPATH names, so that two versions can be measured by
-the same code. Times are CPU seconds of this process (`time.process_time`) or, of `node`, those that the system
-counts for it; sizes are bytes. Everything drawn comes from the seed. What a figure is: `WHAT` in `slopes.py`."""
+Imports nothing but the program, from the tree that PYTHONPATH names, so that two versions can be measured
+by the same code. Times are CPU seconds of this process (`time.process_time`) or, of `node`, those that the
+system counts for it; sizes are bytes. All that is drawn comes from the seed. What a figure is: `WHAT` in
+`slopes.py`."""
 
 from __future__ import annotations
 
@@ -26,6 +27,7 @@
 STARTS_S = 370.0  # task starts a second of all allocators at the peak
 OPERATIONS = 200  # of each kind in one process
 OLD_MS = 60_000.0
+MANY = 480  # entries of one event at the peak: what starts and ends in 0.65 s on as many hosts (CAPACITY.md)
 
 
 def cpu(call: Callable[[], object], times: int = 1) -> float:
@@ -154,10 +156,13 @@
         after.append(sum(world.place()))
         world.end(api.Outcome.ENDED)
         back.append(world.changed([number], api.Phase.SERVING))
+    many = min(MANY, hosts)
+    several = [world.changed(world.random.sample(range(hosts), many), api.Phase.SERVING) for _ in range(10)]
     machines = tuple(world.machines.values())
     for _ in range(5):
         whole.append(cpu(lambda: world.tell(api.ListTold(api.ListKind.WHOLE, machines))))
-    sums = {"event_free": free, "event_phase": gone + back, "place_after_event": after, "whole": whole}
+    sums = {"event_free": free, "event_phase": gone + back, "place_after_event": after, "whole": whole,
+            "event_many": several}  # fmt: skip
     return {name: sum(values) / len(values) for name, values in sums.items()}
 
 
@@ -179,7 +184,8 @@
         names = {f"host-{number:05d}" for number in gone}
         lost = [call for call, host in world.standing.items() if host in names]
         found["module.zone_tasks"] = float(len(lost))
-        found["module.lost"] = sum(world.end(world.api.Outcome.LOST, call) for call in lost) / max(1, len(lost))
+        ends = [world.end(world.api.Outcome.LOST, call) for call in lost]
+        found["module.lost"] = sum(ends) / max(1, len(ends))
         if name == "once":
             found["module.place_after_zone"] = cpu(world.place, 50)
     return found
@@ -196,7 +202,6 @@
     for _ in range(min(services, OPERATIONS)):
         world.place()
     found["memory.orders"] = resident() - world.tasked
-    found["memory.services_used"] = float(len(world.scheduler.orders)) if hasattr(world.scheduler, "orders") else 0.0
     return found
 
 
@@ -231,8 +236,11 @@
         repeats.append(cpu(lambda line=line: list(feeds.feed(line, 1e6))))
     lines = [event(cursor, [entry(drawn.randrange(hosts))]) for cursor in range(5, 5 + OPERATIONS)]
     one = cpu(lambda: [list(feeds.feed(line, 1e6)) for line in lines]) / OPERATIONS
-    beat = b"%d\n" % (4 + OPERATIONS)
+    beat = b"%d\n" % (5 + OPERATIONS)
+    several = event(5 + OPERATIONS, [entry(i) for i in drawn.sample(range(hosts), min(MANY, hosts))])
+    many = cpu(lambda: list(feeds.feed(several, 1e6)))
     return {
+        "channel.event_many": many, "bytes.event_many": float(len(several)),
         "channel.whole": min(repeats), "channel.event": one,
         "channel.beat": cpu(lambda: list(feeds.feed(beat, 1e6)), OPERATIONS),
         "channel.held": held, "bytes.whole": float(len(first)), "bytes.event": float(len(lines[0])),
