--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -220,7 +220,7 @@
             bound.what,
             f"{ratio(once, bound):.2f}",
             f"{ratio(twice, bound):.2f}",
-            f"{ratio(twice, bound) / ratio(once, bound):.2f}",
+            f"{ratio(twice, bound) / max(1e-9, ratio(once, bound)):.2f}",
             told(twice, bound.formula, bound.unit),
         ]
         for bound in sorted(lines.TOP, key=lambda bound: ratio(twice, bound), reverse=True)
@@ -363,7 +363,7 @@
     commits = ", ".join(f"{name} ({commit})" for name, commit in data["versions"].items())
     state = "**partial**" if data["partial"] else "whole"
     state += ", quick" if data["quick"] else ""
-    state += f", {len(data['failed'])} failed" if data["failed"] else ""
+    state += f", {len(data['failed'])} failed" if data.get("failed") else ""
     return [
         f"Runs: {count} processes, {data['began']} to {data['ended']}, {state}; {commits}; "
         f"{data['machine']}, shared, load {data['load']}."
--- a/benchmarks/slope_fits.py
+++ b/benchmarks/slope_fits.py
@@ -1,7 +1,8 @@
 """Which curve a cost follows as a size grows, with its 95% interval; no I/O.
 
-Four curves are tried by least squares of relative errors (scipy): no growth, a line, a logarithm, a
-power. The one with the least corrected Akaike criterion is taken: a parameter more has to pay for itself."""
+Four curves are tried by least squares of relative errors, in logarithms (scipy): no growth, a line, a
+logarithm, a power. The one with the least corrected Akaike criterion is taken: a parameter more has to pay
+for itself."""
 
 from __future__ import annotations
 
@@ -76,8 +77,10 @@
     law = CURVES[curve][0]
     start = {"flat": [y.mean()], "line": [y.min(), (y.max() - y.min()) / x.max()], "log": [y.min(), y.std()],
              "power": [y.mean() / x.mean() ** 0.5, 0.5]}[curve]  # fmt: skip
-    values, covariance = optimize.curve_fit(law, x, y, p0=start, sigma=y, maxfev=20_000)
-    relative = law(x, *values) / y - 1.0
+    values, covariance = optimize.curve_fit(
+        lambda x, *p: np.log(np.maximum(law(x, *p), 1e-30)), x, np.log(y), p0=start, maxfev=20_000
+    )
+    relative = np.log(np.maximum(law(x, *values), 1e-30) / y)
     count, parameters = len(x), len(values) + 1
     penalty = 2.0 * parameters * count / max(1.0, count - parameters - 1.0)
     criterion = count * math.log(max(float((relative**2).mean()), 1e-12)) + penalty
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -1,7 +1,7 @@
 """What each step of an allocator costs as the fleet grows: runs, fits, a table, for docs/CAPACITY.md.
 
     python -m benchmarks.slopes                                          # this tree: about 20 minutes
-    python -m benchmarks.slopes --quick                                  # two seeds, three sizes: about 5
+    python -m benchmarks.slopes --quick                                  # two seeds, four sizes: about 6
     python -m benchmarks.slopes --checkout 0293f78=DIR --checkout now=.  # two versions, in turn
 
 One measurement at a time, each in a process of its own (`slope_worker.py`), seeds 1 to N. CPU time, not wall
@@ -27,7 +27,7 @@
 
 FORMAT = 1
 HOSTS = (400, 1_600, 3_200, 6_300, 12_600)
-QUICK = (400, 1_600, 6_300)
+QUICK = (400, 1_600, 6_300, 12_600)  # the last with one seed
 SIZE = 6_300  # hosts, where tasks and services are swept
 TREE = Path(__file__).resolve().parent.parent
 # What a quantity is; `s`: CPU seconds, `B`: bytes, `core`: CPU seconds a second, `/s`: a second, else counts.
@@ -93,16 +93,16 @@
         for kind, seeds in (("module", many), ("zone", few), ("memory", few), ("channel", few),
                             ("node", few), ("looks", few)):  # fmt: skip
             if kind in kinds:
-                yield Cell(kind, hosts), seeds
+                yield Cell(kind, hosts), 1 if quick and hosts == HOSTS[-1] else seeds
     if "wire" in kinds:
         yield Cell("wire", HOSTS[0]), many
     if quick:
         return
-    for kind in {"module", "memory", "looks"} & kinds:
+    for kind in sorted({"module", "memory", "looks"} & kinds):
         for tasks in (250, 1_000):
             yield Cell(kind, SIZE, tasks=tasks), 2
     for services in (10, 1_000):
-        for kind in {"module", "memory"} & kinds:
+        for kind in sorted({"module", "memory"} & kinds):
             yield Cell(kind, SIZE, services=services), 2
     if "module" in kinds:
         yield Cell("module", SIZE, peers=16), few
@@ -222,7 +222,7 @@
 
 @click.command()
 @click.option("--checkout", multiple=True, metavar="NAME=DIR", help="versions to measure in turn")
-@click.option("--quick", is_flag=True, help="two seeds, hosts only")
+@click.option("--quick", is_flag=True, help="two seeds (one at the largest size), no sweep of tasks and services")
 @click.option("--kinds", default="module,zone,memory,channel,wire,node,looks")
 @click.option("--out", default="slopes", help="name of the results")
 def main(checkout: tuple[str, ...], quick: bool, kinds: str, out: str) -> None:
