--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -47,6 +47,11 @@
         return self._look_up(f"{self._name}.{quantity}")
 
 
+def rig_phases(version: str) -> list[dict[str, Any]]:
+    found: list[dict[str, Any]] = json.loads(RIG.read_text()).get(version, {"phases": []})["phases"]
+    return found
+
+
 class Size:
     """Formulas at one size, by one version's runs."""
 
@@ -57,8 +62,17 @@
         self.hosts = float(seen if seen is not None else self.sizes["hosts"])
         self.own = self.sizes["tasks"] / self.sizes["allocators"]
 
+    def rig(self, name: str) -> float:
+        phase, read = RIG_AT[name]
+        for seen in rig_phases(self.version):
+            if seen["name"] == phase and seen["hosts"] == self.hosts:
+                return float(read(seen["allocators"][0]))
+        raise Unknown(name)
+
     def quantity(self, name: str, bound: int) -> float:
-        """Median (0), low (1) or high (2) end of its 95% interval."""
+        """Median (0), low (1) or high (2) end of its 95% interval; the rig's is one run."""
+        if name.startswith("rig."):
+            return self.rig(name)
         known = points(self.data, self.version, name)
         at = [y for x, y in known if x == self.hosts]
         if at:
@@ -90,7 +104,13 @@
         return low, high
 
 
-GROUPS = ("module", "memory", "channel", "bytes", "wire", "node", "looks")
+GROUPS = ("module", "memory", "channel", "bytes", "wire", "node", "looks", "rig")
+RIG_AT = {  # the rig's figures that a formula may name: phase, what of it
+    "rig.cpu": ("steady load", lambda one: one["cpu_s"] / one["seconds"]),
+    "rig.wait": ("steady load", lambda one: one["waits_ms"]["p99"] / 1e3),
+    "rig.wait_zone": ("zone lost", lambda one: one["waits_ms"]["p99"] / 1e3),
+    "rig.memory": ("whole run", lambda one: one["most_mb"] * 2**20),
+}
 
 
 def names_in(formula: str) -> set[str]:
@@ -122,31 +142,33 @@
     return {version: Size(data, version, **more) for version, data in runs.items()}
 
 
-def top(runs: Versions) -> list[str]:
-    """Bounds against figures, by the newest version's ratio."""
-    found = sizes(runs)
-    newest = list(found)[-1]
+def ratio(size: Size, bound: lines.Bound) -> float | None:
+    try:
+        return size.value(bound.formula) / bound.bound
+    except Unknown:
+        return None
 
-    def ratio(bound: lines.Bound) -> float:
-        return found[newest].value(bound.formula) / bound.bound
 
+def newest(found: dict[str, Size], bound: lines.Bound) -> Size:
+    """Of the versions that have a figure, the last."""
+    return [size for size in found.values() if ratio(size, bound) is not None][-1]
+
+
+def top(runs: Versions) -> list[str]:
+    """Bounds against figures, by the newest version's ratio."""
+    found, rows = sizes(runs), []
     head = ["what", "bound", *found, "95%", "ratio", "carried by", "without a run"]
-    rows = []
-    for bound in sorted(lines.TOP, key=ratio, reverse=True):
-        low, high = (show(value, bound.unit) for value in found[newest].interval(bound.formula))
-        figures = [told(size, bound.formula, bound.unit) for size in found.values()]
-        rows.append(
-            [
-                bound.what,
-                show(bound.bound, bound.unit),
-                *figures,
-                f"{low} to {high}",
-                f"**{ratio(bound):.2f}**" if ratio(bound) > 1.0 else f"{ratio(bound):.2f}",
-                bound.carrier,
-                assumed(bound.formula),
-            ]
-        )
-    return rows_of(head, rows)
+    for bound in lines.TOP:
+        size = newest(found, bound)
+        part = ratio(size, bound) or 0.0
+        low, high = (show(value, bound.unit) for value in size.interval(bound.formula))
+        span = "one run" if "rig." in bound.formula else f"{low} to {high}"
+        figures = [told(one, bound.formula, bound.unit) for one in found.values()]
+        text = f"**{part:.2f}**" if part > 1.0 else f"{part:.2f}"
+        marks = assumed(bound.formula)
+        line = [bound.what, show(bound.bound, bound.unit), *figures, span, text, bound.carrier, marks]
+        rows.append((part, line))
+    return rows_of(head, [line for _, line in sorted(rows, key=lambda row: -row[0])])
 
 
 def mechanisms(runs: Versions) -> list[str]:
@@ -155,7 +177,7 @@
     for name, (formula, what) in lines.MECHANISMS.items():
         line = [name]
         for size in found.values():
-            ratios = [size.value(b.formula) / b.bound for b in lines.TOP if name in b.carrier]
+            ratios = [part for b in lines.TOP if name in b.carrier and (part := ratio(size, b)) is not None]
             line += [
                 f"{sum(ratio > 1.0 for ratio in ratios)} of {len(ratios)}",
                 f"{max(ratios):.1f}",
@@ -172,33 +194,34 @@
 
 def rig(runs: Versions) -> list[str]:
     """The whole process with hollow hosts on real sockets, against the sum of lines."""
-    phases = json.loads(RIG.read_text())["phases"]
-    size, rows = next(iter(sizes(runs).values())), []
-    for name, formula in lines.RIG.items():
-        phase = next(p for p in phases if p["name"] == name and p["hosts"] == lines.SIZES["hosts"])
-        one, worked = phase["allocators"][0], size.value(formula)
-        seen = one["cpu_s"] / one["seconds"]
-        connections = one["counts"].get("host connections", 0) / one["seconds"]
-        p99 = one["waits_ms"].get("p99")
-        rows.append(
-            [
-                name,
-                show(seen, "core"),
-                show(worked, "core"),
-                f"{worked / seen:.2f}",
-                show(one["rss_mb"] * 2**20, "MB"),
-                show(connections, "/s"),
-                f"{p99:,.0f} ms" if p99 else "-",
-            ]
-        )
+    rows = []
+    for version, size in sizes(runs).items():
+        for phase in rig_phases(version):
+            one, formula = phase["allocators"][0], lines.RIG.get(phase["name"])
+            seen, worked = one["cpu_s"] / one["seconds"], size.value(formula) if formula else None
+            connections = one["counts"].get("host connections", 0) / one["seconds"]
+            p99 = one["waits_ms"].get("p99")
+            rows.append(
+                [
+                    version,
+                    phase["name"],
+                    show(seen, "core"),
+                    show(worked, "core") if worked else "-",
+                    f"{worked / seen:.2f}" if worked else "-",
+                    show(one["most_mb"] * 2**20, "MB"),
+                    show(connections, "/s"),
+                    f"{p99:,.0f} ms" if p99 else "-",
+                ]
+            )
     head = [
+        "program",
         "phase, 6,300 hosts",
         "CPU seen",
         "CPU by the lines",
         "lines / seen",
-        "memory",
-        "connections",
-        "p99",
+        "memory at most",
+        "connections to hosts",
+        "p99 of an answer",
     ]
     return rows_of(head, rows)
 
@@ -210,22 +233,16 @@
 def doubled(runs: Versions) -> list[str]:
     """Twice the hosts, tasks, starts and teams on the same machines."""
     version, data = list(runs.items())[-1]
-    once, twice = Size(data, version), Size(data, version, times=2)
-
-    def ratio(size: Size, bound: lines.Bound) -> float:
-        return size.value(bound.formula) / bound.bound
-
-    rows = [
-        [
-            bound.what,
-            f"{ratio(once, bound):.2f}",
-            f"{ratio(twice, bound):.2f}",
-            f"{ratio(twice, bound) / max(1e-9, ratio(once, bound)):.2f}",
-            told(twice, bound.formula, bound.unit),
-        ]
-        for bound in sorted(lines.TOP, key=lambda bound: ratio(twice, bound), reverse=True)
-    ]
-    return rows_of(["what", "ratio", "ratio at twice the size", "grows by", "figure then"], rows)
+    once, twice, rows = Size(data, version), Size(data, version, times=2), []
+    for bound in lines.TOP:
+        before, after = ratio(once, bound), ratio(twice, bound)
+        if before and after:
+            then = told(twice, bound.formula, bound.unit)
+            state = "broken already" if before > 1.0 else "**breaks**" if after > 1.0 else "holds"
+            figures = [f"{before:.2f}", f"{after:.2f}", f"{after / before:.2f}", then, state]
+            rows.append((after, [bound.what, *figures]))
+    head = ["what", "ratio", "ratio at twice the size", "grows by", "figure then", "the bound"]
+    return rows_of(head, [line for _, line in sorted(rows, key=lambda row: -row[0])])
 
 
 def situations(priced: list[roles.Line], unit: str) -> Callable[[Versions], list[str]]:
--- a/benchmarks/capacity_lines.py
+++ b/benchmarks/capacity_lines.py
@@ -50,6 +50,12 @@
     "services": (660, "services asked for: one a team at least; the module remembers 2,000"),
     "probe": (60, "B of a datagram between members"),
     "counter": (64, "B of one team's counter of one origin"),
+    "beat": (13, "B of a heartbeat line: the rig's list bytes a second while idle"),
+    "at": (14, "B that `at` adds to a set-up"),
+    "probes": (4, "datagrams of a member a second: a probe and an answer each way"),
+    "news": (16, "B of what is known of a host: who looks, what was seen"),
+    "lease": (10, "s after which a team's part of a quota is asked for anew"),
+    "rush": (10, "changes of configuration at the peak, as many times the mean"),
     "change": (1_000, "B of one change of configuration"),
     "record": (200, "B that a party keeps of a task"),
     "start_ms": (1_500, "ms of a start without the program, as the module takes it (`START_MS`)"),
@@ -102,6 +108,10 @@
 SEEN = "hosts * (1 - exp(-tasks / allocators / hosts))"
 
 TOP = [
+    Bound("CPU of the whole process, steady load (rig)", CPU, "core", "rig.cpu", "the lines below it"),
+    Bound("memory of the whole process (rig)", MEMORY, "MB", "rig.memory", INDEX),
+    Bound("99th of 100 answers, steady load (rig)", URGENT, "s", "rig.wait", INDEX),
+    Bound("99th of 100 answers, a zone lost (rig)", URGENT, "s", "rig.wait_zone", INDEX),
     Bound("bytes: looks at quiet hosts", BYTES, "KB/s", "looks.connections * knock", LOOKS),
     Bound("bytes: what hosts have free, by the list", BYTES, "KB/s", "2 * starts * bytes.entry", PART),
     Bound(
@@ -181,7 +191,7 @@
     (
         "quotas of 660 teams, in sum",
         "teams * allocators * counter",
-        "teams / 10",
+        "teams / lease",
         "`fleet/quota`: leases by majority, floors; a decider of the seam",
         36,
     ),
--- a/benchmarks/capacity_roles.py
+++ b/benchmarks/capacity_roles.py
@@ -78,7 +78,7 @@
     ),
 ]
 TRAFFIC = [
-    Line("heartbeats", "KB/s", "bytes.beat + 9", carrier="`isup/channel.py`"),
+    Line("heartbeats", "KB/s", "beat", carrier="`isup/channel.py`"),
     Line(
         "list entries",
         "KB/s",
@@ -101,7 +101,7 @@
         FRAMES,
         {
             "zone lost": FRAMES + " + tasks / allocators / zones * (bytes.release + bytes.heard + bytes.ask)",
-            "all start cold": "tasks / allocators * (bytes.ask + 20)",
+            "all start cold": "tasks / allocators * (bytes.ask + at)",
         },
         "protocol page",
     ),
@@ -160,7 +160,7 @@
         State(
             "members: address, incarnation, state", "allocators", "record", "*missing*: `fleet/membership`"
         ),
-        State("who looks at which host, what was seen", "hosts", "16", "*missing*: `fleet/membership`"),
+        State("who looks at which host, what was seen", "hosts", "news", "*missing*: `fleet/membership`"),
     ],
     "quota and usage, to come": [
         State("teams: quota, lease, usage", "teams", "counter", "*missing*: `fleet/quota`"),
@@ -205,9 +205,7 @@
             "bytes.entry",
             "`isup/channel.py`",
         ),
-        Flow(
-            "heartbeats", "allocators", "allocators", "-", "allocators", "bytes.beat + 9", "`isup/channel.py`"
-        ),
+        Flow("heartbeats", "allocators", "allocators", "-", "allocators", "beat", "`isup/channel.py`"),
         Flow("whole lists", "0", "0", "all start cold", "allocators", "bytes.whole", "`Channel.resume`"),
     ],
     "agent side of a host": [
@@ -242,25 +240,27 @@
             "bytes.answer",
             "`Exchange._accepted`",
         ),
-        Flow("hand-overs (`at`)", "0", "0", "all start cold", "tasks", "bytes.ask + 20", "`Exchange._adopt`"),
+        Flow("hand-overs (`at`)", "0", "0", "all start cold", "tasks", "bytes.ask + at", "`Exchange._adopt`"),
     ],
     "members' talk, to come (one member)": [
-        Flow("probes and answers", "4", "4", "zone lost", "4", "probe", "*missing*: `fleet/transport`"),
+        Flow(
+            "probes and answers", "probes", "probes", "-", "probes", "probe", "*missing*: `fleet/transport`"
+        ),
         Flow(
             "host news passed on",
             "2 * (fail_day + restart_day) / 86400",
             "2 * (fail_day + restart_day) / 86400",
             "zone lost",
             "hosts / zones",
-            "16",
+            "news",
             "*missing*: `fleet/membership`",
         ),
     ],
     "quota and usage, to come (one member)": [
         Flow(
             "leases asked and given (10 s)",
-            "teams / 10 / allocators",
-            "teams / 10",
+            "teams / lease / allocators",
+            "teams / lease",
             "region back",
             "teams",
             "counter",
@@ -289,7 +289,7 @@
         Flow(
             "changes",
             "config_day / 86400",
-            "10 * config_day / 86400",
+            "rush * config_day / 86400",
             "all start cold",
             "teams",
             "change",
--- a/benchmarks/slope_worker.py
+++ b/benchmarks/slope_worker.py
@@ -16,6 +16,7 @@
 import random
 import sys
 import time
+import tracemalloc
 from collections.abc import Callable
 from typing import Any
 
@@ -226,10 +227,14 @@
 
     drawn = random.Random(seed)
     first = event(1, [entry(i) for i in range(hosts)], whole=True)
-    before = resident()
+    tracemalloc.start()  # what is resident after a list was read depends on what was freed by then
+    feeds = Channel(0.0)
+    list(feeds.feed(first, 1e6))
+    gc.collect()
+    held = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
     feeds = Channel(0.0)
     list(feeds.feed(first, 1e6))
-    held = resident() - before
     repeats = []
     for cursor in range(2, 5):
         line = event(cursor, [entry(i) for i in range(hosts)], whole=True)
@@ -243,7 +248,7 @@
         "channel.event_many": many, "bytes.event_many": float(len(several)),
         "channel.whole": min(repeats), "channel.event": one,
         "channel.beat": cpu(lambda: list(feeds.feed(beat, 1e6)), OPERATIONS),
-        "channel.held": held, "bytes.whole": float(len(first)), "bytes.event": float(len(lines[0])),
+        "channel.held": float(held), "bytes.whole": float(len(first)), "bytes.event": float(len(lines[0])),
         "bytes.entry": float(len(lines[0]) - len(event(5, []))), "bytes.beat": float(len(beat)),
     }  # fmt: skip
 
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -2,6 +2,7 @@
 
     python -m benchmarks.slopes                                          # this tree: about 20 minutes
     python -m benchmarks.slopes --quick                                  # two seeds, four sizes: about 6
+    python -m benchmarks.slopes --kinds channel --keep                   # one kind anew, the others stay
     python -m benchmarks.slopes --checkout 0293f78=DIR --checkout now=.  # two versions, in turn
 
 One measurement at a time, each in a process of its own (`slope_worker.py`), seeds 1 to N. CPU time, not wall
@@ -161,7 +162,8 @@
 
 def row(data: dict[str, Any], version: str, what: str, axis: str, at: float) -> list[str] | None:
     """Medians at the sizes, the curve, its interval at a size, how far off it is."""
-    known, kind = points(data, version, what, axis), WHAT.get(what, ("s", ""))[0]
+    usual = ("B" if what.startswith("bytes.") else "s", "")
+    known, kind = points(data, version, what, axis), WHAT.get(what, usual)[0]
     if not known:
         return None
     sizes = sorted({x for x, _ in known})
@@ -213,7 +215,9 @@
                     data["failed"].append(f"{version} seed {seed} {error}")
                     click.echo(f"FAILED {data['failed'][-1]}", err=True)
                     continue
-                data["runs"].append({"version": version, **asdict(cell), "seed": seed, "figures": figures})
+                at = time.strftime("%H:%M")
+                told = {"version": version, **asdict(cell), "seed": seed, "at": at, "figures": figures}
+                data["runs"].append(told)
                 click.echo(f"{version} {cell} seed {seed}: {time.monotonic() - began:.1f} s", err=True)
         data["ended"] = time.strftime("%Y-%m-%d %H:%M")
         data["load"] = f"{data['load'].split(' to ')[0]} to {os.getloadavg()[0]:.0f}"
@@ -222,10 +226,11 @@
 
 @click.command()
 @click.option("--checkout", multiple=True, metavar="NAME=DIR", help="versions to measure in turn")
-@click.option("--quick", is_flag=True, help="two seeds (one at the largest size), no sweep of tasks and services")
+@click.option("--quick", is_flag=True, help="two seeds (one at the largest size), hosts only")
 @click.option("--kinds", default="module,zone,memory,channel,wire,node,looks")
+@click.option("--keep", is_flag=True, help="other kinds' runs stay as they are in the results")
 @click.option("--out", default="slopes", help="name of the results")
-def main(checkout: tuple[str, ...], quick: bool, kinds: str, out: str) -> None:
+def main(checkout: tuple[str, ...], quick: bool, kinds: str, keep: bool, out: str) -> None:
     """Measures, fits, writes docs/results/OUT.json and OUT.md."""
     trees = {name: Path(folder).resolve() for name, _, folder in (one.partition("=") for one in checkout)}
     trees = trees or {commit_of(TREE): TREE}
@@ -234,9 +239,13 @@
         "load": f"{os.getloadavg()[0]:.0f}", "quick": quick, "partial": True, "failed": [],
         "versions": {name: commit_of(tree) for name, tree in trees.items()}, "runs": [],
     }  # fmt: skip
-    save = RESULTS / f"{out}.json"
+    save, again = RESULTS / f"{out}.json", set(kinds.split(","))
+    if keep:
+        before = json.loads(save.read_text())
+        kept = [run for run in before["runs"] if run["kind"] not in again]
+        data = {**data, "runs": kept, "began": before["began"], "versions": before["versions"]}
     try:
-        run_all(data, trees, quick, set(kinds.split(",")), save)
+        run_all(data, trees, quick, again, save)
         data["partial"] = False
     except KeyboardInterrupt:
         click.echo("stopped: what was measured is kept, marked partial", err=True)
