--- a/benchmarks/capacity_lines.py
+++ b/benchmarks/capacity_lines.py
@@ -101,7 +101,12 @@
 )
 NOTES = "hosts * note_s / allocators * (module.note + wire.decode_note)"
 STARTS = "starts / allocators"
-PEAK = f"node.idle + {LOOK} + {STARTS} * (module.place + module.end + {MESSAGES}) + {NOTES} + {LIST}"
+# The part of placements whose service was last placed before the list's last change of phase: three phases of
+# each machine that fails or is restarted, against the placements of one service at one allocator.
+PHASES = "3 * (fail_day + restart_day) / 86400"
+ANEW = f"{PHASES} / ({PHASES} + starts / allocators / services)"
+PLACE = f"(module.place + {ANEW} * max(0, module.place_after_event - module.place))"
+PEAK = f"node.idle + {LOOK} + {STARTS} * ({PLACE} + module.end + {MESSAGES}) + {NOTES} + {LIST}"
 
 FRAMES = f"{STARTS} * (bytes.ask + bytes.setup + 2 * bytes.answer + 2 * bytes.release + 2 * bytes.heard)"
 AFTER_ZONE = "node.zone_each + module.place_after_zone + start_ms / 1e3"
@@ -130,7 +135,7 @@
     ),
     Bound("CPU at the peak, all of it", CPU, "core", PEAK, "the lines below it"),
     Bound("CPU: looks at quiet hosts", CPU, "core", LOOK, LOOKS),
-    Bound("CPU: placements", CPU, "core", f"{STARTS} * module.place", INDEX),
+    Bound("CPU: placements", CPU, "core", f"{STARTS} * {PLACE}", INDEX),
     Bound("CPU: idle control", CPU, "core", "node.idle", INDEX),
     Bound("CPU: list, 1.6 events a second", CPU, "core", LIST, INDEX + "; " + PART),
     Bound(
@@ -228,7 +233,7 @@
 # What the processor spends at the peak, by the mechanism that would carry it: formula, what it is.
 MECHANISMS = {
     INDEX: (
-        f"node.idle + {STARTS} * module.place + node.event / batch",
+        f"node.idle + {STARTS} * {PLACE} + node.event / batch",
         "sweep, placements, a list event's base",
     ),
     LOOKS: (LOOK, "connections to quiet hosts"),
--- a/benchmarks/capacity_roles.py
+++ b/benchmarks/capacity_roles.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from benchmarks.capacity_lines import ENTRY, FRAMES, LIST, LOOK, LOOKS, MESSAGES, NOTES, PART, STARTS
+from benchmarks.capacity_lines import ENTRY, FRAMES, LIST, LOOK, LOOKS, MESSAGES, NOTES, PART, PLACE, STARTS
 
 
 SITUATIONS = ("ordinary", "peak", "rack lost", "zone lost", "region back", "all start cold")
@@ -39,11 +39,11 @@
     Line(
         "placements",
         "core",
-        f"lull * {STARTS} * module.place",
-        f"{STARTS} * module.place",
+        f"lull * {STARTS} * {PLACE}",
+        f"{STARTS} * {PLACE}",
         {
-            "rack lost": f"{STARTS} * module.place + " + LOST.format(part="rack / hosts"),
-            "zone lost": f"{STARTS} * module.place + " + LOST.format(part="1 / zones"),
+            "rack lost": f"{STARTS} * {PLACE} + " + LOST.format(part="rack / hosts"),
+            "zone lost": f"{STARTS} * {PLACE} + " + LOST.format(part="1 / zones"),
         },
         "`logic.choose`, `logic.order`",
     ),
--- a/benchmarks/slope_worker.py
+++ b/benchmarks/slope_worker.py
@@ -82,11 +82,11 @@
     def tell(self, event: Any) -> list[Any]:
         return self.scheduler.handle(self.now, event)
 
-    def ask(self, machine: str | None = None) -> int:
+    def ask(self, machine: str | None = None, service: int | None = None) -> int:
         self.calls += 1
-        service = f"service-{self.random.randrange(self.services)}"
+        service = self.random.randrange(self.services) if service is None else service
         name = "safe" if self.random.random() < 0.5 else "keyed"
-        self.asked = self.api.Asked(self.calls, name, service, *ASK, 8_000.0, machine=machine)
+        self.asked = self.api.Asked(self.calls, name, f"service-{service}", *ASK, 8_000.0, machine=machine)
         return self.calls
 
     def adopt(self, machine: str) -> None:
@@ -96,9 +96,9 @@
         self.tell(self.api.Noted(call, machine, self.api.NoteKind.CORES, 0.15))
         self.tell(self.api.Noted(call, machine, self.api.NoteKind.MEMORY, 0.4))
 
-    def place(self) -> tuple[float, float]:
+    def place(self, service: int | None = None) -> tuple[float, float]:
         """Asked and Accepted of one task, CPU seconds of each; it stands then."""
-        call = self.ask()
+        call = self.ask(service=service)
         began = time.process_time()
         actions = self.tell(self.asked)
         bound = time.process_time()
@@ -126,7 +126,9 @@
 def module(hosts: int, tasks: int, services: int, peers: int, seed: int) -> Figures:
     world = Module(hosts, tasks, services, peers, seed)
     api, step = world.api, 1e3 * peers / STARTS_S
-    first = [world.place()[0] for _ in range(min(OPERATIONS, services))]  # orders come to be built
+    first = [world.place(service)[0] for service in range(services)]  # each builds its order
+    for _ in range(services):
+        world.end(api.Outcome.ENDED)
     asked, accepted, ended, noted = list[float](), list[float](), list[float](), list[float]()
     for _ in range(OPERATIONS):
         world.now += step
@@ -200,8 +202,8 @@
     world = Module(hosts, tasks, services, peers, seed)
     found = {"memory.base": base, "memory.listed": world.listed - world.empty,
              "memory.tasks": world.tasked - world.listed}  # fmt: skip
-    for _ in range(min(services, OPERATIONS)):
-        world.place()
+    for service in range(services):
+        world.place(service)
     found["memory.orders"] = resident() - world.tasked
     return found
 
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -1,7 +1,7 @@
 """What each step of an allocator costs as the fleet grows: runs, fits, a table, for docs/CAPACITY.md.
 
     python -m benchmarks.slopes                                          # this tree: about 20 minutes
-    python -m benchmarks.slopes --quick                                  # two seeds, four sizes: about 6
+    python -m benchmarks.slopes --quick                                  # fewer seeds and sizes: about 6
     python -m benchmarks.slopes --kinds channel --keep                   # one kind anew, the others stay
     python -m benchmarks.slopes --checkout 0293f78=DIR --checkout now=.  # two versions, in turn
 
@@ -28,13 +28,13 @@
 
 FORMAT = 1
 HOSTS = (400, 1_600, 3_200, 6_300, 12_600)
-QUICK = (400, 1_600, 6_300, 12_600)  # the last with one seed
+QUICK = (400, 1_600, 6_300, 12_600)  # the last, and fewer tasks, with one seed
 SIZE = 6_300  # hosts, where tasks and services are swept
 TREE = Path(__file__).resolve().parent.parent
 # What a quantity is; `s`: CPU seconds, `B`: bytes, `core`: CPU seconds a second, `/s`: a second, else counts.
 WHAT = {
-    "module.place": ("s", "placement: Asked and Accepted, orders of services known"),
-    "module.place_first": ("s", "placement that may build its service's order"),
+    "module.place": ("s", "placement: Asked and Accepted, its service known"),
+    "module.place_first": ("s", "first placement of a service"),
     "module.place_after_event": ("s", "placement after one machine changed phase"),
     "module.end": ("s", "Returned of a standing task: profiles learn, means are taken"),
     "module.lost": ("s", "Returned of a task of a lost machine"),
@@ -49,7 +49,7 @@
     "module.zone_tasks": ("", "own tasks on the seventh"),
     "memory.listed": ("B", "module: the list"),
     "memory.tasks": ("B", "module: own standing tasks"),
-    "memory.orders": ("B", "module: after 200 placements, orders of services"),
+    "memory.orders": ("B", "module: after a placement of each service"),
     "channel.whole": ("s", "channel: a whole list's bytes to news"),
     "channel.event": ("s", "channel: an event of one entry"),
     "channel.event_many": ("s", "channel: an event of 480 entries"),
@@ -97,11 +97,11 @@
                 yield Cell(kind, hosts), 1 if quick and hosts == HOSTS[-1] else seeds
     if "wire" in kinds:
         yield Cell("wire", HOSTS[0]), many
+    for kind in sorted({"module", "looks"} & kinds if quick else {"module", "memory", "looks"} & kinds):
+        for tasks in (250, 1_000):
+            yield Cell(kind, SIZE, tasks=tasks), 1 if quick else 2
     if quick:
         return
-    for kind in sorted({"module", "memory", "looks"} & kinds):
-        for tasks in (250, 1_000):
-            yield Cell(kind, SIZE, tasks=tasks), 2
     for services in (10, 1_000):
         for kind in sorted({"module", "memory"} & kinds):
             yield Cell(kind, SIZE, services=services), 2
@@ -226,7 +226,7 @@
 
 @click.command()
 @click.option("--checkout", multiple=True, metavar="NAME=DIR", help="versions to measure in turn")
-@click.option("--quick", is_flag=True, help="two seeds (one at the largest size), hosts only")
+@click.option("--quick", is_flag=True, help="two seeds (one at the largest size), fewer sweeps")
 @click.option("--kinds", default="module,zone,memory,channel,wire,node,looks")
 @click.option("--keep", is_flag=True, help="other kinds' runs stay as they are in the results")
 @click.option("--out", default="slopes", help="name of the results")
