--- a/glencleat/index/order.py
+++ b/glencleat/index/order.py
@@ -2,9 +2,9 @@
 
 An order (highest random weight: Thaler and Ravishankar, 1998) is the members sorted by a hash of key and
 member: any two processes that know the same members agree on it. Members have numbers, and an order is an
-array of these, 2 bytes each, so that there may be one for each of a thousand keys. A member that comes or goes
-is inserted or removed by bisection in the orders that are looked at; one not looked at for long is filtered,
-or sorted anew where that takes less. An order gives what a sort of all members gives: no choice is made here.
+array of these, 2 bytes each, so that each of a thousand keys may have one. A member that comes or goes is
+inserted or removed by bisection in the orders that are looked at; one not looked at for long is filtered, or
+sorted anew where that takes less. An order gives what a sort of all members gives: no choice is made here.
 Imports nothing of the project; the decision module calls it."""
 
 from __future__ import annotations
