Slopes: the silent hosts' listener takes connections of the loopback device alone

Fault: it was bound to all addresses, and was so in the runs behind CAPACITY.md; this project stays on loopback. It is bound to the loopback device now, as hollow hosts are (own code, since older trees that it measures lack theirs).

--- a/benchmarks/slope_node.py
+++ b/benchmarks/slope_node.py
@@ -8,6 +8,7 @@
 
 import os
 import random
+import socket
 import subprocess
 import sys
 import tempfile
@@ -21,6 +22,7 @@
 from slope_worker import CORES, MANY, MEMORY, ZONES, entry
 
 SOCKETS = 1_024
+BACKLOG, AT_ONCE = 1_024, 64  # connections that wait, that are taken in one round
 SETTLE_S, IDLE_S, EVENTS = 2.0, 6.0, 100
 STEP_S, MOST_S = 0.4, 60.0  # a burst is over when a step costs little more than an idle one
 SETTINGS: dict[str, Any] = {
@@ -34,6 +36,16 @@
 }
 
 
+def listen_on_loopback() -> socket.socket:
+    """At the loopback device's addresses alone, as in `glencleat.scale.hosts`, which older trees lack."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_BINDTODEVICE, b"lo\0")
+    sock.bind(("", 0))
+    sock.listen(BACKLOG)
+    sock.setblocking(False)
+    return sock
+
+
 def cpu_s(pid: int) -> float:
     return int(Path(f"/proc/{pid}/schedstat").read_text().split()[0]) / 1e9
 
@@ -46,13 +58,15 @@
     """A loop with the list service, the listener of all hosts, one node."""
 
     def __init__(self, folder: Path, hosts: int, peers: int, seed: int) -> None:
-        from glencleat.kernel import Listener, Loop
+        from glencleat.kernel import Loop
+        from glencleat.kernel.loop import READ
         from glencleat.standins.channel import ChannelService
 
         self.loop, self.accepted, self.peers = Loop(), 0, peers
         self.open: set[Any] = set()
-        self.listener = Listener(self.loop, ("0.0.0.0", 0), self._accepted)
-        self.port = self.listener.address[1]
+        self.sock = listen_on_loopback()
+        self.loop.poller.watch(self.sock.fileno(), READ, self._take, last=True)
+        self.port = self.sock.getsockname()[1]
         self.entries = [entry(i, port=self.port) for i in range(hosts)]
         self.service = ChannelService(self.loop, self.entries)
         self.config, self.log = folder / "config.json", folder / "log"
@@ -68,9 +82,16 @@
             self.process = subprocess.Popen(command, env=variables, stderr=log)
         self.pid = self.process.pid
 
-    def _accepted(self, stream: Any) -> None:
-        self.accepted += 1
-        self.loop.spawn(self._hear(stream), "silent host")
+    def _take(self, mask: int) -> None:
+        from glencleat.kernel import Stream
+
+        for _ in range(AT_ONCE):
+            try:
+                sock, _ = self.sock.accept()
+            except (BlockingIOError, ConnectionAbortedError):
+                return
+            self.accepted += 1
+            self.loop.spawn(self._hear(Stream(self.loop, sock)), "silent host")
 
     def _hear(self, stream: Any) -> Iterator[Any]:
         from glencleat.kernel import StreamClosed
