Read again: one Arrivals for hollow owners and allocators, one reader for the fleet test's clients

Twins of this change: requests at drawn instants stood in scale/owners.py and scale/allocators.py (now arrivals.py, the same draws in the same order); Waiting.run repeated Client.run in test_fleet_races.py; test_order_index.py turned on a check that conftest.py turns on for all.

--- a/glencleat/scale/allocators.py
+++ b/glencleat/scale/allocators.py
@@ -15,6 +15,7 @@
 from glencleat.isup import messages as m
 from glencleat.kernel import ConnectFailed, Loop, Stream, StreamClosed, connect
 from glencleat.kernel.loop import Coroutine
+from glencleat.scale.arrivals import Arrivals
 from glencleat.scale.counting import Tally
 
 # As docs/live.md states them of the real one.
@@ -60,27 +61,16 @@
         self.contacts: dict[str, Contact] = {}
         self.filed: dict[HollowLink, None] = {}  # longest unused first
         self.drawn: list[HollowLink] = []  # of these, a while ago, to draw from
-        self.rate, self.next_at, self.task, self.all = 0.0, 0.0, number << 40, dict(ports)
+        self.task, self.all = number << 40, dict(ports)
+        self.arrivals = Arrivals(loop, self.random, self._ask)
         loop.call_in(self.random.uniform(0.0, SWEEP_MS), self._sweep)
 
     # ---- set-ups ----
 
     def ask_at(self, rate: float) -> None:
-        begin, self.rate = self.rate == 0.0 < rate, rate
-        if begin:
-            self.next_at = self.loop.now()
-            self._next()
-
-    def _next(self) -> None:
-        """By the instants drawn, not by those at which we come to it: a late loop would ask less often."""
-        if self.rate > 0.0:
-            self.next_at += 1e3 * self.random.expovariate(self.rate)
-            self.loop.call_in(self.next_at - self.loop.now(), self._ask)
+        self.arrivals.at_rate(rate)
 
     def _ask(self) -> None:
-        if self.rate <= 0.0:
-            return
-        self._next()
         self.task += 1
         contact = self._draw()
         free = [link for link in contact.links if link.unused]
--- /dev/null
+++ b/glencleat/scale/arrivals.py
@@ -0,0 +1,36 @@
+"""Something that happens at random instants at a rate, as requests of many owners do (a Poisson process).
+
+Imports the kernel. Hollow owners and hollow allocators ask by it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+
+from glencleat.kernel import Loop
+
+
+class Arrivals:
+    """`call` at each instant. `random` is the caller's, who may draw from it in `call`."""
+
+    def __init__(self, loop: Loop, random: Random, call: Callable[[], None]) -> None:
+        self.loop, self.random, self.call = loop, random, call
+        self.rate, self.next_at = 0.0, 0.0
+
+    def at_rate(self, rate: float) -> None:
+        """So many a second from now on; 0 ends it."""
+        begin, self.rate = self.rate == 0.0 < rate, rate
+        if begin:
+            self.next_at = self.loop.now()
+            self._next()
+
+    def _next(self) -> None:
+        """By the instants drawn, not by those at which we come to it: a late loop would call less often."""
+        if self.rate > 0.0:
+            self.next_at += 1e3 * self.random.expovariate(self.rate)
+            self.loop.call_in(self.next_at - self.loop.now(), self._arrives)
+
+    def _arrives(self) -> None:
+        if self.rate > 0.0:
+            self._next()
+            self.call()
--- a/glencleat/scale/owners.py
+++ b/glencleat/scale/owners.py
@@ -12,6 +12,7 @@
 from glencleat.isup import messages as m
 from glencleat.kernel import ConnectFailed, Loop, Stream, StreamClosed, connect
 from glencleat.kernel.loop import Coroutine
+from glencleat.scale.arrivals import Arrivals
 from glencleat.scale.counting import Tally
 
 AGAIN_MS, WAIT_MS, LATE_MS = 500.0, 8_000.0, 1_000.0
@@ -87,7 +88,8 @@
     def __init__(self, loop: Loop, allocator: int, address: tuple[str, int], seed: int) -> None:
         self.loop, self.allocator, self.address, self.random = loop, allocator, address, Random(seed)
         self.ledger, self.tally = Ledger(), Tally()
-        self.rate, self.next_at, self.number, self.turn = 0.0, 0.0, allocator << 40, 0
+        self.number, self.turn = allocator << 40, 0
+        self.arrivals = Arrivals(loop, self.random, self._ask)
         self.streams: list[Stream] = []
         for _ in range(CONNECTIONS):
             loop.spawn(self._run(), "hollow owner")
@@ -126,22 +128,11 @@
 
     def ask_at(self, rate: float) -> None:
         """Requests a second from now on; 0 ends it."""
-        begin, self.rate = self.rate == 0.0 < rate, rate
-        if begin:
-            self.next_at = self.loop.now()
-            self._next()
-
-    def _next(self) -> None:
-        """By the instants drawn, not by those at which we come to it: a late loop would ask less often."""
-        if self.rate > 0.0:
-            self.next_at += 1e3 * self.random.expovariate(self.rate)
-            self.loop.call_in(self.next_at - self.loop.now(), self._ask)
+        self.arrivals.at_rate(rate)
 
     def _ask(self) -> None:
-        if self.rate > 0.0:
-            self._next()
-            self.number += 1
-            self._set_up(self.number, None)
+        self.number += 1
+        self._set_up(self.number, None)
 
     def _set_up(self, task: int, at: str | None) -> None:
         if not self.streams:
--- a/tests/test_fleet_races.py
+++ b/tests/test_fleet_races.py
@@ -52,10 +52,13 @@
             while data := (yield from self.stream.read()):
                 decoder.feed(data)
                 for message in decoder.messages():
-                    self.told[message.task].append(message.kind)
+                    self.hear(message)
         except StreamClosed:
             pass
 
+    def hear(self, message):
+        self.told[message.task].append(message.kind)
+
     def ask(self, *tasks):
         self.asked += tasks
         for task in tasks:
@@ -245,20 +248,12 @@
         super().__init__(loop, address)
         self.ends, self.stood = {}, set()
 
-    def run(self, address):
-        decoder = m.Decoder()
-        try:
-            self.stream = yield from connect(self.loop, address, 5_000.0)
-            while data := (yield from self.stream.read()):
-                decoder.feed(data)
-                for message in decoder.messages():
-                    if message.kind == m.ANSWER:
-                        self.stood.add(message.task)
-                    elif message.kind == m.RELEASE:
-                        assert message.task not in self.ends  # told once
-                        self.ends[message.task] = self.loop.now()
-        except StreamClosed:
-            pass
+    def hear(self, message):
+        if message.kind == m.ANSWER:
+            self.stood.add(message.task)
+        elif message.kind == m.RELEASE:
+            assert message.task not in self.ends  # told once
+            self.ends[message.task] = self.loop.now()
 
 
 def kept_waiting(pid):
--- a/tests/test_order_index.py
+++ b/tests/test_order_index.py
@@ -13,11 +13,6 @@
 from tests.reference_order import CLASSES, KINDS, Plain, Stream, differ
 
 
-@pytest.fixture(autouse=True)
-def checked(monkeypatch):
-    monkeypatch.setattr(Members, "checked", True)
-
-
 class Item:
     """A member; with `bits` its hash is short, so that some are equal and names decide."""
 
