--- a/review/peers.py
+++ b/review/peers.py
@@ -28,6 +28,7 @@
 CLASS, TIMEOUT, RETRY, NAME, EXTRAS, STAY_AWAY = 100, 103, 109, 112, 115, 118
 TOPIC, REPORT, VALUE, KEY, CAUSE, DESCRIPTION = 121, 127, 136, 139, 142, 145
 OVER, CANCELLED, FULL, RESET, ERROR, MOOT = 16, 31, 34, 41, 47, 102
+CANCELLED_BY_OWNER = 16
 SLACK_S = 0.05  # every time limit is 50 ms longer on sockets
 
 MEDIUM, LARGE = (25.0, 59.0), (63.0, 129.0)  # cores and memory of the two kinds
@@ -316,6 +317,10 @@
         self.writer.write(data)
         self.sent_at[task] = self.record.add(f"client {self.name}: set-up {task:x}, {len(data)} bytes")
 
+    def send_release(self, task: int, cause: int) -> None:
+        self.writer.write(encode(RELEASE, task, {CAUSE: bytes((cause,))}))
+        self.record.add(f"client {self.name}: gives {task:x} up")
+
     def test(self, number: int) -> None:
         self.writer.write(encode(TEST, number, {CAUSE: b"\0"}))
 
