--- a/review/peers.py
+++ b/review/peers.py
@@ -511,6 +511,7 @@
             broken: list[str] = await play(case)
             return broken
 
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # also then, `Case.end` ends the allocators
     case, code = Case(folder), 2
     loop = asyncio.new_event_loop()
     try:
