--- a/review/2/play.py
+++ b/review/2/play.py
@@ -55,4 +55,4 @@
     return []
 
 
-main(Path(__file__).resolve().parent, play)
+main(Path(__file__).resolve().parent / "record.txt", play)
--- a/review/peers.py
+++ b/review/peers.py
@@ -461,8 +461,8 @@
 class Case:
     """The parts of a case, and their end."""
 
-    def __init__(self, folder: Path) -> None:
-        self.record = Record(folder / "record.txt")
+    def __init__(self, record: Path) -> None:
+        self.record = Record(record)
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.record.add(f"TROUBLE={int(self.trouble)}")
         self.hosts: list[Host] = []
@@ -502,7 +502,7 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def main(folder: Path, play: Callable[[Case], Any]) -> None:
+def main(record: Path, play: Callable[[Case], Any]) -> None:
     """Plays a case and exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run."""
 
     async def run() -> list[str]:
@@ -512,7 +512,7 @@
             return broken
 
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # also then, `Case.end` ends the allocators
-    case, code = Case(folder), 2
+    case, code = Case(record), 2
     loop = asyncio.new_event_loop()
     try:
         broken = loop.run_until_complete(run())
