--- a/glencleat/platform_protocol/messages.py
+++ b/glencleat/platform_protocol/messages.py
@@ -99,6 +99,16 @@
     return encode(kind, task, {CAUSE: bytes((cause,)), **(extra_parameters or {})})
 
 
+def read_task_id(data: bytes) -> int:
+    """Returns the task id of one encoded message.
+
+    >>> read_task_id(encode(PROBE_ANSWER, 7))
+    7
+    """
+    task_id: int = HEADER.unpack_from(data)[2]
+    return task_id
+
+
 def find_message_end(buffer: bytearray, start: int) -> int | None:
     """Returns the end of the message that begins at `start`, None if it is incomplete.
 
--- a/glencleat/platform_server/client_connections.py
+++ b/glencleat/platform_server/client_connections.py
@@ -112,12 +112,13 @@
     def __init__(self, loop: Loop, descriptors: DescriptorBudget, log: Callable[[str], None]) -> None:
         self.loop, self.descriptors, self.log = loop, descriptors, log
         self.connections: dict[ClientConnection, None] = {}  # in the order of their arrival
-        self.pending_releases: deque[tuple[float, bytes]] = deque(maxlen=MAX_PENDING_RELEASES)
+        self.pending_releases: deque[tuple[float, bytes]] = deque()
         self.listener: Listener | None = None
         self.is_draining = False
         self.closed_at_unix_ms = float("inf")  # calls that arrive later are refused
         self.is_ready: Callable[[], bool] = lambda: True  # there is a host to place on
         self.trusted_count = 0  # of the open connections
+        self.dropped_release_count = 0  # releases that waited for a connection in vain
         self.trace: Trace | None = None
         loop.call_in(SWEEP_MS, self._sweep)
 
@@ -331,7 +332,16 @@
         ):
             if not self._has_closed(other) and self._write(other, data):
                 return
+        if len(self.pending_releases) == MAX_PENDING_RELEASES:
+            self._drop_pending_release("too many wait")
         self.pending_releases.append((self.loop.now(), data))
+        self.log(f"task {m.read_task_id(data):x}: its release waits for a client connection")
+
+    def _drop_pending_release(self, reason: str) -> None:
+        """Gives up the release that has waited longest; its client is never notified."""
+        _, data = self.pending_releases.popleft()
+        self.dropped_release_count += 1
+        self.log(f"task {m.read_task_id(data):x}: its release is dropped, {reason}")
 
     # ---- capacity and time-outs ----
 
@@ -356,4 +366,4 @@
                 client.stream.close("the client has stopped reading")
             self.descriptors.update_priority(client)
         while self.pending_releases and now - self.pending_releases[0][0] > PENDING_RELEASE_TIMEOUT_MS:
-            self.pending_releases.popleft()
+            self._drop_pending_release("no client connection could carry it in time")
