A release goes out on any client connection with valid set-ups alone

Cause: send_to_client wrote a release whose connection is gone only to connections on which a task had been placed, else kept it 10 s for such a one.

Change: connections whose set-ups were all valid carry releases as well, after trusted ones; the first valid set-up takes along what waits; the last carrier is not evicted; a release leaves the queue once it is written, where one that was written to a closed connection was lost. Silent connections, health checks alone and invalid set-ups still carry none.

--- a/glencleat/platform_server/client_connections.py
+++ b/glencleat/platform_server/client_connections.py
@@ -64,21 +64,31 @@
         self.created_at_ms = self.last_used_at_ms = now
         self.has_received_message = False  # a complete one
         self.is_trusted = False  # one of its tasks was placed, which never happens to an invalid client
+        self.has_valid_setup = False  # one of its set-ups could be used, whatever the answer was
         self.invalid_setup_count = 0
         # Bytes written so far, and since when that number has not changed while others are unsent.
         self.write_stall: tuple[int, float] | None = None
         # Where an incomplete message begins, and since when it has been incomplete.
         self.partial_message: tuple[int, float] | None = None
 
+    @property
+    def can_carry_releases(self) -> bool:
+        """Whether a release that belongs to another connection may be sent on this one.
+
+        A task belongs to no connection, and its client may come back on another. An invalid client would
+        drop the release; so may one that has sent nothing but health checks, or nothing at all.
+        """
+        return self.is_trusted or (self.has_valid_setup and not self.invalid_setup_count)
+
     def eviction_priority(self) -> EvictionPriority:
         """What the descriptor budget evicts this connection by."""
         if (
             self.open_task_ids
             or self.inbox.scanned_bytes
             or self.stream.send_buffer
-            or (self.is_trusted and self.client_connections.trusted_count == 1)
+            or self.client_connections.is_last_release_carrier(self)
         ):
-            # An answer is owed on it, or it is the last connection that releases can be sent on.
+            # An answer is owed on it, or no other connection can carry releases.
             return EvictionPriority.PINNED
         return EvictionPriority.TRUSTED_CLIENT if self.is_trusted else EvictionPriority.UNTRUSTED_CLIENT
 
@@ -118,6 +128,8 @@
         self.closed_at_unix_ms = float("inf")  # calls that arrive later are refused
         self.is_ready: Callable[[], bool] = lambda: True  # there is a host to place on
         self.trusted_count = 0  # of the open connections
+        # Open connections that are not trusted and can carry releases.
+        self.untrusted_carriers: set[ClientConnection] = set()
         self.dropped_release_count = 0  # releases that waited for a connection in vain
         self.trace: Trace | None = None
         loop.call_in(SWEEP_MS, self._sweep)
@@ -175,6 +187,7 @@
 
     def _on_close(self, client: ClientConnection) -> None:
         self.trusted_count -= client.is_trusted
+        self.untrusted_carriers.discard(client)
         self.descriptors.remove_holder(client)
 
     def _serve(self, client: ClientConnection) -> Coroutine:
@@ -272,9 +285,12 @@
             self.trace.record_message("client", message)
         if message.kind == m.SETUP:
             is_late = (arrived_at_unix_ms or self.loop.clock.wall()) > self.closed_at_unix_ms
-            client.invalid_setup_count += not self.exchange.on_client_setup(
+            is_valid = self.exchange.on_client_setup(
                 client, message, self._socket_wait_ms(arrived_at_unix_ms), is_late
             )
+            client.has_valid_setup |= is_valid
+            client.invalid_setup_count += not is_valid
+            self._update_release_carrier(client)
             if client.invalid_setup_count > MAX_INVALID_SETUPS:
                 raise m.ProtocolError(
                     f"too many invalid set-ups on one connection: {client.invalid_setup_count}"
@@ -301,42 +317,58 @@
         return client.stream.try_send(data)
 
     def mark_trusted(self, client: ClientConnection) -> None:
-        """Records that a task of the client was placed: its connection may carry releases from now on."""
+        """Records that a task of the client was placed: its connection is preferred for releases."""
         if not client.is_trusted:
             client.is_trusted = True
             self.trusted_count += client.stream.close_reason is None
             self.descriptors.update_priority(client)
-            while self.pending_releases and client.stream.close_reason is None:
-                self._write(client, self.pending_releases.popleft()[1])
+            self._update_release_carrier(client)
+
+    def is_last_release_carrier(self, client: ClientConnection) -> bool:
+        """Whether this is the only open connection to carry releases, or the only trusted one."""
+        if client.is_trusted:
+            return self.trusted_count == 1
+        is_only_carrier = len(self.untrusted_carriers) == 1 and client in self.untrusted_carriers
+        return is_only_carrier and not self.trusted_count
+
+    def _update_release_carrier(self, client: ClientConnection) -> None:
+        """Records whether the connection can carry releases; if so, sends those that wait for one."""
+        if client.stream.close_reason is not None or not client.can_carry_releases or client.is_trusted:
+            self.untrusted_carriers.discard(client)
+        else:
+            self.untrusted_carriers.add(client)
+        if client.can_carry_releases:
+            while self.pending_releases and self._try_send_release(client, self.pending_releases[0][1]):
+                self.pending_releases.popleft()
 
     def send_to_client(self, client: ClientConnection | None, data: bytes, must_deliver: bool) -> None:
         """Sends a message on the client's connection.
 
         If that is closed and `must_deliver` is set, the message goes out on the most recently used trusted
-        connection, or waits for one.
+        connection, else on the most recently used one that can carry releases, or waits for such a one.
         """
-        if (
-            client is not None
-            and not (must_deliver and self._has_closed(client))
-            and self._write(client, data)
-        ):
-            self.descriptors.update_priority(client)
-            return
         if not must_deliver:
+            if client is not None and self._write(client, data):
+                self.descriptors.update_priority(client)
+            return
+        if client is not None and self._try_send_release(client, data):
+            return
+        carriers = [candidate for candidate in self.connections if candidate.can_carry_releases]
+        carriers.sort(key=lambda carrier: (carrier.is_trusted, carrier.last_used_at_ms), reverse=True)
+        if any(self._try_send_release(carrier, data) for carrier in carriers):
             return
-        # An untrusted connection may belong to an invalid client, which would drop the release.
-        for other in sorted(
-            (candidate for candidate in self.connections if candidate.is_trusted),
-            key=lambda candidate: candidate.last_used_at_ms,
-            reverse=True,
-        ):
-            if not self._has_closed(other) and self._write(other, data):
-                return
         if len(self.pending_releases) == MAX_PENDING_RELEASES:
             self._drop_pending_release("too many wait")
         self.pending_releases.append((self.loop.now(), data))
         self.log(f"task {m.read_task_id(data):x}: its release waits for a client connection")
 
+    def _try_send_release(self, client: ClientConnection, data: bytes) -> bool:
+        """Writes a release to an open connection; returns False if it is closed."""
+        if self._has_closed(client) or not self._write(client, data):
+            return False
+        self.descriptors.update_priority(client)
+        return True
+
     def _drop_pending_release(self, reason: str) -> None:
         """Gives up the release that has waited longest; its client is never notified."""
         _, data = self.pending_releases.popleft()
--- /dev/null
+++ b/tests/platform_server/test_client_releases.py
@@ -0,0 +1,158 @@
+"""Releases of placed tasks whose client connection is gone: which connection carries them.
+
+By the protocol page a task belongs to no connection: its release may go out on any connection of a client.
+"""
+
+import pytest
+
+from glencleat import interface as api
+from glencleat.descriptor_budget import PeerKind
+from glencleat.platform_protocol import messages as m
+from tests.support.exchange_world import setup
+from tests.support.socket_world import Peer, settled, stands
+
+ENDED_1 = m.encode_with_cause(m.RELEASE, 1, m.ENDED)
+
+
+def end_task(world, peer, task):
+    """The host releases a task; returns once the exchange has handled it."""
+    ended_count = len(world.told(api.AttemptEnded))
+    peer.streams[0].send(m.encode_with_cause(m.RELEASE, task, m.ENDED))
+    world.until(lambda: len(world.told(api.AttemptEnded)) > ended_count)
+
+
+def close_client(world, sock):
+    """Closes a client's connection; returns once the allocator knows."""
+    count = len(world.owners.connections)
+    sock.close()
+    world.until(lambda: len(world.owners.connections) < count)
+
+
+def rejected_client(world, task, data=None, cause=m.REJECTED):
+    """A client whose only set-up was refused; by default it was valid and had no capacity."""
+    sock = world.client()
+    if data is None:
+        world.calls += 1
+        world.module.next.append([api.Reject(world.calls)])
+    sock.send(data or setup(task))
+    assert world.says(sock) == m.encode_with_cause(m.RELEASE, task, cause)
+    return sock
+
+
+@pytest.fixture
+def placed(world):
+    """A host with tasks 1 and 2 of one client, whose connection is closed."""
+    peer, client = Peer(world.loop, stands), world.client()
+    world.list(("h1", peer.address))
+    for task in (1, 2):
+        world.ask(client, task)
+        assert world.says(client)
+    world.until(lambda: len(world.exchange.placed_calls_by_host["h1"]) == 2)
+    close_client(world, client)
+    return peer
+
+
+def test_a_release_goes_by_a_connection_whose_only_set_up_was_rejected(world, placed):
+    """Guards against releases that are acknowledged to the host and then dropped, although a client with a
+    valid set-up is connected: they waited for a connection with a placed task."""
+    other = rejected_client(world, 9)
+    end_task(world, placed, 1)
+    assert world.says(other) == ENDED_1 and not world.owners.pending_releases
+
+
+def test_a_waiting_release_goes_by_the_first_valid_set_up(world, placed):
+    end_task(world, placed, 1)
+    assert len(world.owners.pending_releases) == 1
+    sock = world.client()
+    world.calls += 1
+    world.module.next.append([])  # the call is held: no answer is due yet
+    sock.send(setup(9))
+    assert world.says(sock) == ENDED_1 and not world.owners.pending_releases
+
+
+def test_a_release_prefers_a_connection_with_a_placed_task(world, placed):
+    trusted = world.client()
+    world.ask(trusted, 8)
+    assert world.says(trusted) == m.encode(m.ANSWER, 8, {m.DESCRIPTION: b"ok"})
+    untrusted = rejected_client(world, 9)  # used later
+    end_task(world, placed, 1)
+    assert world.says(trusted) == ENDED_1
+    with pytest.raises(BlockingIOError):
+        untrusted.recv(100)
+
+
+def silent_client(world):
+    return world.client()
+
+
+def health_checking_client(world):
+    sock = world.client()
+    sock.send(m.encode(m.PROBE, 3, {m.CAUSE: b"\0"}))
+    assert world.says(sock)
+    return sock
+
+
+def invalid_client(world):
+    return rejected_client(world, 9, setup(9, cls="nope"), m.INVALID_CONTENTS)
+
+
+def partly_invalid_client(world):
+    sock = rejected_client(world, 9)
+    sock.send(setup(10, cls="nope"))
+    assert world.says(sock) == m.encode_with_cause(m.RELEASE, 10, m.INVALID_CONTENTS)
+    return sock
+
+
+@pytest.mark.parametrize(
+    "connect", [silent_client, health_checking_client, invalid_client, partly_invalid_client]
+)
+def test_a_release_waits_rather_than_go_to_a_client_that_would_drop_it(world, placed, connect):
+    other = connect(world)
+    end_task(world, placed, 1)
+    settled(world)
+    with pytest.raises(BlockingIOError):
+        other.recv(100)
+    world.calls += 1
+    world.module.next.append([])
+    later = world.client()
+    later.send(setup(11))
+    assert world.says(later) == ENDED_1
+
+
+def test_a_waiting_release_stays_when_the_connection_that_could_carry_it_has_closed(world, placed):
+    """Race: the close is unread when the set-up that lets the release go is handled."""
+    end_task(world, placed, 1)
+    sock = world.client()
+    world.until(lambda: world.owners.connections)
+    sock.send(setup(9, cls="nope"))
+    assert world.says(sock)
+    (connection,) = world.owners.connections
+    sock.close()
+    world.loop.poller.poll(0.0)
+    world.owners.mark_trusted(connection)
+    assert len(world.owners.pending_releases) == 1
+    settled(world)
+    later = rejected_client_with_release(world)
+    assert later == ENDED_1
+
+
+def rejected_client_with_release(world):
+    """What a new client with a valid set-up reads first."""
+    sock = world.client()
+    world.calls += 1
+    world.module.next.append([])
+    sock.send(setup(12))
+    return world.says(sock)
+
+
+def test_the_last_connection_that_can_carry_releases_is_not_evicted_without_a_trusted_one(world, placed):
+    """Guards against a burst of connections that evicts the only way to a client."""
+    other = rejected_client(world, 9)
+    world.descriptors.capacity, world.descriptors.quotas_by_peer_kind = (
+        2,
+        {PeerKind.CLIENTS: 1, PeerKind.HOSTS: 1},
+    )
+    new_clients = [world.client() for _ in range(5)]
+    assert [world.says(sock) for sock in new_clients] == [b""] * 5
+    end_task(world, placed, 1)
+    assert world.says(other) == ENDED_1
