Whether a client still waits is asked of the system at every step

Change: is_client_waiting always reads what the client has sent until now; must_poll is gone. A client that leaves between the poll and the acceptance, or between the poll and its set-up, is now seen.

Measured: four new cases of test_races.py fail without the change.

--- a/glencleat/platform_protocol/exchange.py
+++ b/glencleat/platform_protocol/exchange.py
@@ -76,12 +76,8 @@
         next one that becomes trusted.
         """
 
-    def is_client_waiting(self, client: Any, task: int, must_poll: bool) -> bool:
-        """Returns whether the client still waits for the task's answer.
-
-        Decided by what had been received on its connection when this round of the loop began; with
-        `must_poll` by what has been received until now, which costs a system call.
-        """
+    def is_client_waiting(self, client: Any, task: int) -> bool:
+        """Returns whether the client still waits for the task's answer, by all that it has sent until now."""
 
     def mark_trusted(self, client: Any) -> None:
         """Marks a connection on which a task was placed; pending releases may be written to it."""
@@ -353,7 +349,7 @@
         """
         call, now = attempt.call, self.ports.now()
         evidence = AttemptEvidence(
-            self.ports.is_client_waiting(call.client, call.setup.task_id, must_poll=True),
+            self.ports.is_client_waiting(call.client, call.setup.task_id),
             is_host_serving,
             now < attempt.deadline_at_ms,
             is_harmless_to_send(
@@ -428,7 +424,7 @@
 
     def _handle_answer(self, attempt: SetupAttempt, message: m.PlatformMessage) -> None:
         call = attempt.call
-        if not self.ports.is_client_waiting(call.client, call.setup.task_id, must_poll=False):
+        if not self.ports.is_client_waiting(call.client, call.setup.task_id):
             # The client left before it could be notified, so no client would ever release the task.
             self.ports.release_task(attempt.host, call.setup.task_id)
             self._end_attempt(attempt, api.Outcome.STOPPED, has_client_left=True)
@@ -521,7 +517,7 @@
         )
 
     def _open_call(self, client: ClientPort, setup: SetupRequest, remaining_ms: float) -> None:
-        if not self.ports.is_client_waiting(client, setup.task_id, must_poll=False):
+        if not self.ports.is_client_waiting(client, setup.task_id):
             return  # cancelled, or the client has left, while the set-up was unread: no answer is due
         client.open_task_ids.add(setup.task_id)
         self.event_dispatcher.dispatch_event(
--- a/glencleat/platform_server/client_connections.py
+++ b/glencleat/platform_server/client_connections.py
@@ -253,12 +253,9 @@
         if client.stream.is_readable:
             self.read_pending(client)
 
-    def is_client_waiting(self, client: ClientConnection, task: int, must_poll: bool) -> bool:
+    def is_client_waiting(self, client: ClientConnection, task: int) -> bool:
         """Whether the client still waits for the answer; see `ExchangePorts`."""
-        if must_poll:
-            self.read_pending(client)
-        else:
-            self.read_if_readable(client)
+        self.read_pending(client)
         return client.inbox.is_client_waiting(task)
 
     def _has_closed(self, client: ClientConnection) -> bool:
--- a/glencleat/platform_server/process.py
+++ b/glencleat/platform_server/process.py
@@ -161,9 +161,9 @@
         """Sends a message to a client; see `ClientConnections.send_to_client`."""
         self.client_connections.send_to_client(client, data, must_deliver)
 
-    def is_client_waiting(self, client: Any, task: int, must_poll: bool) -> bool:
+    def is_client_waiting(self, client: Any, task: int) -> bool:
         """Whether the client still waits for the answer."""
-        return self.client_connections.is_client_waiting(client, task, must_poll)
+        return self.client_connections.is_client_waiting(client, task)
 
     def mark_trusted(self, client: Any) -> None:
         """Records that a task of the client was placed."""
--- a/tests/platform_server/test_races.py
+++ b/tests/platform_server/test_races.py
@@ -23,7 +23,7 @@
 from glencleat.platform_protocol.inbox import Inbox
 from glencleat.platform_server import client_connections, watch_client
 from tests.support.command_channel_world import Tower
-from tests.support.exchange_world import KEYED, SAFE, SETTINGS, UNSAFE, setup
+from tests.support.exchange_world import KEYED, SAFE, SETTINGS, UNSAFE, read, setup
 from tests.support.exchange_world import World as Virtual
 from tests.support.socket_world import Peer, cancel, kinds, linked, sent, settled, stands
 
@@ -132,6 +132,32 @@
     assert world.back() == [api.Outcome.STOPPED] and not world.told(api.AttemptAccepted)
 
 
+@LEAVING_MODES
+def test_a_client_that_left_after_the_poll_is_not_told_of_a_placement(world, how):
+    """Race: the loop has polled, then the client leaves, then the host's acceptance is handled."""
+    peer, sock = Peer(world.loop), world.client()
+    world.list(("h1", peer.address))
+    world.ask(sock, 1)
+    world.until(lambda: peer.got)
+    attempt = world.exchange.calls_by_task_id[1].attempt
+    leave(sock, how)
+    (acceptance,) = read(m.encode(m.ANSWER, 1, {m.DESCRIPTION: b"ok"}))
+    world.exchange.on_host_message("h1", attempt.connection, acceptance)
+    assert world.back() == [api.Outcome.STOPPED] and not world.told(api.AttemptAccepted)
+
+
+@LEAVING_MODES
+def test_a_client_that_left_after_the_poll_has_no_call_opened(world, how):
+    """Race: the loop has polled, then the client leaves, then its set-up is handled."""
+    sock = world.client()
+    world.until(lambda: world.owners.connections)
+    (client,) = world.owners.connections
+    leave(sock, how)
+    (request,) = read(setup(1))
+    world.exchange.on_client_setup(client, request, 0.0)
+    assert not world.told(api.PlacementRequested) and not world.exchange.calls_by_id
+
+
 def test_a_release_of_a_placed_task_by_a_client_that_left_is_applied(world):
     peer, sock = Peer(world.loop, stands), world.client()
     world.list(("h1", peer.address))
--- a/tests/support/exchange_world.py
+++ b/tests/support/exchange_world.py
@@ -107,7 +107,7 @@
     def send_to_client(self, client, data, must_deliver):
         (client if not client.is_closed else self.owner).received.extend(read(data))
 
-    def is_client_waiting(self, client, task, must_poll):
+    def is_client_waiting(self, client, task):
         return not client.is_closed and task not in self.cancelled_task_ids
 
     def mark_trusted(self, client):
--- a/tests/support/pool_world.py
+++ b/tests/support/pool_world.py
@@ -282,7 +282,7 @@
     def send_to_client(self, client, data, must_deliver):
         self.add_record("client", data)
 
-    def is_client_waiting(self, client, task, must_poll):
+    def is_client_waiting(self, client, task):
         return True
 
     def mark_trusted(self, client):
