A release asks the system whether a client has closed before it is written there

A release written to a connection whose client closed after the poll was lost.

Change: _has_closed reads what has come until now.

Measured: the new case of test_client_releases.py fails without the change.

--- a/glencleat/platform_server/client_connections.py
+++ b/glencleat/platform_server/client_connections.py
@@ -259,8 +259,8 @@
         return client.inbox.is_client_waiting(task)
 
     def _has_closed(self, client: ClientConnection) -> bool:
-        """Whether the client has closed, as far as is known in this round, and would read nothing."""
-        self.read_if_readable(client)
+        """Whether the client has closed by now and would read nothing."""
+        self.read_pending(client)
         return client.inbox.is_closed
 
     def _handle_turn(self, client: ClientConnection) -> bool:
--- a/tests/platform_server/test_client_releases.py
+++ b/tests/platform_server/test_client_releases.py
@@ -8,7 +8,7 @@
 from glencleat import interface as api
 from glencleat.descriptor_budget import PeerKind
 from glencleat.platform_protocol import messages as m
-from tests.support.exchange_world import setup
+from tests.support.exchange_world import read, setup
 from tests.support.socket_world import Peer, settled, stands
 
 ENDED_1 = m.encode_with_cause(m.RELEASE, 1, m.ENDED)
@@ -145,6 +145,16 @@
     return world.says(sock)
 
 
+def test_a_release_avoids_a_connection_that_its_client_closed_after_the_poll(world, placed):
+    """Race: the loop has polled, then the client closes, then the end of another one's task is handled."""
+    quiet, leaving = rejected_client(world, 8), rejected_client(world, 9)  # the last one used is preferred
+    leaving.close()
+    attempt = world.exchange.calls_by_task_id[1].attempt
+    (release,) = read(ENDED_1)
+    world.exchange.on_host_message("h1", attempt.connection, release)
+    assert world.says(quiet) == ENDED_1
+
+
 def test_the_last_connection_that_can_carry_releases_is_not_evicted_without_a_trusted_one(world, placed):
     """Guards against a burst of connections that evicts the only way to a client."""
     other = rejected_client(world, 9)
