A host's close is asked of the system before each set-up

A set-up written to a connection that its host had closed after the poll was lost, with an unknown outcome: for a task that must not run twice that ends the call.

Measured: the new case of test_connections.py fails without the change.

--- a/glencleat/platform_server/host_connection.py
+++ b/glencleat/platform_server/host_connection.py
@@ -120,20 +120,12 @@
         """Whether it is open and carries no open attempt."""
         return self.stream is not None and not self.open_attempt_count
 
-    def detect_close_by_host(self, *, has_polled: bool = True) -> bool:
-        """Checks whether the host has closed the connection, and records it.
+    def detect_close_by_host(self) -> bool:
+        """Checks whether the host has closed the connection by now, and records it.
 
         What is sent after the close may be lost without notice.
-
-        Args:
-            has_polled: False directly after the connect, when the poller has not run yet: the socket is then
-                always checked with a system call, else only if the poller reported it as readable.
         """
-        if (
-            self.stream is not None
-            and (self.stream.is_readable or not has_polled)
-            and self.stream.has_peer_closed()
-        ):
+        if self.stream is not None and self.stream.has_peer_closed():
             self.is_closed_by_host = True
         return self.is_closed_by_host
 
@@ -282,7 +274,7 @@
             stream.close("the host's address has changed")
             return
         self.pool.on_connected(self.host, self)
-        self.detect_close_by_host(has_polled=False)  # the host may accept and close it at once
+        self.detect_close_by_host()  # the host may accept and close it at once
         waiting_attempts = self.waiting_attempts
         self.waiting_attempts = []
         for attempt in waiting_attempts:
--- a/tests/platform_server/test_connections.py
+++ b/tests/platform_server/test_connections.py
@@ -36,6 +36,18 @@
     assert sorted(world.exchange.placed_calls_by_host["h1"]) == [1, 9] and sock
 
 
+def test_nothing_is_sent_on_a_connection_that_its_host_closed_after_the_poll(world):
+    """Race: the loop has polled, then the host closes an idle connection, then a set-up is sent."""
+    peer, _ = linked(world)
+    peer.streams[0].close()
+    world.module.next.append([api.Bind(2, "h1", 2000.0)])
+    (message,) = read(setup(1, cls="unsafe"))
+    world.exchange.on_client_setup(next(iter(world.owners.connections)), message, 0.0)
+    settled(world)
+    assert not world.told(api.AttemptEnded)
+    assert sorted(world.exchange.placed_calls_by_host["h1"]) == [1, 9]
+
+
 def test_nothing_is_sent_on_a_connection_that_was_closed_as_it_opened(world):
     """Race: the host accepts the connection and closes it before the pool knows that it is open."""
     listener = socket.create_server(("127.0.0.1", 0))
