Each message of a client has its own arrival time, the earliest possible one

Cause: one read returns all that came, and the kernel's time stamp is that of its last byte; each message of the read counted from it. Bytes that came before the accepted socket asked for time stamps had none and counted as no wait. A read without a stamp kept that of the read before.

Change: where the arrival is not known, the last moment counts at which the socket is known to have held nothing (event_loop/emptiness.py). The stamp counts for a message that ends with a read that emptied the socket. The listener asks for stamps too.

--- a/glencleat/event_loop/loop.py
+++ b/glencleat/event_loop/loop.py
@@ -52,6 +52,7 @@
     """Waits for events on file descriptors and dispatches them to callbacks."""
 
     idle_ms: float  # total time spent waiting
+    on_collected: Callable[[], None]  # called once the ready descriptors are known, before their callbacks
 
     def watch(self, fd: int, interest: int, call: Callable[[int], None], is_deferred: bool = False) -> None:
         """Registers a descriptor; `call` gets the event mask."""
@@ -79,6 +80,7 @@
         self.callbacks_by_fd: dict[int, Callable[[int], None]] = {}
         self.deferred_fds: set[int] = set()
         self.idle_ms = 0.0
+        self.on_collected: Callable[[], None] = lambda: None
 
     def watch(self, fd: int, interest: int, call: Callable[[int], None], is_deferred: bool = False) -> None:
         """Registers a descriptor; `call` gets the event mask."""
@@ -102,6 +104,7 @@
         timeout_s = None if timeout_ms is None else max(0.0, timeout_ms) / 1000.0
         started_s = time.monotonic()
         events = self.epoll.poll(timeout_s, MAX_EVENTS_PER_POLL)
+        self.on_collected()
         self.idle_ms += 1_000.0 * (time.monotonic() - started_s)
         if self.deferred_fds:
             events.sort(key=lambda event: event[0] in self.deferred_fds)
@@ -150,6 +153,10 @@
         # Due in this iteration; when a callback raises, the next iteration runs the remaining ones.
         self.due_timers: deque[Timer] = deque()
         self.is_running = False
+        # Polls so far, and when the last one and the one before it found out which descriptors were ready.
+        self.poll_count = 0
+        self.last_poll_unix_ms = self.previous_poll_unix_ms = self.clock.wall()
+        self.poller.on_collected = self._record_poll
         self.current_task: LoopTask | None = None
         self.on_error: Callable[[LoopTask, BaseException], None] = self._raise
 
@@ -157,6 +164,10 @@
     def _raise(task: LoopTask, error: BaseException) -> None:
         raise error
 
+    def _record_poll(self) -> None:
+        self.poll_count += 1
+        self.previous_poll_unix_ms, self.last_poll_unix_ms = self.last_poll_unix_ms, self.clock.wall()
+
     def now(self) -> float:
         """Monotonic milliseconds of the loop's clock."""
         return self.clock.now()
--- a/glencleat/event_loop/streams.py
+++ b/glencleat/event_loop/streams.py
@@ -15,6 +15,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from glencleat.event_loop.emptiness import EmptinessProof
 from glencleat.event_loop.loop import READ, WRITE, Coroutine, Loop, LoopTask
 
 CHUNK_SIZE = 65_536
@@ -61,11 +62,17 @@
         self.is_readable = False
         self.consecutive_reads = 0  # without a wait in between
         self.is_timestamping = False
-        self.received_at_unix_ms: float | None = None  # when the kernel received the last bytes read
+        # Of the last bytes read: the earliest time at which they may have arrived, and when the last of them
+        # did; None if the kernel doesn't say.
+        self.received_after_unix_ms = self.loop.clock.wall()
+        self.received_at_unix_ms: float | None = None
+        self.emptiness = EmptinessProof(loop, self.received_after_unix_ms)
         loop.poller.watch(self.fd, 0, self._on_event)
 
     def _set_interest(self, interest: int) -> None:
         if interest != self.interest and self.close_reason is None:
+            if interest & ~self.interest & READ:
+                self.emptiness.record_watched()
             self.interest = interest
             self.loop.poller.change(self.fd, interest)
 
@@ -73,6 +80,7 @@
         if mask & WRITE and self.send_buffer:
             self._write_buffer()
         if self.close_reason is None and mask & ~WRITE:
+            self.emptiness.record_reported()
             self.is_readable = True
             if self.reader is not None:
                 self.wake_reader()
@@ -156,16 +164,30 @@
             self.loop.wake(reader)
 
     def enable_timestamps(self) -> None:
-        """Makes reads set `received_at_unix_ms`, which shows how long bytes waited to be read.
+        """Makes reads set `received_after_unix_ms` and `received_at_unix_ms`.
 
-        It stays None where the system doesn't support the socket option.
+        They show how long bytes waited to be read. The second stays None where the system doesn't support the
+        socket option, and after a read that may have left something unread.
         """
         with contextlib.suppress(OSError):
             self.sock.setsockopt(socket.SOL_SOCKET, SO_TIMESTAMPNS, 1)
             self.is_timestamping = True
 
     def _recv_with_timestamp(self, size: int) -> bytes:
-        data, ancillary, _, _ = self.sock.recvmsg(size, socket.CMSG_SPACE(TIMESPEC.size))
+        if self.interest & READ:
+            self.emptiness.record_unreported_read()
+        began_unix_ms = self.loop.clock.wall()
+        try:
+            data, ancillary, _, _ = self.sock.recvmsg(size, socket.CMSG_SPACE(TIMESPEC.size))
+        except BlockingIOError:
+            self.emptiness.record_empty(began_unix_ms)
+            raise
+        self.received_after_unix_ms, self.received_at_unix_ms = self.emptiness.empty_at_unix_ms, None
+        if len(data) == size:
+            # More may be unread, which the kernel may keep as one segment with what was read: its time stamp
+            # is that of the segment's last byte.
+            return bytes(data)
+        self.emptiness.record_empty(began_unix_ms)
         for level, kind, raw in ancillary:
             if level == socket.SOL_SOCKET and kind == SO_TIMESTAMPNS and len(raw) == TIMESPEC.size:
                 seconds, nanoseconds = TIMESPEC.unpack(raw)
@@ -334,22 +356,31 @@
         except OSError:
             self.sock.close()
             raise
+        # Accepted sockets inherit it: what arrives before they are accepted has a time stamp too.
+        with contextlib.suppress(OSError):
+            self.sock.setsockopt(socket.SOL_SOCKET, SO_TIMESTAMPNS, 1)
         self.sock.listen(backlog)
         self.sock.setblocking(False)
+        self.emptiness = EmptinessProof(loop, loop.clock.wall())
+        self.emptiness.record_watched()
         self.address: tuple[str, int] = self.sock.getsockname()
         self.open_streams: set[Stream] = set()
         self.spare_fd: int | None = os.open(os.devnull, os.O_RDONLY)
         loop.poller.watch(self.sock.fileno(), READ, self._on_readable, is_deferred=True)
 
     def _on_readable(self, _: int) -> None:
+        self.emptiness.record_reported()
         self.accept_pending()
 
     def accept_pending(self, limit: int = 64) -> int:
         """Accepts waiting connections, at most `limit` in one loop iteration; returns how many there were."""
+        self.emptiness.record_unreported_read()
         for count in range(limit):
+            began_unix_ms = self.loop.clock.wall()
             try:
                 sock, _ = self.sock.accept()
             except (BlockingIOError, InterruptedError):
+                self.emptiness.record_empty(began_unix_ms)
                 return count
             except ConnectionAbortedError:
                 continue
@@ -370,6 +401,7 @@
             return
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         stream = Stream(self.loop, sock, self.max_unsent_bytes)
+        stream.emptiness.empty_at_unix_ms = self.emptiness.empty_at_unix_ms
         self.open_streams.add(stream)
         stream.close_callbacks.append(lambda _: self.open_streams.discard(stream))
         self.on_accept(stream)
@@ -392,6 +424,7 @@
         No connection can be accepted or dropped, so the full queue would wake the loop again and again.
         """
         fd = self.sock.fileno()
+        self.emptiness.record_reported()  # something waits, though the poller won't report it
         self.loop.poller.change(fd, 0)
         self.loop.call_in(ACCEPT_RETRY_MS, lambda: self._resume_accepting(fd))
 
--- a/glencleat/platform_protocol/inbox.py
+++ b/glencleat/platform_protocol/inbox.py
@@ -8,15 +8,30 @@
 from __future__ import annotations
 
 from collections import deque
+from typing import NamedTuple
 
 from glencleat.platform_protocol import messages as m
 
 
+class ReceivedPiece(NamedTuple):
+    """The bytes of one read, and when they arrived."""
+
+    end: int  # the stream position of its end
+    earliest_unix_ms: float  # no byte of it arrived before
+    last_byte_unix_ms: float | None  # when the last byte arrived, None if unknown
+
+    def get_arrival_unix_ms(self, position: int) -> float:
+        """Returns when the byte that ends at this position arrived, or the earliest possible time."""
+        if position == self.end and self.last_byte_unix_ms is not None:
+            return self.last_byte_unix_ms
+        return self.earliest_unix_ms
+
+
 class Inbox:
     """A receive buffer that finds releases ahead of the messages queued before them.
 
     >>> inbox = Inbox()
-    >>> inbox.feed(m.encode(m.SETUP, 7) + m.encode_with_cause(m.RELEASE, 7, m.CANCELLED), None)
+    >>> inbox.feed(m.encode(m.SETUP, 7) + m.encode_with_cause(m.RELEASE, 7, m.CANCELLED), 0.0, None)
     >>> inbox.is_client_waiting(7), inbox.is_client_waiting(8), inbox.next_message()[0].kind == m.SETUP
     (False, True, True)
     """
@@ -27,8 +42,7 @@
         self.scanned_bytes = 0  # of the buffer: complete messages that were searched for releases
         # The stream position at which the last unprocessed release of each task ends.
         self.release_ends_by_task_id: dict[int, int] = {}
-        # For each piece received: the stream position of its end, and its receive time.
-        self.arrivals: deque[tuple[int, float | None]] = deque()
+        self.pieces: deque[ReceivedPiece] = deque()
         self.error: str | None = None  # why the bytes after the complete messages are invalid
         self.is_closed = False  # by the client: nobody waits for an answer to what is still buffered
 
@@ -42,18 +56,20 @@
         """Whether `next_message` would return a message or raise an error."""
         return self.scanned_bytes > 0 or self.error is not None
 
-    def feed(self, data: bytes, received_at_unix_ms: float | None) -> None:
+    def feed(self, data: bytes, earliest_unix_ms: float, last_byte_unix_ms: float | None) -> None:
         """Appends received bytes and searches the messages that are now complete for releases.
 
         Args:
             data: The bytes received.
-            received_at_unix_ms: When the kernel received the last of them; None if it does not report that.
+            earliest_unix_ms: The earliest time at which any of them may have arrived.
+            last_byte_unix_ms: When the last of them arrived; None if the kernel does not report that.
         """
         self.buffer += data
-        if len(self.arrivals) > 1 and self.arrivals[-2][0] >= self.consumed_bytes + self.scanned_bytes:
+        if len(self.pieces) > 1 and self.pieces[-2].end >= self.consumed_bytes + self.scanned_bytes:
             # A further piece of the same partial message: only the time of its last byte is needed.
-            self.arrivals.pop()
-        self.arrivals.append((self.consumed_bytes + len(self.buffer), received_at_unix_ms))
+            self.pieces.pop()
+        received_bytes = self.consumed_bytes + len(self.buffer)
+        self.pieces.append(ReceivedPiece(received_bytes, earliest_unix_ms, last_byte_unix_ms))
         if self.error is not None:
             return
         try:
@@ -69,8 +85,11 @@
         """Whether the client still waits for the answer to this open request, by all bytes received."""
         return not self.is_closed and task_id not in self.release_ends_by_task_id
 
-    def next_message(self) -> tuple[m.PlatformMessage, float | None] | None:
-        """Returns the next complete message and when its last byte was received, None if there is none.
+    def next_message(self) -> tuple[m.PlatformMessage, float] | None:
+        """Returns the next complete message and when its last byte arrived, None if there is none.
+
+        Where that time is not known it is the earliest possible one, so that a client's wait is never
+        reckoned shorter than it was: its answer may come too early, but not too late.
 
         Raises:
             ProtocolError: The next bytes are not a valid message.
@@ -83,9 +102,9 @@
         data = bytes(self.buffer[:size])
         del self.buffer[:size]
         self.consumed_bytes, self.scanned_bytes = self.consumed_bytes + size, self.scanned_bytes - size
-        while self.arrivals[0][0] < self.consumed_bytes:
-            self.arrivals.popleft()
+        while self.pieces[0].end < self.consumed_bytes:
+            self.pieces.popleft()
         message = m.decode(data)
         if self.release_ends_by_task_id.get(message.task_id) == self.consumed_bytes:
             del self.release_ends_by_task_id[message.task_id]
-        return message, self.arrivals[0][1]
+        return message, self.pieces[0].get_arrival_unix_ms(self.consumed_bytes)
--- a/glencleat/platform_server/client_connections.py
+++ b/glencleat/platform_server/client_connections.py
@@ -226,7 +226,8 @@
                     break
                 has_read, client.last_used_at_ms = True, self.loop.now()
                 if data:
-                    inbox.feed(data, client.stream.received_at_unix_ms)
+                    stream = client.stream
+                    inbox.feed(data, stream.received_after_unix_ms, stream.received_at_unix_ms)
                 else:
                     inbox.is_closed = True
                 if not (until_empty or client.stream.is_readable):
@@ -275,13 +276,13 @@
         return client.inbox.has_next
 
     def _handle_message(
-        self, client: ClientConnection, message: m.PlatformMessage, arrived_at_unix_ms: float | None
+        self, client: ClientConnection, message: m.PlatformMessage, arrived_at_unix_ms: float
     ) -> None:
         client.has_received_message = True
         if self.trace is not None:
             self.trace.record_message("client", message)
         if message.kind == m.SETUP:
-            is_late = (arrived_at_unix_ms or self.loop.clock.wall()) > self.closed_at_unix_ms
+            is_late = arrived_at_unix_ms > self.closed_at_unix_ms
             is_valid = self.exchange.on_client_setup(
                 client, message, self._socket_wait_ms(arrived_at_unix_ms), is_late
             )
@@ -299,16 +300,12 @@
             is_accepting = not self.is_draining and self.is_ready()
             self._write(client, m.encode_with_cause(m.PROBE_ANSWER, message.task_id, int(is_accepting)))
 
-    def _socket_wait_ms(self, arrived_at_unix_ms: float | None) -> float:
+    def _socket_wait_ms(self, arrived_at_unix_ms: float) -> float:
         """How long a message waited in the socket and the loop, which counts against the client's wait.
 
         After a stall all waiting messages are read at once, with deadlines that would otherwise seem fresh.
         """
-        return (
-            0.0
-            if arrived_at_unix_ms is None
-            else min(MAX_SOCKET_WAIT_MS, max(0.0, self.loop.clock.wall() - arrived_at_unix_ms))
-        )
+        return min(MAX_SOCKET_WAIT_MS, max(0.0, self.loop.clock.wall() - arrived_at_unix_ms))
 
     def _write(self, client: ClientConnection, data: bytes) -> bool:
         return client.stream.try_send(data)
--- a/tests/platform_server/test_races.py
+++ b/tests/platform_server/test_races.py
@@ -176,7 +176,7 @@
     inbox = Inbox()
     data = setup(1) + setup(2) + cancel(2) + setup(2)[:20]
     for byte in data:
-        inbox.feed(bytes((byte,)), 5.0)
+        inbox.feed(bytes((byte,)), 4.0, 5.0)
     assert (inbox.is_client_waiting(1), inbox.is_client_waiting(2)) == (True, False)
     found = [inbox.next_message() for _ in range(3)]
     assert [message.kind for message, _ in found] == [m.SETUP, m.SETUP, m.RELEASE]
@@ -184,11 +184,11 @@
         inbox.next_message() is None
         and inbox.has_partial_message
         and inbox.is_client_waiting(2)
-        and len(inbox.arrivals) == 2  # not one per byte
+        and len(inbox.pieces) == 2  # not one per byte
     )
-    inbox.feed(setup(2)[20:], 9.0)
+    inbox.feed(setup(2)[20:], 8.0, 9.0)
     assert inbox.next_message()[1] == 9.0 and not inbox.has_partial_message
-    inbox.feed(b"\0\1", 10.0)
+    inbox.feed(b"\0\1", 9.0, 10.0)
     assert inbox.has_next and not inbox.has_partial_message
     with pytest.raises(m.ProtocolError):
         inbox.next_message()
