An unfinished message no longer costs a connection its open set-ups

Change: client_timeouts.py, a table without I/O. Open set-ups keep their connection; a proven client has the longest deadline of the settings to finish a message; all others have 2 s as before, counted from the last answer.

--- a/glencleat/platform_server/client_connections.py
+++ b/glencleat/platform_server/client_connections.py
@@ -16,15 +16,13 @@
 from glencleat.platform_protocol import messages as m
 from glencleat.platform_protocol.exchange import Exchange
 from glencleat.platform_protocol.inbox import Inbox
+from glencleat.platform_server.client_timeouts import ClientActivity, is_message_overdue
 
 if TYPE_CHECKING:
     from glencleat.platform_server.trace import Trace
 
 SWEEP_MS = 250.0
 
-MESSAGE_TIMEOUT_MS = 2_000.0
-"""The time for the first complete message, and for each message once it has begun."""
-
 WRITE_STALL_TIMEOUT_MS = 5_000.0
 """The time for a client to read some of its unsent bytes."""
 
@@ -72,11 +70,12 @@
         self.partial_message: tuple[int, float] | None = None
 
     @property
-    def can_carry_releases(self) -> bool:
-        """Whether a release that belongs to another connection may be sent on this one.
+    def is_proven(self) -> bool:
+        """Whether its client is known to be a valid one: the others may be faulty.
 
-        A task belongs to no connection, and its client may come back on another. An invalid client would
-        drop the release; so may one that has sent nothing but health checks, or nothing at all.
+        Proven connections carry the releases of others too: a task belongs to no connection, and its client
+        may come back on another. An invalid client would drop the release; so may one that has sent nothing
+        but health checks, or nothing at all.
         """
         return self.is_trusted or (self.has_valid_setup and not self.invalid_setup_count)
 
@@ -110,9 +109,23 @@
         """Records since when a message is incomplete; more bytes of it don't restart its time."""
         if not self.inbox.has_partial_message:
             self.partial_message = None
-        elif self.partial_message is None or self.partial_message[0] != self.inbox.consumed_bytes:
+        elif (
+            self.open_task_ids
+            or self.partial_message is None
+            or self.partial_message[0] != self.inbox.consumed_bytes
+        ):
             self.partial_message = self.inbox.consumed_bytes, now
 
+    def observe_activity(self) -> ClientActivity:
+        """What decides whether it is closed for a message that has not come."""
+        return ClientActivity(
+            self.created_at_ms,
+            self.has_received_message,
+            self.is_proven,
+            bool(self.open_task_ids),
+            None if self.partial_message is None else self.partial_message[1],
+        )
+
 
 class ClientConnections:
     """The listener and all client connections. `exchange` is set by whoever assembles the process."""
@@ -327,11 +340,11 @@
 
     def _update_release_carrier(self, client: ClientConnection) -> None:
         """Records whether the connection can carry releases; if so, sends those that wait for one."""
-        if client.stream.close_reason is not None or not client.can_carry_releases or client.is_trusted:
+        if client.stream.close_reason is not None or not client.is_proven or client.is_trusted:
             self.untrusted_carriers.discard(client)
         else:
             self.untrusted_carriers.add(client)
-        if client.can_carry_releases:
+        if client.is_proven:
             while self.pending_releases and self._try_send_release(client, self.pending_releases[0][1]):
                 self.pending_releases.popleft()
 
@@ -347,7 +360,7 @@
             return
         if client is not None and self._try_send_release(client, data):
             return
-        carriers = [candidate for candidate in self.connections if candidate.can_carry_releases]
+        carriers = [candidate for candidate in self.connections if candidate.is_proven]
         carriers.sort(key=lambda carrier: (carrier.is_trusted, carrier.last_used_at_ms), reverse=True)
         if any(self._try_send_release(carrier, data) for carrier in carriers):
             return
@@ -374,14 +387,17 @@
     def _ensure_capacity(self) -> bool:
         return self.descriptors.admit_client(self.loop.now())
 
+    @property
+    def longest_deadline_ms(self) -> float:
+        """The longest time that a class of the settings lets a client wait."""
+        return max((task_class.deadline_ms for task_class in self.exchange.settings.classes), default=0.0)
+
     def _sweep(self) -> None:
         self.loop.call_in(SWEEP_MS, self._sweep)
-        now = self.loop.now()
+        now, longest_deadline_ms = self.loop.now(), self.longest_deadline_ms
         for client in list(self.connections):
-            is_silent = not client.has_received_message and now - client.created_at_ms > MESSAGE_TIMEOUT_MS
-            if is_silent or (
-                client.partial_message is not None and now - client.partial_message[1] > MESSAGE_TIMEOUT_MS
-            ):
+            client.track_partial_message(now)
+            if is_message_overdue(client.observe_activity(), now, longest_deadline_ms):
                 self.read_pending(client)  # after a stall the complete message may be unread
                 if not client.inbox.has_next:
                     client.stream.close("no complete message received in time")
--- a/tests/platform_server/test_process.py
+++ b/tests/platform_server/test_process.py
@@ -15,7 +15,7 @@
 
 from glencleat.event_loop import Loop
 from glencleat.platform_protocol import messages as m
-from glencleat.platform_server.client_connections import MESSAGE_TIMEOUT_MS
+from glencleat.platform_server.client_timeouts import MESSAGE_TIMEOUT_MS
 from glencleat.platform_server.graceful_shutdown import DRAIN_WINDOW_MS
 from glencleat.platform_server.process import (
     READY_TIMEOUT_MS,
