An unsent release goes by another connection when its own breaks

Nothing that the operating system has not got whole can have been read by the client.

Change: pending_releases.py, without I/O, owns what waits for a connection and what is unsent on one; ClientConnections sends again what a broken connection had not written whole.

Measured: test_an_unsent_release_goes_by_another_connection_when_its_own_breaks fails without the line that sends it again, and one written whole is not sent twice. All orders of six events of the queue keep its order and its counts.

--- a/glencleat/platform_server/client_connections.py
+++ b/glencleat/platform_server/client_connections.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
@@ -17,6 +16,7 @@
 from glencleat.platform_protocol.exchange import Exchange
 from glencleat.platform_protocol.inbox import Inbox
 from glencleat.platform_server.client_timeouts import ClientActivity, is_message_overdue
+from glencleat.platform_server.pending_releases import PendingReleases, UnsentReleases
 
 if TYPE_CHECKING:
     from glencleat.platform_server.trace import Trace
@@ -47,9 +47,6 @@
 MAX_UNSENT_BYTES = 1 << 18
 """Unsent bytes of a slow reader."""
 
-MAX_PENDING_RELEASES, PENDING_RELEASE_TIMEOUT_MS = 2_000, 10_000.0
-"""Releases that wait for a client connection, and for how long."""
-
 
 class ClientConnection:
     """One connection. `open_task_ids` holds the ids that an answer is owed to; the exchange maintains it."""
@@ -64,6 +61,7 @@
         self.is_trusted = False  # one of its tasks was placed, which never happens to an invalid client
         self.has_valid_setup = False  # one of its set-ups could be used, whatever the answer was
         self.invalid_setup_count = 0
+        self.unsent_releases = UnsentReleases()
         # Bytes written so far, and since when that number has not changed while others are unsent.
         self.write_stall: tuple[int, float] | None = None
         # Where an incomplete message begins, and since when it has been incomplete.
@@ -73,9 +71,8 @@
     def is_proven(self) -> bool:
         """Whether its client is known to be a valid one: the others may be faulty.
 
-        Proven connections carry the releases of others too: a task belongs to no connection, and its client
-        may come back on another. An invalid client would drop the release; so may one that has sent nothing
-        but health checks, or nothing at all.
+        Proven connections carry the releases of others too, as a task belongs to no connection. An invalid
+        client would drop them; so may one that has sent nothing but health checks, or nothing at all.
         """
         return self.is_trusted or (self.has_valid_setup and not self.invalid_setup_count)
 
@@ -118,12 +115,10 @@
 
     def observe_activity(self) -> ClientActivity:
         """What decides whether it is closed for a message that has not come."""
+        partial_since_ms = None if self.partial_message is None else self.partial_message[1]
+        has_open_setups = bool(self.open_task_ids)
         return ClientActivity(
-            self.created_at_ms,
-            self.has_received_message,
-            self.is_proven,
-            bool(self.open_task_ids),
-            None if self.partial_message is None else self.partial_message[1],
+            self.created_at_ms, self.has_received_message, self.is_proven, has_open_setups, partial_since_ms
         )
 
 
@@ -135,7 +130,7 @@
     def __init__(self, loop: Loop, descriptors: DescriptorBudget, log: Callable[[str], None]) -> None:
         self.loop, self.descriptors, self.log = loop, descriptors, log
         self.connections: dict[ClientConnection, None] = {}  # in the order of their arrival
-        self.pending_releases: deque[tuple[float, bytes]] = deque()
+        self.pending_releases = PendingReleases(log)
         self.listener: Listener | None = None
         self.is_draining = False
         self.closed_at_unix_ms = float("inf")  # calls that arrive later are refused
@@ -143,7 +138,6 @@
         self.trusted_count = 0  # of the open connections
         # Open connections that are not trusted and can carry releases.
         self.untrusted_carriers: set[ClientConnection] = set()
-        self.dropped_release_count = 0  # releases that waited for a connection in vain
         self.trace: Trace | None = None
         loop.call_in(SWEEP_MS, self._sweep)
 
@@ -202,6 +196,8 @@
         self.trusted_count -= client.is_trusted
         self.untrusted_carriers.discard(client)
         self.descriptors.remove_holder(client)
+        for data in client.unsent_releases.take_incomplete(client.stream.written_bytes):
+            self._send_on_any_connection(data)
 
     def _serve(self, client: ClientConnection) -> Coroutine:
         inbox = client.inbox
@@ -345,8 +341,7 @@
         else:
             self.untrusted_carriers.add(client)
         if client.is_proven:
-            while self.pending_releases and self._try_send_release(client, self.pending_releases[0][1]):
-                self.pending_releases.popleft()
+            self.pending_releases.send_all(lambda data: self._try_send_release(client, data))
 
     def send_to_client(self, client: ClientConnection | None, data: bytes, must_deliver: bool) -> None:
         """Sends a message on the client's connection.
@@ -358,30 +353,24 @@
             if client is not None and self._write(client, data):
                 self.descriptors.update_priority(client)
             return
-        if client is not None and self._try_send_release(client, data):
-            return
+        if client is None or not self._try_send_release(client, data):
+            self._send_on_any_connection(data)
+
+    def _send_on_any_connection(self, data: bytes) -> None:
         carriers = [candidate for candidate in self.connections if candidate.is_proven]
         carriers.sort(key=lambda carrier: (carrier.is_trusted, carrier.last_used_at_ms), reverse=True)
         if any(self._try_send_release(carrier, data) for carrier in carriers):
             return
-        if len(self.pending_releases) == MAX_PENDING_RELEASES:
-            self._drop_pending_release("too many wait")
-        self.pending_releases.append((self.loop.now(), data))
-        self.log(f"task {m.read_task_id(data):x}: its release waits for a client connection")
+        self.pending_releases.add(data, self.loop.now())
 
     def _try_send_release(self, client: ClientConnection, data: bytes) -> bool:
         """Writes a release to an open connection; returns False if it is closed."""
         if self._has_closed(client) or not self._write(client, data):
             return False
+        client.unsent_releases.record_queued(data, client.stream.queued_bytes, client.stream.written_bytes)
         self.descriptors.update_priority(client)
         return True
 
-    def _drop_pending_release(self, reason: str) -> None:
-        """Gives up the release that has waited longest; its client is never notified."""
-        _, data = self.pending_releases.popleft()
-        self.dropped_release_count += 1
-        self.log(f"task {m.read_task_id(data):x}: its release is dropped, {reason}")
-
     # ---- capacity and time-outs ----
 
     def _ensure_capacity(self) -> bool:
@@ -407,5 +396,4 @@
                 # Unsent answers pin the connection, so the budget would never evict it.
                 client.stream.close("the client has stopped reading")
             self.descriptors.update_priority(client)
-        while self.pending_releases and now - self.pending_releases[0][0] > PENDING_RELEASE_TIMEOUT_MS:
-            self._drop_pending_release("no client connection could carry it in time")
+        self.pending_releases.drop_expired(now)
--- /dev/null
+++ b/glencleat/platform_server/pending_releases.py
@@ -0,0 +1,93 @@
+"""Releases of placed tasks that no client connection has taken yet. No I/O: time and the write are arguments.
+
+From the host's end of a task to the client, a release is owed by `ClientConnections`, which sends it on the
+connection of the task's client, on another that may carry it, or adds it here. It leaves the queue once it is
+written, and comes back if that connection breaks before the operating system has all of it. What is written
+whole is never sent again, since a client that has read it would get it twice.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+
+from glencleat.platform_protocol import messages as m
+
+MAX_PENDING_RELEASES = 2_000
+"""Releases that wait for a connection; beyond it the oldest is dropped."""
+
+PENDING_RELEASE_TIMEOUT_MS = 10_000.0
+"""The longest wait of a release for a connection."""
+
+
+class PendingReleases:
+    """The releases that wait for a client connection, the oldest first.
+
+    >>> pending = PendingReleases(log=print)
+    >>> pending.add(m.encode_with_cause(m.RELEASE, 0x7F, m.ENDED), now=0.0)
+    task 7f: its release waits for a client connection
+    >>> pending.send_all(lambda data: False), len(pending)
+    (None, 1)
+    >>> pending.drop_expired(now=10_001.0)
+    task 7f: its release is dropped, no client connection could carry it in time
+    """
+
+    def __init__(self, log: Callable[[str], None]) -> None:
+        self.log = log
+        self.dropped_count = 0
+        self.entries: deque[tuple[float, bytes]] = deque()  # since when it waits, and the message
+
+    def __len__(self) -> int:
+        return len(self.entries)
+
+    def add(self, data: bytes, now: float) -> None:
+        """Queues a release."""
+        if len(self.entries) == MAX_PENDING_RELEASES:
+            self._drop_oldest("too many wait")
+        self.entries.append((now, data))
+        self.log(f"task {m.read_task_id(data):x}: its release waits for a client connection")
+
+    def send_all(self, try_send: Callable[[bytes], bool]) -> None:
+        """Sends the releases in their order until one can't be sent; that one and the others stay."""
+        while self.entries and try_send(self.entries[0][1]):
+            self.entries.popleft()
+
+    def drop_expired(self, now: float) -> None:
+        """Drops the releases that have waited for too long."""
+        while self.entries and now - self.entries[0][0] > PENDING_RELEASE_TIMEOUT_MS:
+            self._drop_oldest("no client connection could carry it in time")
+
+    def _drop_oldest(self, reason: str) -> None:
+        _, data = self.entries.popleft()
+        self.dropped_count += 1
+        self.log(f"task {m.read_task_id(data):x}: its release is dropped, {reason}")
+
+
+@dataclass(slots=True)
+class UnsentReleases:
+    """The releases in the send buffer of one connection.
+
+    >>> unsent = UnsentReleases()
+    >>> unsent.record_queued(b"first", end=5, written_bytes=0), unsent.record_queued(b"second", 11, 5)
+    (None, None)
+    >>> list(unsent.take_incomplete(written_bytes=8))
+    [b'second']
+    """
+
+    # Each with the stream position of its end.
+    entries: deque[tuple[int, bytes]] = field(default_factory=deque)
+
+    def record_queued(self, data: bytes, end: int, written_bytes: int) -> None:
+        """Records a release that was queued, unless the operating system has all of it already."""
+        while self.entries and self.entries[0][0] <= written_bytes:
+            self.entries.popleft()
+        if end > written_bytes:
+            self.entries.append((end, data))
+
+    def take_incomplete(self, written_bytes: int) -> Iterator[bytes]:
+        """Yields the releases that the operating system has not got whole, which no client can have read."""
+        while self.entries:
+            end, data = self.entries.popleft()
+            if end > written_bytes:
+                yield data
--- a/glencleat/platform_server/process.py
+++ b/glencleat/platform_server/process.py
@@ -284,7 +284,7 @@
             f" longest round {self.max_round_ms:.0f} ms policy {exchange.contract.module_cpu_s:.2f} s"
             f" cpu {time.process_time():.2f} s faults {self.fault_count} rss {read_resident_size()}"
             f" releases waiting {len(self.client_connections.pending_releases)}"
-            f" dropped {self.client_connections.dropped_release_count}"
+            f" dropped {self.client_connections.pending_releases.dropped_count}"
         )
         self.max_round_ms = 0.0
 
--- a/tests/platform_server/test_client_releases.py
+++ b/tests/platform_server/test_client_releases.py
@@ -3,11 +3,19 @@
 By the protocol page a task belongs to no connection: its release may go out on any connection of a client.
 """
 
+import itertools
+import socket
+
 import pytest
 
 from glencleat import interface as api
 from glencleat.descriptor_budget import PeerKind
 from glencleat.platform_protocol import messages as m
+from glencleat.platform_server.pending_releases import (
+    MAX_PENDING_RELEASES,
+    PENDING_RELEASE_TIMEOUT_MS,
+    PendingReleases,
+)
 from tests.support.exchange_world import read, setup
 from tests.support.socket_world import Peer, settled, stands
 
@@ -166,3 +174,78 @@
     assert [world.says(sock) for sock in new_clients] == [b""] * 5
     end_task(world, placed, 1)
     assert world.says(other) == ENDED_1
+
+
+def stop_reading(world, sock):
+    """Fills the client's connection until the server can't write any more; returns the server's side."""
+    connection = next(
+        c for c in world.owners.connections if c.stream.sock.getpeername() == sock.getsockname()
+    )
+    connection.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
+    while not connection.stream.send_buffer:
+        assert connection.stream.try_send(m.encode(m.PROGRESS, 5, {m.NAME: b"x" * 1_000}))
+    return connection
+
+
+def test_an_unsent_release_goes_by_another_connection_when_its_own_breaks(world):
+    """Guards against a release that is lost in the send buffer of a client that has stopped reading."""
+    peer, client = Peer(world.loop, stands), world.client()
+    world.list(("h1", peer.address))
+    world.ask(client, 1)
+    assert world.says(client)
+    other = rejected_client(world, 9)
+    connection = stop_reading(world, client)
+    end_task(world, peer, 1)
+    with pytest.raises(BlockingIOError):
+        other.recv(100)
+    connection.stream.close("the client has stopped reading")
+    assert world.says(other) == ENDED_1
+
+
+def test_a_release_that_was_written_whole_is_not_sent_again(world):
+    """The client may have read it before its connection broke, and must not get it twice."""
+    peer, client = Peer(world.loop, stands), world.client()
+    world.list(("h1", peer.address))
+    world.ask(client, 1)
+    assert world.says(client)
+    other = rejected_client(world, 9)
+    (connection,) = [c for c in world.owners.connections if c.is_trusted]
+    end_task(world, peer, 1)
+    assert connection.stream.written_bytes == connection.stream.queued_bytes
+    connection.stream.close("reset")
+    settled(world)
+    with pytest.raises(BlockingIOError):
+        other.recv(100)
+    assert not world.owners.pending_releases
+
+
+def test_every_release_is_sent_once_waits_or_is_dropped():
+    """All orders of six events: each release is in one place, and the queue keeps its bound and its order."""
+    for events in itertools.product(("add", "send", "refuse", "expire"), repeat=6):
+        now, added, sent, logs = 0.0, [], [], []
+        pending = PendingReleases(logs.append)
+        for event in events:
+            now += 1.0
+            if event == "add":
+                added.append(m.encode_with_cause(m.RELEASE, len(added) + 1, m.ENDED))
+                pending.add(added[-1], now)
+            elif event == "send":
+                pending.send_all(lambda data, sent=sent: sent.append(data) or True)
+            elif event == "refuse":
+                pending.send_all(lambda data: False)
+            else:
+                now += PENDING_RELEASE_TIMEOUT_MS
+                pending.drop_expired(now)
+        waiting = [data for _, data in pending.entries]
+        assert sent + waiting == [data for data in added if data in sent or data in waiting]
+        assert len(added) == len(sent) + len(waiting) + pending.dropped_count
+        assert len(logs) == len(added) + pending.dropped_count
+
+
+def test_the_oldest_is_dropped_when_too_many_wait():
+    logs = []
+    pending = PendingReleases(logs.append)
+    for task in range(MAX_PENDING_RELEASES + 1):
+        pending.add(m.encode_with_cause(m.RELEASE, task, m.ENDED), 0.0)
+    assert len(pending) == MAX_PENDING_RELEASES and pending.dropped_count == 1
+    assert "task 0: its release is dropped, too many wait" in logs
