A list connection that has lasted one second resets the backoff

Cause: the connection had lasted 1.5 to 1.7 s, and only 2 s counted as a success, so the next wait was one of 1 to 2 s, as within the outage.

Change: MACHINE_LIST_BACKOFF.reset_after_ms is 1,000 ms, in which a line is due. The command channel of node keeps its policy.

Measured: two of three cases of the new test fail without the change.

--- a/glencleat/flow_control/backoff.py
+++ b/glencleat/flow_control/backoff.py
@@ -37,10 +37,11 @@
             )
 
 
-MACHINE_LIST_BACKOFF = BackoffPolicy(first_ms=600.0, max_ms=2_000.0, reset_after_ms=2_000.0)
+MACHINE_LIST_BACKOFF = BackoffPolicy(first_ms=600.0, max_ms=2_000.0, reset_after_ms=1_000.0)
 """For the machine list. An interruption may cost 2 s (protocol page): the first two intervals and the
-attempts between them keep within that once the service has recovered. While it is down, each client tries
-every 1.5 s on average."""
+attempts between them keep within that once the service has recovered. A connection is a success once the
+service has had the time to send a line, which is due every second. While it is down, each client tries every
+1.5 s on average."""
 
 COMMAND_CHANNEL_BACKOFF = BackoffPolicy(first_ms=600.0, max_ms=1_500.0, reset_after_ms=2_000.0)
 """For the platform's command channel. Its changes count as known as soon as it has sent them, and a grace of
--- a/tests/flow_control/test_backoff.py
+++ b/tests/flow_control/test_backoff.py
@@ -58,6 +58,28 @@
         assert backoff.next_delay_ms(60_000.0) + backoff.next_delay_ms() + 200.0 <= 2_000.0
 
 
+@pytest.mark.parametrize("connected_ms", [1_200.0, 1_700.0, 2_000.0])
+def test_a_break_soon_after_an_outage_costs_less_than_the_protocol_allows(connected_ms):
+    """Guards against the longest interval after a connection that was good until it broke, 1 to 2 s after an
+    outage: the client was told of changes later than 2 s after the break."""
+    for seed in range(500):
+        backoff = Backoff(MACHINE_LIST_BACKOFF, Random(seed))
+        for _ in range(6):  # the outage
+            backoff.next_delay_ms()
+        assert backoff.next_delay_ms(connected_ms) + backoff.next_delay_ms() + 200.0 <= 2_000.0
+
+
+def test_a_service_that_ends_each_connection_is_not_tried_too_often():
+    """Each connection lasts as long as a success must; at most 0.98 attempts a second by each client."""
+    for seed in range(100):
+        backoff, at, count = Backoff(MACHINE_LIST_BACKOFF, Random(seed)), 0.0, 0
+        while at < 60_000.0:
+            at += MACHINE_LIST_BACKOFF.reset_after_ms
+            at += backoff.next_delay_ms(MACHINE_LIST_BACKOFF.reset_after_ms)
+            count += 1
+        assert count / 60.0 < 0.98
+
+
 def test_a_connection_that_ends_at_once_does_not_count_as_a_success():
     """Otherwise a service that accepts and closes connections would see the first, short interval forever."""
     backoff = Backoff(MACHINE_LIST_BACKOFF, Random(1))
