A poll that returns nothing proves a socket empty when it began, not when it ended

Seen by a new test: two of three allocators are stopped for 2 s, and a request that came then is answered 4.9 s after it was sent, its time being 3 s.

A process that is stopped within a poll until its time-out is over returns from it without another look at the descriptors; the end of that poll was taken as a proof that nothing waited.

Change: a poll without events counts as of its beginning. Waits of messages that are read together are reckoned longer by at most one poll, a quarter of a second, in an idle process.

--- a/glencleat/event_loop/loop.py
+++ b/glencleat/event_loop/loop.py
@@ -52,7 +52,8 @@
     """Waits for events on file descriptors and dispatches them to callbacks."""
 
     idle_ms: float  # total time spent waiting
-    on_collected: Callable[[], None]  # called once the ready descriptors are known, before their callbacks
+    # Called once the ready descriptors are known, before their callbacks, with whether there are any.
+    on_collected: Callable[[bool], None]
 
     def watch(self, fd: int, interest: int, call: Callable[[int], None], is_deferred: bool = False) -> None:
         """Registers a descriptor; `call` gets the event mask."""
@@ -80,7 +81,7 @@
         self.callbacks_by_fd: dict[int, Callable[[int], None]] = {}
         self.deferred_fds: set[int] = set()
         self.idle_ms = 0.0
-        self.on_collected: Callable[[], None] = lambda: None
+        self.on_collected: Callable[[bool], None] = lambda has_events: None
 
     def watch(self, fd: int, interest: int, call: Callable[[int], None], is_deferred: bool = False) -> None:
         """Registers a descriptor; `call` gets the event mask."""
@@ -104,7 +105,7 @@
         timeout_s = None if timeout_ms is None else max(0.0, timeout_ms) / 1000.0
         started_s = time.monotonic()
         events = self.epoll.poll(timeout_s, MAX_EVENTS_PER_POLL)
-        self.on_collected()
+        self.on_collected(bool(events))
         self.idle_ms += 1_000.0 * (time.monotonic() - started_s)
         if self.deferred_fds:
             events.sort(key=lambda event: event[0] in self.deferred_fds)
@@ -155,7 +156,7 @@
         self.is_running = False
         # Polls so far, and when the last one and the one before it found out which descriptors were ready.
         self.poll_count = 0
-        self.last_poll_unix_ms = self.previous_poll_unix_ms = self.clock.wall()
+        self.last_poll_unix_ms = self.previous_poll_unix_ms = self.poll_began_unix_ms = self.clock.wall()
         self.poller.on_collected = self._record_poll
         self.current_task: LoopTask | None = None
         self.on_error: Callable[[LoopTask, BaseException], None] = self._raise
@@ -164,9 +165,15 @@
     def _raise(task: LoopTask, error: BaseException) -> None:
         raise error
 
-    def _record_poll(self) -> None:
+    def _record_poll(self, has_events: bool) -> None:
+        """Records when the poll has looked at the descriptors.
+
+        A poll without events did so when it began: if the process is stopped until its time-out is over, it
+        returns without another look.
+        """
         self.poll_count += 1
-        self.previous_poll_unix_ms, self.last_poll_unix_ms = self.last_poll_unix_ms, self.clock.wall()
+        self.previous_poll_unix_ms = self.last_poll_unix_ms
+        self.last_poll_unix_ms = self.clock.wall() if has_events else self.poll_began_unix_ms
 
     def now(self) -> float:
         """Monotonic milliseconds of the loop's clock."""
@@ -268,6 +275,7 @@
         else:
             next_due = self.timers.next_due()
             timeout = None if next_due is None else next_due - self.clock.now()
+        self.poll_began_unix_ms = self.clock.wall()
         self.poller.poll(timeout)
         for _ in range(len(self.urgent_ready)):
             self._step(*self.urgent_ready.popleft())
--- a/tests/event_loop/test_arrival_times.py
+++ b/tests/event_loop/test_arrival_times.py
@@ -36,7 +36,7 @@
 
     def __init__(self):
         self.sock, self.interest, self.callback = None, 0, None
-        self.on_collected = lambda: None
+        self.on_collected = lambda has_events: None
 
     def watch(self, fd, interest, callback, is_deferred=False):
         self.interest, self.callback = interest, callback
@@ -49,7 +49,7 @@
 
     def poll(self, timeout_ms):
         is_ready = bool(self.sock.segments) and bool(self.interest & READ)
-        self.on_collected()
+        self.on_collected(is_ready)
         if is_ready:
             self.callback(READ)
         return int(is_ready)
@@ -116,6 +116,7 @@
     def poll(self):
         if not self.sock.segments and not self.may_hold_more:
             self.known_empty.append(self.clock.at)
+        self.loop.poll_began_unix_ms = self.clock.wall()
         self.loop.poller.poll(0.0)
 
     def read(self):
@@ -188,6 +189,33 @@
     assert model.reckoned[0][1] == model.known_empty[0]
 
 
+def test_a_poll_that_ends_without_another_look_proves_nothing_about_its_end(world, monkeypatch):
+    """Guards against a process that is stopped within a poll until its time-out is over: as it goes on, the
+    poll returns nothing, although messages wait."""
+    sock = world.client()
+    world.until(lambda: world.owners.connections)
+    (connection,) = world.owners.connections
+    poller, began_ms = world.loop.poller, world.loop.now()
+
+    class StoppedEpoll:
+        def poll(self, timeout_s, max_events):
+            sock.send(setup(1) + setup(2))
+            end = world.loop.now() + 80.0
+            while world.loop.now() < end:
+                pass
+            return []
+
+    epoll = poller.epoll
+    poller.epoll = StoppedEpoll()
+    world.loop.poll_began_unix_ms = world.loop.clock.wall()
+    poller.poll(0.0)
+    poller.epoll = epoll
+    world.module.next += [[], []]
+    world.until(lambda: len(world.module.events) == 2)
+    waited_ms = 8_000.0 - world.module.events[0].remaining_ms
+    assert 80.0 <= waited_ms <= world.loop.now() - began_ms + 300.0 and connection.stream.close_reason is None
+
+
 def test_messages_that_came_during_a_stall_have_times_of_their_own(world):
     """Guards against the last message's time for all of a read, which made their waits too short."""
     sock = world.client()
--- /dev/null
+++ b/tests/platform_server/test_stalls.py
@@ -0,0 +1,136 @@
+"""Allocator processes that are stopped for a while: each request still has its one answer in its time.
+
+Judged from what the clients sent and received. While an allocator is stopped, set-ups wait in its sockets, hosts
+answer and time-outs become due; when it goes on, it must know how long each of them has waited.
+"""
+
+import pytest
+
+from glencleat.emulators.allocator_processes import AllocatorProcesses
+from glencleat.emulators.channel import ChannelService, make_list_entry
+from glencleat.emulators.platform_peers import PlatformHost
+from glencleat.event_loop import Loop, StreamClosedError, connect
+from glencleat.platform_protocol import messages as m
+from tests.support.exchange_world import setup
+from tests.support.socket_world import run_until
+
+ALLOCATORS = 3
+WAIT_MS = 3_000.0  # how long each client waits
+LATEST_MS = WAIT_MS + 500.0 + 50.0  # later is lost, by the operators' page, with its slack
+REQUESTS_EACH = 8
+
+
+class ScriptedHost(PlatformHost):
+    """Answers each set-up by its present mode."""
+
+    mode = "accepts"
+
+    def _take(self, stream, task):
+        if self.mode == "rejects":
+            self._say(stream, m.encode_with_cause(m.RELEASE, task, m.REJECTED))
+        elif self.mode == "is silent":
+            self.received_setups.append((self.loop.now(), task))
+        else:
+            super()._take(stream, task)
+
+
+class TimedClient:
+    """One connection to an allocator; records when each request was sent and each final answer came."""
+
+    def __init__(self, loop, address):
+        self.loop, self.sent_at_by_task, self.answers_by_task, self.stream = loop, {}, {}, None
+        loop.spawn(self._run(address), "client")
+
+    def _run(self, address):
+        decoder = m.MessageDecoder()
+        try:
+            self.stream = yield from connect(self.loop, address, 5_000.0)
+            while data := (yield from self.stream.read()):
+                decoder.feed(data)
+                for message in decoder.messages():
+                    if message.kind == m.ANSWER or message.task_id not in self.answers_by_task:
+                        waited_ms = self.loop.now() - self.sent_at_by_task[message.task_id]
+                        self.answers_by_task.setdefault(message.task_id, []).append(waited_ms)
+        except StreamClosedError:
+            pass
+
+    def request(self, task):
+        self.sent_at_by_task[task] = self.loop.now()
+        self.stream.send(setup(task, wait=int(WAIT_MS)))
+
+
+class Cluster:
+    def __init__(self, folder):
+        self.loop = Loop()
+        self.host = ScriptedHost(self.loop, "h0", life_ms=30_000.0, decide_ms=400.0)
+        self.service = ChannelService(self.loop, [make_list_entry("h0", self.host.port)])
+        self.allocators = AllocatorProcesses(folder, ALLOCATORS, seed=5)
+        self.clients, self.last_task = [], 0
+
+    def start(self):
+        for number in range(ALLOCATORS):
+            self.allocators.configure(number, self.service.address, self.service.take_snapshot())
+            self.allocators.start(number)
+        self.until(lambda: all(self.allocators.listen_address(i) for i in range(ALLOCATORS)), 30_000.0)
+        self.clients = [TimedClient(self.loop, self.allocators.listen_address(i)) for i in range(ALLOCATORS)]
+        self.until(lambda: all(client.stream for client in self.clients), 5_000.0)
+
+    def until(self, is_done, ms):
+        logs = lambda: [self.allocators.log_path(i).read_text()[-300:] for i in range(ALLOCATORS)]  # noqa: E731
+        run_until(self.loop, is_done, ms, logs)
+
+    def wait(self, ms):
+        end = self.loop.now() + ms
+        self.until(lambda: self.loop.now() >= end, ms + 5_000.0)
+
+    def request_from_each(self):
+        for client in self.clients:
+            self.last_task += 1
+            client.request(self.last_task)
+
+    def request_during(self, span_ms):
+        """Requests of each client, spread over a time; returns when it is over."""
+        for _ in range(REQUESTS_EACH):
+            self.request_from_each()
+            self.wait(span_ms / REQUESTS_EACH)
+
+
+@pytest.fixture
+def cluster(tmp_path):
+    cluster = Cluster(tmp_path)
+    with cluster.allocators:
+        cluster.start()
+        yield cluster
+    cluster.service.close()
+    cluster.host.close()
+
+
+@pytest.mark.parametrize(
+    "mode",
+    ["accepts", "rejects", "is silent"],
+    ids=["answered or unread", "held", "sent"],
+)
+@pytest.mark.parametrize(
+    ("stalled_count", "stall_ms"), [(1, 300.0), (1, 2_000.0), (2, 2_000.0)], ids=["short", "long", "most"]
+)
+def test_a_stall_makes_no_request_late(cluster, mode, stalled_count, stall_ms):
+    """Guards against waits that are reckoned from the end of a stall: the answers came after the client's
+    time.
+
+    Half of the requests are out, held or about to be answered when the stall begins, half come during it.
+    """
+    cluster.request_from_each()
+    cluster.wait(600.0)  # connections to the host are up
+    cluster.host.mode = mode
+    cluster.request_during(600.0)
+    for number in range(stalled_count):
+        cluster.allocators.stall(number)
+    cluster.request_during(stall_ms)
+    for number in range(stalled_count):
+        cluster.allocators.resume(number)
+    cluster.wait(LATEST_MS)
+    for client in cluster.clients:
+        assert sorted(client.answers_by_task) == sorted(client.sent_at_by_task)
+        for task, waits_ms in client.answers_by_task.items():
+            assert len(waits_ms) == 1, (task, waits_ms)
+            assert waits_ms[0] <= LATEST_MS, (task, waits_ms)
