The example of Pause wakes a sleeper that sleeps, not one that is yet to begin

Cause, by reading: a timer of 1 ms was to end the sleep, but the loop runs due timers before tasks, so that after 1 ms the wake came before the sleep began.

Change: the sleeper is started first. The expected result is as strict: it sleeps, and is woken early. No program line differs.

Measured: the module's examples pass.

--- a/glencleat/event_loop/loop.py
+++ b/glencleat/event_loop/loop.py
@@ -311,9 +311,10 @@
 
     >>> loop = Loop()
     >>> pause = Pause(loop)
-    >>> timer = loop.call_in(1.0, pause.wake)
-    >>> loop.run_until(loop.spawn(pause.sleep(60_000.0), "sleeper"))
-    False
+    >>> sleeper = loop.spawn(pause.sleep(60_000.0), "sleeper")
+    >>> loop.run_once(may_wait=False)
+    >>> pause.is_sleeping, pause.wake(), loop.run_until(sleeper)
+    (True, None, False)
     """
 
     def __init__(self, loop: Loop) -> None:
