Two tests of releases share the set-up that both wrote out

Change: place_task_beside_another_client makes the host, its client and the other one. Assertions are as they were.

--- a/tests/platform_server/test_client_releases.py
+++ b/tests/platform_server/test_client_releases.py
@@ -187,13 +187,18 @@
     return connection
 
 
-def test_an_unsent_release_goes_by_another_connection_when_its_own_breaks(world):
-    """Guards against a release that is lost in the send buffer of a client that has stopped reading."""
+def place_task_beside_another_client(world):
+    """A host with task 1, its client, and another client that could carry the release."""
     peer, client = Peer(world.loop, stands), world.client()
     world.list(("h1", peer.address))
     world.ask(client, 1)
     assert world.says(client)
-    other = rejected_client(world, 9)
+    return peer, client, rejected_client(world, 9)
+
+
+def test_an_unsent_release_goes_by_another_connection_when_its_own_breaks(world):
+    """Guards against a release that is lost in the send buffer of a client that has stopped reading."""
+    peer, client, other = place_task_beside_another_client(world)
     connection = stop_reading(world, client)
     end_task(world, peer, 1)
     with pytest.raises(BlockingIOError):
@@ -204,11 +209,7 @@
 
 def test_a_release_that_was_written_whole_is_not_sent_again(world):
     """The client may have read it before its connection broke, and must not get it twice."""
-    peer, client = Peer(world.loop, stands), world.client()
-    world.list(("h1", peer.address))
-    world.ask(client, 1)
-    assert world.says(client)
-    other = rejected_client(world, 9)
+    peer, _, other = place_task_beside_another_client(world)
     (connection,) = [c for c in world.owners.connections if c.is_trusted]
     end_task(world, peer, 1)
     assert connection.stream.written_bytes == connection.stream.queued_bytes
