A directory silent before its answer no longer costs the longest interval as well

A connection that falls silent before its first update was closed after the silence timeout and then counted as a refused attempt, so the next one came 1 to 2 s later.

It now counts by its duration.

--- a/glencleat/servers/directory_client.py
+++ b/glencleat/servers/directory_client.py
@@ -54,6 +54,7 @@
         self.backoff = backoff
         self.next_attempt_at_ms = loop.now() + backoff.first_delay_ms()
         self.subscribed_at_ms: float | None = None  # first update of the current subscription
+        self.was_silent = False  # the current connection was closed because of the silence timeout
         self.server_retry_after_ms = 0.0  # delay that the directory demanded
         self.attempt_count = 0
         self.is_watch_pending = False  # a `watch` call has no answer yet
@@ -81,9 +82,11 @@
 
     def _attempt_subscription(self) -> Coroutine:
         stream: Stream | None = None
-        self.server_retry_after_ms = 0.0
+        self.server_retry_after_ms, self.was_silent = 0.0, False
+        connected_at_ms = self.loop.now()
         try:
             stream = yield from connect(self.loop, self.address, CONNECT_TIMEOUT_MS)
+            connected_at_ms = self.loop.now()
             yield from self._subscribe_and_read(stream)
             why = "the directory ended the stream"
         except (StreamClosedError, HttpError, RecordError, m.MessageError) as error:
@@ -92,9 +95,11 @@
             if stream is not None:
                 stream.close("done")
         subscribed_at_ms, self.subscribed_at_ms = self.subscribed_at_ms, None
-        subscribed_for_ms = 0.0 if subscribed_at_ms is None else self.loop.now() - subscribed_at_ms
+        # The silence timeout has spaced the attempts already, with an answer before it or without one.
+        counts_from_ms = connected_at_ms if self.was_silent else subscribed_at_ms
+        lasted_ms = 0.0 if counts_from_ms is None else self.loop.now() - counts_from_ms
         self.next_attempt_at_ms = self.loop.now() + self.backoff.next_delay_ms(
-            subscribed_for_ms, self.server_retry_after_ms
+            lasted_ms, self.server_retry_after_ms
         )
         self.log("directory failed", why=why, tries=self.attempt_count)
         if self.is_watch_pending or subscribed_at_ms is not None:
@@ -110,14 +115,17 @@
         headers = {"content-type": "application/json", "accept": "application/json"}
         body = m.encode(m.OperatorCall("SUBSCRIBE"))
         stream.send(http.encode_request("POST", OPERATOR_API_PATH, "directory", headers, body))
-        silence_timer = self.loop.call_in(self.silence_timeout_ms, lambda: stream.close("no heartbeat"))
+
+        def close_silent_stream() -> None:
+            self.was_silent = True
+            stream.close("no heartbeat")
+
+        silence_timer = self.loop.call_in(self.silence_timeout_ms, close_silent_stream)
         try:
             while True:
                 data = yield from stream.read()
                 silence_timer.cancel()
-                silence_timer = self.loop.call_in(
-                    self.silence_timeout_ms, lambda: stream.close("no heartbeat")
-                )
+                silence_timer = self.loop.call_in(self.silence_timeout_ms, close_silent_stream)
                 for event in http.feed(data):
                     if isinstance(event, ResponseHead) and event.status != 200:
                         self.server_retry_after_ms = retry_after_ms(event.headers)
