--- a/glencleat/platform_server/client_connections.py
+++ b/glencleat/platform_server/client_connections.py
@@ -16,7 +16,8 @@
 from glencleat.platform_protocol.exchange import Exchange
 from glencleat.platform_protocol.inbox import Inbox
 from glencleat.platform_server.client_timeouts import ClientActivity, is_message_overdue
-from glencleat.platform_server.pending_releases import PendingReleases, UnsentReleases
+from glencleat.platform_server.pending_releases import UnsentReleases
+from glencleat.platform_server.release_delivery import ReleaseDelivery
 
 if TYPE_CHECKING:
     from glencleat.platform_server.trace import Trace
@@ -82,7 +83,7 @@
             self.open_task_ids
             or self.inbox.scanned_bytes
             or self.stream.send_buffer
-            or self.client_connections.is_last_release_carrier(self)
+            or self.client_connections.releases.is_last_carrier(self)
         ):
             # An answer is owed on it, or no other connection can carry releases.
             return EvictionPriority.PINNED
@@ -130,14 +131,13 @@
     def __init__(self, loop: Loop, descriptors: DescriptorBudget, log: Callable[[str], None]) -> None:
         self.loop, self.descriptors, self.log = loop, descriptors, log
         self.connections: dict[ClientConnection, None] = {}  # in the order of their arrival
-        self.pending_releases = PendingReleases(log)
+        self.releases = ReleaseDelivery(
+            self.connections, self._has_closed, descriptors.update_priority, loop.now, log
+        )
         self.listener: Listener | None = None
         self.is_draining = False
         self.closed_at_unix_ms = float("inf")  # calls that arrive later are refused
         self.is_ready: Callable[[], bool] = lambda: True  # there is a host to place on
-        self.trusted_count = 0  # of the open connections
-        # Open connections that are not trusted and can carry releases.
-        self.untrusted_carriers: set[ClientConnection] = set()
         self.trace: Trace | None = None
         loop.call_in(SWEEP_MS, self._sweep)
 
@@ -193,11 +193,8 @@
         self.loop.spawn(self._serve(client), "owner")
 
     def _on_close(self, client: ClientConnection) -> None:
-        self.trusted_count -= client.is_trusted
-        self.untrusted_carriers.discard(client)
         self.descriptors.remove_holder(client)
-        for data in client.unsent_releases.take_incomplete(client.stream.written_bytes):
-            self._send_on_any_connection(data)
+        self.releases.handle_closed(client)
 
     def _serve(self, client: ClientConnection) -> Coroutine:
         inbox = client.inbox
@@ -297,7 +294,7 @@
             )
             client.has_valid_setup |= is_valid
             client.invalid_setup_count += not is_valid
-            self._update_release_carrier(client)
+            self.releases.update_carrier(client)
             if client.invalid_setup_count > MAX_INVALID_SETUPS:
                 raise m.ProtocolError(
                     f"too many invalid set-ups on one connection: {client.invalid_setup_count}"
@@ -323,53 +320,19 @@
         """Records that a task of the client was placed: its connection is preferred for releases."""
         if not client.is_trusted:
             client.is_trusted = True
-            self.trusted_count += client.stream.close_reason is None
+            self.releases.record_trusted(client)
             self.descriptors.update_priority(client)
-            self._update_release_carrier(client)
-
-    def is_last_release_carrier(self, client: ClientConnection) -> bool:
-        """Whether this is the only open connection to carry releases, or the only trusted one."""
-        if client.is_trusted:
-            return self.trusted_count == 1
-        is_only_carrier = len(self.untrusted_carriers) == 1 and client in self.untrusted_carriers
-        return is_only_carrier and not self.trusted_count
-
-    def _update_release_carrier(self, client: ClientConnection) -> None:
-        """Records whether the connection can carry releases; if so, sends those that wait for one."""
-        if client.stream.close_reason is not None or not client.is_proven or client.is_trusted:
-            self.untrusted_carriers.discard(client)
-        else:
-            self.untrusted_carriers.add(client)
-        if client.is_proven:
-            self.pending_releases.send_all(lambda data: self._try_send_release(client, data))
+            self.releases.update_carrier(client)
 
     def send_to_client(self, client: ClientConnection | None, data: bytes, must_deliver: bool) -> None:
         """Sends a message on the client's connection.
 
-        If that is closed and `must_deliver` is set, the message goes out on the most recently used trusted
-        connection, else on the most recently used one that can carry releases, or waits for such a one.
+        If that is closed and `must_deliver` is set, the message is a release that goes out on another one.
         """
-        if not must_deliver:
-            if client is not None and self._write(client, data):
-                self.descriptors.update_priority(client)
-            return
-        if client is None or not self._try_send_release(client, data):
-            self._send_on_any_connection(data)
-
-    def _send_on_any_connection(self, data: bytes) -> None:
-        carriers = [candidate for candidate in self.connections if candidate.is_proven]
-        carriers.sort(key=lambda carrier: (carrier.is_trusted, carrier.last_used_at_ms), reverse=True)
-        if any(self._try_send_release(carrier, data) for carrier in carriers):
-            return
-        self.pending_releases.add(data, self.loop.now())
-
-    def _try_send_release(self, client: ClientConnection, data: bytes) -> bool:
-        """Writes a release to an open connection; returns False if it is closed."""
-        if self._has_closed(client) or not self._write(client, data):
-            return False
-        client.unsent_releases.record_queued(data, client.stream.queued_bytes, client.stream.written_bytes)
-        self.descriptors.update_priority(client)
-        return True
+        if must_deliver:
+            self.releases.send(client, data)
+        elif client is not None and self._write(client, data):
+            self.descriptors.update_priority(client)
 
     # ---- capacity and time-outs ----
 
@@ -396,4 +359,4 @@
                 # Unsent answers pin the connection, so the budget would never evict it.
                 client.stream.close("the client has stopped reading")
             self.descriptors.update_priority(client)
-        self.pending_releases.drop_expired(now)
+        self.releases.pending.drop_expired(now)
--- a/glencleat/platform_server/pending_releases.py
+++ b/glencleat/platform_server/pending_releases.py
@@ -1,6 +1,6 @@
 """Releases of placed tasks that no client connection has taken yet. No I/O: time and the write are arguments.
 
-From the host's end of a task to the client, a release is owed by `ClientConnections`, which sends it on the
+From the host's end of a task to the client, a release is owed by `ReleaseDelivery`, which sends it on the
 connection of the task's client, on another that may carry it, or adds it here. It leaves the queue once it is
 written, and comes back if that connection breaks before the operating system has all of it. What is written
 whole is never sent again, since a client that has read it would get it twice.
--- a/glencleat/platform_server/process.py
+++ b/glencleat/platform_server/process.py
@@ -246,7 +246,7 @@
             has_unhandled_data=has_arrivals
             or has_partial_message
             or self.client_connections.has_unsent_bytes,
-            has_undelivered_releases=bool(self.client_connections.pending_releases)
+            has_undelivered_releases=bool(self.client_connections.releases.pending)
             or self.connection_pool.has_unsent_releases,
         )
         state = self.shutdown.update_state(self.loop.now(), observation)
@@ -283,8 +283,8 @@
             f" {self.channel.cursor} disconnects {self.watch_client.disconnect_count}"
             f" longest round {self.max_round_ms:.0f} ms policy {exchange.contract.module_cpu_s:.2f} s"
             f" cpu {time.process_time():.2f} s faults {self.fault_count} rss {read_resident_size()}"
-            f" releases waiting {len(self.client_connections.pending_releases)}"
-            f" dropped {self.client_connections.pending_releases.dropped_count}"
+            f" releases waiting {len(self.client_connections.releases.pending)}"
+            f" dropped {self.client_connections.releases.pending.dropped_count}"
         )
         self.max_round_ms = 0.0
 
--- a/tests/platform_server/test_client_releases.py
+++ b/tests/platform_server/test_client_releases.py
@@ -65,17 +65,17 @@
     valid set-up is connected: they waited for a connection with a placed task."""
     other = rejected_client(world, 9)
     end_task(world, placed, 1)
-    assert world.says(other) == ENDED_1 and not world.owners.pending_releases
+    assert world.says(other) == ENDED_1 and not world.owners.releases.pending
 
 
 def test_a_waiting_release_goes_by_the_first_valid_set_up(world, placed):
     end_task(world, placed, 1)
-    assert len(world.owners.pending_releases) == 1
+    assert len(world.owners.releases.pending) == 1
     sock = world.client()
     world.calls += 1
     world.module.next.append([])  # the call is held: no answer is due yet
     sock.send(setup(9))
-    assert world.says(sock) == ENDED_1 and not world.owners.pending_releases
+    assert world.says(sock) == ENDED_1 and not world.owners.releases.pending
 
 
 def test_a_release_prefers_a_connection_with_a_placed_task(world, placed):
@@ -138,7 +138,7 @@
     sock.close()
     world.loop.poller.poll(0.0)
     world.owners.mark_trusted(connection)
-    assert len(world.owners.pending_releases) == 1
+    assert len(world.owners.releases.pending) == 1
     settled(world)
     later = rejected_client_with_release(world)
     assert later == ENDED_1
@@ -217,7 +217,7 @@
     settled(world)
     with pytest.raises(BlockingIOError):
         other.recv(100)
-    assert not world.owners.pending_releases
+    assert not world.owners.releases.pending
 
 
 def test_every_release_is_sent_once_waits_or_is_dropped():
