A host's release is acknowledged once a client connection has all of it

Clients were never told of a task's end if the process that held its release ended first: the host had been told that it was delivered, and did not repeat it. The acknowledgement now waits until the operating system has the release whole; what is repeated meanwhile is not told twice.

Both cases of test_release_restarts.py (SIGKILL, SIGTERM; real processes) fail on the program before and pass now.

--- a/glencleat/platform_protocol/ended_tasks.py
+++ b/glencleat/platform_protocol/ended_tasks.py
@@ -34,15 +34,29 @@
             cause: The cause in the host's release.
             is_reported: A client was notified; False if the client that holds the task is not known.
             now: The current time.
+
+        A report that is repeated within the retention time, because it was not acknowledged, neither undoes
+        that a client was notified nor extends the retention.
         """
-        self.ends_by_task_and_host.pop((task_id, host), None)
-        self.ends_by_task_and_host[task_id, host] = cause, is_reported, now
+        ended_at_ms = now
+        previous = self.ends_by_task_and_host.get((task_id, host))
+        if previous is not None and now - previous[2] <= RETENTION_MS:
+            is_reported |= previous[1]
+            ended_at_ms = previous[2]
+        else:
+            self.ends_by_task_and_host.pop((task_id, host), None)
+        self.ends_by_task_and_host[task_id, host] = cause, is_reported, ended_at_ms
         while (
             len(self.ends_by_task_and_host) > MAX_ENDED_TASKS
             or now - next(iter(self.ends_by_task_and_host.values()))[2] > RETENTION_MS
         ):
             del self.ends_by_task_and_host[next(iter(self.ends_by_task_and_host))]
 
+    def is_unclaimed(self, task_id: int, host: str, now: float) -> bool:
+        """Whether an end was reported within the retention time of which no client was notified."""
+        _, is_reported, ended_at_ms = self.ends_by_task_and_host.get((task_id, host), (0, True, now))
+        return not is_reported and now - ended_at_ms <= RETENTION_MS
+
     def claim(self, task_id: int, host: str, now: float) -> tuple[int, bool] | None:
         """Returns the cause of a recent end and whether a client had been notified of it, and marks it so.
 
--- a/glencleat/platform_protocol/exchange.py
+++ b/glencleat/platform_protocol/exchange.py
@@ -79,6 +79,9 @@
     def is_client_waiting(self, client: Any, task: int) -> bool:
         """Returns whether the client still waits for the task's answer, by all that it has sent until now."""
 
+    def is_release_undelivered(self, task: int) -> bool:
+        """Returns whether a release of the task is still to be written to a client's connection."""
+
     def mark_trusted(self, client: Any) -> None:
         """Marks a connection on which a task was placed; pending releases may be written to it."""
 
@@ -412,10 +415,17 @@
                     attempt, OUTCOMES_BEFORE_PLACEMENT.get(cause, api.Outcome.LOST), reason, report
                 )
             elif message.task_id not in self.calls_by_task_id:
-                self.ended_tasks.record_end(message.task_id, host, cause, False, self.ports.now())
+                is_reported = self.ports.is_release_undelivered(message.task_id)
+                self.ended_tasks.record_end(message.task_id, host, cause, is_reported, self.ports.now())
         elif message.kind == m.OBSERVATION:
             self._handle_observation(attempt, message)
 
+    def is_release_owed(self, host: str, task_id: int) -> bool:
+        """Whether the end of a host's task has not reached a client connection yet and still may."""
+        return self.ports.is_release_undelivered(task_id) or self.ended_tasks.is_unclaimed(
+            task_id, host, self.ports.now()
+        )
+
     def _find_attempt(self, task_id: int, host: str) -> SetupAttempt | None:
         """Returns our attempt or placed task on that host, None if there is none."""
         call = self.calls_by_task_id.get(task_id)
--- a/glencleat/platform_server/client_connections.py
+++ b/glencleat/platform_server/client_connections.py
@@ -353,6 +353,7 @@
                 self.read_pending(client)  # after a stall the complete message may be unread
                 if not client.inbox.has_next:
                     client.stream.close("no complete message received in time")
+            self.releases.record_written(client)
             if not client.stream.send_buffer:
                 client.write_stall = None
             elif not client.is_reading(now):
--- a/glencleat/platform_server/connection_pool.py
+++ b/glencleat/platform_server/connection_pool.py
@@ -29,6 +29,10 @@
 from glencleat.platform_server.host_maintenance import HostMaintenance
 from glencleat.platform_server.host_registry import HostRegistry
 from glencleat.platform_server.pending_queue import PendingQueue
+from glencleat.platform_server.release_acknowledgements import (
+    ACKNOWLEDGEMENT_CHECK_MS,
+    ReleaseAcknowledgements,
+)
 
 if TYPE_CHECKING:
     from glencleat.platform_protocol.command_channel import CommandChannel, ListChange
@@ -84,6 +88,10 @@
         self.pending_queue = PendingQueue(loop, sender=self)
         self.connected_hosts: set[Host] = set()  # with connections; removed lazily
         self.releasing_hosts: set[Host] = set()  # with pending releases; removed lazily
+        self.acknowledgements: ReleaseAcknowledgements[HostConnection] = ReleaseAcknowledgements(
+            lambda host, task_id: self.exchange.is_release_owed(host, task_id)
+        )
+        self.is_acknowledgement_check_scheduled = False
         descriptors.on_capacity_freed = self.on_capacity_freed
         self.maintenance = HostMaintenance(self)
 
@@ -368,6 +376,24 @@
         """Records a change that may bring forward the time at which the host is due."""
         self.maintenance.mark_changed(host)
 
+    def acknowledge_release(self, connection: HostConnection, task_id: int) -> None:
+        """Acknowledges a release that came on the connection, at once or once a client connection has it."""
+        if not self.acknowledgements.must_defer(connection.host.name, task_id, connection):
+            connection.write(m.encode(m.RELEASE_COMPLETE, task_id))
+        elif not self.is_acknowledgement_check_scheduled:
+            self.is_acknowledgement_check_scheduled = True
+            self.loop.call_in(ACKNOWLEDGEMENT_CHECK_MS, self._check_acknowledgements)
+
+    def _check_acknowledgements(self) -> None:
+        for connection, task_id in self.acknowledgements.take_settled():
+            candidates = (connection, *connection.host.connections)
+            usable = next((other for other in candidates if not other.is_closing and other.is_open), None)
+            if usable is not None:
+                usable.write(m.encode(m.RELEASE_COMPLETE, task_id))
+        self.is_acknowledgement_check_scheduled = bool(self.acknowledgements)
+        if self.is_acknowledgement_check_scheduled:
+            self.loop.call_in(ACKNOWLEDGEMENT_CHECK_MS, self._check_acknowledgements)
+
     # ---- called by the registry and the maintenance ----
 
     def declare_tasks_lost(self, host: Host, reason: str, before_ms: float = NEVER) -> None:
--- a/glencleat/platform_server/host_connection.py
+++ b/glencleat/platform_server/host_connection.py
@@ -69,6 +69,9 @@
     def mark_changed(self, host: Host) -> None:
         """The host may need maintenance earlier than planned."""
 
+    def acknowledge_release(self, connection: HostConnection, task_id: int) -> None:
+        """Acknowledges a release that came on the connection, at once or once a client connection has it."""
+
 
 class HostConnection:
     """One connection to a host, from the start of its connect until it is closed or closing.
@@ -115,6 +118,11 @@
         """The number of attempts that wait for the connection to open or for an answer."""
         return len(self.waiting_attempts) + len(self.sent_attempts)
 
+    @property
+    def is_open(self) -> bool:
+        """Whether it is established and not closed by this process."""
+        return self.stream is not None and self.stream.close_reason is None
+
     @property
     def is_idle(self) -> bool:
         """Whether it is open and carries no open attempt."""
@@ -346,7 +354,7 @@
             raise
         # Nothing can be written on a closing connection; the host sends the release again on the next one.
         if message.kind == m.RELEASE and not self.is_closing:
-            self.write(m.encode(m.RELEASE_COMPLETE, message.task_id))
+            self.pool.acknowledge_release(self, message.task_id)
 
     def _handle_connection_lost(self, stream: Stream, reason: str) -> None:
         """Fails the attempts that were open on it; placed tasks are not affected."""
--- a/glencleat/platform_server/pending_releases.py
+++ b/glencleat/platform_server/pending_releases.py
@@ -3,7 +3,8 @@
 From the host's end of a task to the client, a release is owed by `ReleaseDelivery`, which sends it on the
 connection of the task's client, on another that may carry it, or adds it here. It leaves the queue once it is
 written, and comes back if that connection breaks before the operating system has all of it. What is written
-whole is never sent again, since a client that has read it would get it twice.
+whole is never sent again, since a client that has read it would get it twice. Until then it is undelivered,
+and its host is not sent an acknowledgement (`release_acknowledgements.py`).
 """
 
 from __future__ import annotations
@@ -37,6 +38,8 @@
         self.log = log
         self.dropped_count = 0
         self.entries: deque[tuple[float, bytes]] = deque()  # since when it waits, and the message
+        # Of the releases that wait here, or of which the operating system has not got all.
+        self.undelivered_task_ids: set[int] = set()
 
     def __len__(self) -> int:
         return len(self.entries)
@@ -46,6 +49,7 @@
         if len(self.entries) == MAX_PENDING_RELEASES:
             self._drop_oldest("too many wait")
         self.entries.append((now, data))
+        self.undelivered_task_ids.add(m.read_task_id(data))
         self.log(f"task {m.read_task_id(data):x}: its release waits for a client connection")
 
     def send_all(self, try_send: Callable[[bytes], bool]) -> None:
@@ -58,8 +62,17 @@
         while self.entries and now - self.entries[0][0] > PENDING_RELEASE_TIMEOUT_MS:
             self._drop_oldest("no client connection could carry it in time")
 
+    def record_sending(self, data: bytes) -> None:
+        """A connection has the release in its send buffer."""
+        self.undelivered_task_ids.add(m.read_task_id(data))
+
+    def record_delivered(self, data: bytes) -> None:
+        """The operating system has the release whole."""
+        self.undelivered_task_ids.discard(m.read_task_id(data))
+
     def _drop_oldest(self, reason: str) -> None:
         _, data = self.entries.popleft()
+        self.undelivered_task_ids.discard(m.read_task_id(data))
         self.dropped_count += 1
         self.log(f"task {m.read_task_id(data):x}: its release is dropped, {reason}")
 
@@ -69,25 +82,25 @@
     """The releases in the send buffer of one connection.
 
     >>> unsent = UnsentReleases()
-    >>> unsent.record_queued(b"first", end=5, written_bytes=0), unsent.record_queued(b"second", 11, 5)
+    >>> unsent.record_queued(b"first", end=5), unsent.record_queued(b"second", end=11)
     (None, None)
-    >>> list(unsent.take_incomplete(written_bytes=8))
-    [b'second']
+    >>> list(unsent.take_written(written_bytes=8)), list(unsent.take_all())
+    ([b'first'], [b'second'])
     """
 
     # Each with the stream position of its end.
     entries: deque[tuple[int, bytes]] = field(default_factory=deque)
 
-    def record_queued(self, data: bytes, end: int, written_bytes: int) -> None:
-        """Records a release that was queued, unless the operating system has all of it already."""
+    def record_queued(self, data: bytes, end: int) -> None:
+        """Records a release that was queued, and where it ends."""
+        self.entries.append((end, data))
+
+    def take_written(self, written_bytes: int) -> Iterator[bytes]:
+        """Yields, and removes, the releases that the operating system has whole."""
         while self.entries and self.entries[0][0] <= written_bytes:
-            self.entries.popleft()
-        if end > written_bytes:
-            self.entries.append((end, data))
+            yield self.entries.popleft()[1]
 
-    def take_incomplete(self, written_bytes: int) -> Iterator[bytes]:
-        """Yields the releases that the operating system has not got whole, which no client can have read."""
+    def take_all(self) -> Iterator[bytes]:
+        """Yields, and removes, the others, which no client can have read."""
         while self.entries:
-            end, data = self.entries.popleft()
-            if end > written_bytes:
-                yield data
+            yield self.entries.popleft()[1]
--- a/glencleat/platform_server/process.py
+++ b/glencleat/platform_server/process.py
@@ -165,6 +165,10 @@
         """Whether the client still waits for the answer."""
         return self.client_connections.is_client_waiting(client, task)
 
+    def is_release_undelivered(self, task: int) -> bool:
+        """See `ExchangePorts`."""
+        return self.client_connections.releases.is_undelivered(task)
+
     def mark_trusted(self, client: Any) -> None:
         """Records that a task of the client was placed."""
         self.client_connections.mark_trusted(client)
--- a/glencleat/platform_server/release_delivery.py
+++ b/glencleat/platform_server/release_delivery.py
@@ -88,9 +88,19 @@
         """A connection has closed: what the operating system has not got whole goes out on another."""
         self.trusted_count -= client.is_trusted
         self.untrusted_carriers.discard(client)
-        for data in client.unsent_releases.take_incomplete(client.stream.written_bytes):
+        self.record_written(client)
+        for data in client.unsent_releases.take_all():
             self._send_on_any(data)
 
+    def record_written(self, client: CarrierT) -> None:
+        """Records which releases of a connection's send buffer the operating system has by now."""
+        for data in client.unsent_releases.take_written(client.stream.written_bytes):
+            self.pending.record_delivered(data)
+
+    def is_undelivered(self, task_id: int) -> bool:
+        """Whether a release of the task is still to be written whole to a connection."""
+        return task_id in self.pending.undelivered_task_ids
+
     def _send_on_any(self, data: bytes) -> None:
         carriers = [candidate for candidate in self.connections if candidate.is_proven]
         carriers.sort(key=lambda carrier: (carrier.is_trusted, carrier.last_used_at_ms), reverse=True)
@@ -102,6 +112,8 @@
         """Writes a release to an open connection; returns False if it is closed."""
         if self.has_closed(client) or not client.stream.try_send(data):
             return False
-        client.unsent_releases.record_queued(data, client.stream.queued_bytes, client.stream.written_bytes)
+        self.pending.record_sending(data)
+        client.unsent_releases.record_queued(data, client.stream.queued_bytes)
+        self.record_written(client)
         self.on_used(client)
         return True
--- a/tests/platform_server/test_client_releases.py
+++ b/tests/platform_server/test_client_releases.py
@@ -15,7 +15,9 @@
     MAX_PENDING_RELEASES,
     PENDING_RELEASE_TIMEOUT_MS,
     PendingReleases,
+    UnsentReleases,
 )
+from glencleat.platform_server.release_delivery import ReleaseDelivery
 from tests.support.exchange_world import read, setup
 from tests.support.socket_world import Peer, settled, stands
 
@@ -238,6 +240,7 @@
                 now += PENDING_RELEASE_TIMEOUT_MS
                 pending.drop_expired(now)
         waiting = [data for _, data in pending.entries]
+        assert pending.undelivered_task_ids >= {m.read_task_id(data) for data in waiting}
         assert sent + waiting == [data for data in added if data in sent or data in waiting]
         assert len(added) == len(sent) + len(waiting) + pending.dropped_count
         assert len(logs) == len(added) + pending.dropped_count
@@ -250,3 +253,66 @@
         pending.add(m.encode_with_cause(m.RELEASE, task, m.ENDED), 0.0)
     assert len(pending) == MAX_PENDING_RELEASES and pending.dropped_count == 1
     assert "task 0: its release is dropped, too many wait" in logs
+
+
+class FakeStream:
+    """A stream of which the test decides how much the operating system takes."""
+
+    def __init__(self):
+        self.close_reason, self.queued, self.written_bytes = None, [], 0
+
+    @property
+    def queued_bytes(self):
+        return sum(map(len, self.queued))
+
+    def try_send(self, data):
+        if self.close_reason is None:
+            self.queued.append(data)
+        return self.close_reason is None
+
+    def written_whole(self):
+        ends = itertools.accumulate(map(len, self.queued))
+        return [data for data, end in zip(self.queued, ends, strict=True) if end <= self.written_bytes]
+
+
+class FakeCarrier:
+    def __init__(self):
+        self.stream, self.unsent_releases = FakeStream(), UnsentReleases()
+        self.last_used_at_ms, self.is_trusted, self.is_proven = 0.0, False, True
+
+
+def test_a_release_has_one_owner_until_a_connection_has_all_of_it():
+    """All orders of the events of two connections: a release waits, is in one buffer or is written whole once,
+    and it is undelivered exactly until then."""
+    events = ("ends", "takes half", "takes all", "breaks", "connects")
+    for sequence in itertools.product(events, repeat=6):
+        carriers, broken, ended = [FakeCarrier()], [], []
+        delivery = ReleaseDelivery(
+            carriers, lambda carrier: False, lambda carrier: None, lambda: 0.0, lambda text: None
+        )
+        delivery.update_carrier(carriers[0])
+        for event in sequence:
+            if event == "ends":
+                ended.append(m.encode_with_cause(m.RELEASE, len(ended) + 1, m.ENDED))
+                delivery.send(None, ended[-1])
+            elif event == "connects":
+                carriers.append(FakeCarrier())
+                delivery.update_carrier(carriers[-1])
+            elif carriers:
+                carrier = carriers[0]
+                unsent = carrier.stream.queued_bytes - carrier.stream.written_bytes
+                if event == "takes all":
+                    carrier.stream.written_bytes += unsent
+                elif event == "takes half":
+                    carrier.stream.written_bytes += unsent // 2
+                else:
+                    carrier.stream.close_reason = "broken"
+                    broken.append(carriers.pop(0))
+                    delivery.handle_closed(carrier)
+                delivery.record_written(carrier)
+        written = [data for carrier in carriers + broken for data in carrier.stream.written_whole()]
+        buffered = [data for carrier in carriers for _, data in carrier.unsent_releases.entries]
+        waiting = [data for _, data in delivery.pending.entries]
+        assert sorted(written + buffered + waiting) == sorted(ended)
+        undelivered = {data for data in ended if delivery.is_undelivered(m.read_task_id(data))}
+        assert undelivered == set(buffered + waiting)
--- /dev/null
+++ b/tests/platform_server/test_release_restarts.py
@@ -0,0 +1,124 @@
+"""A process that ends while a release waits for a client: its successor gets the release from the host.
+
+Real processes; the host and the clients are judged by what they received.
+"""
+
+import signal
+
+import pytest
+
+from glencleat.emulators.allocator_processes import AllocatorProcesses
+from glencleat.emulators.channel import ChannelService, make_list_entry
+from glencleat.event_loop import Loop, StreamClosedError, connect
+from glencleat.platform_protocol import messages as m
+from tests.support.exchange_world import setup
+from tests.support.socket_world import Peer, run_until
+
+TASK = 1
+RELEASE_DUE_MS = 1_000.0  # from the host's release, by the protocol page
+
+
+class RepeatingHost(Peer):
+    """Accepts every set-up; sends an unacknowledged release on each connection that is opened."""
+
+    def __init__(self, loop):
+        super().__init__(loop, self.handle)
+        self.unacknowledged = set()
+
+    def accept(self, stream):
+        super().accept(stream)
+        self.send_releases(stream)
+
+    def handle(self, stream, message):
+        if message.kind == m.SETUP:
+            stream.send(m.encode(m.ANSWER, message.task_id, {m.DESCRIPTION: b"ok"}))
+        elif message.kind == m.PROBE:
+            stream.send(m.encode_with_cause(m.PROBE_ANSWER, message.task_id, 1))
+        elif message.kind == m.RELEASE_COMPLETE:
+            self.unacknowledged.discard(message.task_id)
+
+    def send_releases(self, stream):
+        for task in self.unacknowledged:
+            stream.send(m.encode_with_cause(m.RELEASE, task, m.ENDED))
+
+    def end_task(self, task):
+        self.unacknowledged.add(task)
+        for stream in [stream for stream in self.streams if stream.close_reason is None][:1]:
+            self.send_releases(stream)
+
+
+class Client:
+    """One connection to the allocator; records the messages that it gets."""
+
+    def __init__(self, loop, address):
+        self.loop, self.received, self.stream = loop, [], None
+        loop.spawn(self._run(address), "client")
+
+    def _run(self, address):
+        decoder = m.MessageDecoder()
+        try:
+            self.stream = yield from connect(self.loop, address, 5_000.0)
+            while data := (yield from self.stream.read()):
+                decoder.feed(data)
+                self.received.extend((message.kind, message.task_id) for message in decoder.messages())
+        except StreamClosedError:
+            pass
+
+
+class Cluster:
+    def __init__(self, folder):
+        self.loop = Loop()
+        self.host = RepeatingHost(self.loop)
+        self.service = ChannelService(self.loop, [make_list_entry("h0", self.host.address[1])])
+        self.allocators = AllocatorProcesses(folder, 1, seed=5)
+        self.allocators.configure(0, self.service.address, self.service.take_snapshot())
+
+    def start(self):
+        self.allocators.start(0)
+        self.until(lambda: self.allocators.is_alive(0) and self.allocators.listen_address(0), 30_000.0)
+
+    def connect(self):
+        client = Client(self.loop, self.allocators.listen_address(0))
+        self.until(lambda: client.stream, 5_000.0)
+        return client
+
+    def until(self, is_done, ms):
+        run_until(self.loop, is_done, ms, lambda: self.allocators.log_path(0).read_text()[-1_000:])
+
+    def logs(self, text):
+        return text in self.allocators.log_path(0).read_text()
+
+    def end_process(self, signal_number):
+        self.allocators.processes_by_number[0].send_signal(signal_number)
+        self.until(lambda: not self.allocators.is_alive(0), 10_000.0)
+        self.allocators.kill(0)
+        self.allocators.log_path(0).unlink()  # so that the next address is the next process's
+
+
+@pytest.fixture
+def cluster(tmp_path):
+    cluster = Cluster(tmp_path)
+    with cluster.allocators:
+        cluster.start()
+        yield cluster
+    cluster.service.close()
+    cluster.host.listener.close()
+
+
+@pytest.mark.parametrize("signal_number", [signal.SIGKILL, signal.SIGTERM], ids=["killed", "stopped"])
+def test_a_release_that_waited_when_the_process_ended_reaches_the_client(cluster, signal_number):
+    """Guards against a task that is left standing for ever: the host's release was acknowledged, then the
+    process that held it ended."""
+    first = cluster.connect()
+    first.stream.send(setup(TASK))
+    cluster.until(lambda: (m.ANSWER, TASK) in first.received, 5_000.0)
+    first.stream.close()
+    cluster.host.end_task(TASK)
+    cluster.until(lambda: cluster.logs("its release waits"), 5_000.0)
+    cluster.end_process(signal_number)
+    cluster.start()
+    second = cluster.connect()
+    second.stream.send(setup(TASK, extras="cores:1;memory:2;service:web;at:h0"))
+    cluster.until(lambda: (m.RELEASE, TASK) in second.received, RELEASE_DUE_MS)
+    cluster.until(lambda: not cluster.host.unacknowledged, RELEASE_DUE_MS)
+    assert second.received == [(m.RELEASE, TASK)]
--- a/tests/support/exchange_world.py
+++ b/tests/support/exchange_world.py
@@ -110,6 +110,9 @@
     def is_client_waiting(self, client, task):
         return not client.is_closed and task not in self.cancelled_task_ids
 
+    def is_release_undelivered(self, task):
+        return False
+
     def mark_trusted(self, client):
         client.is_trusted = True
 
--- a/tests/support/pool_world.py
+++ b/tests/support/pool_world.py
@@ -285,6 +285,9 @@
     def is_client_waiting(self, client, task):
         return True
 
+    def is_release_undelivered(self, task):
+        return False
+
     def mark_trusted(self, client):
         pass
 
--- a/tests/support/socket_world.py
+++ b/tests/support/socket_world.py
@@ -92,6 +92,7 @@
         self.log = self.logs.append
         self.send_to_client = self.owners.send_to_client
         self.mark_trusted = self.owners.mark_trusted
+        self.is_release_undelivered = self.owners.releases.is_undelivered
         self.is_client_waiting = self.owners.is_client_waiting
         self.offer_attempt = self.hosts.offer_attempt
         self.has_unread_bytes = self.hosts.has_unread_bytes
