A release waits 10 minutes for a client connection, not 10 s

A client that was away for longer was never told that its task had ended. The queue stays bounded to 2,000 releases. test_a_release_reaches_a_client_that_comes_after_a_minute fails without the change.

--- a/glencleat/platform_server/pending_releases.py
+++ b/glencleat/platform_server/pending_releases.py
@@ -18,7 +18,7 @@
 MAX_PENDING_RELEASES = 2_000
 """Releases that wait for a connection; beyond it the oldest is dropped."""
 
-PENDING_RELEASE_TIMEOUT_MS = 10_000.0
+PENDING_RELEASE_TIMEOUT_MS = 600_000.0
 """The longest wait of a release for a connection."""
 
 
@@ -30,7 +30,7 @@
     task 7f: its release waits for a client connection
     >>> pending.send_all(lambda data: False), len(pending)
     (None, 1)
-    >>> pending.drop_expired(now=10_001.0)
+    >>> pending.drop_expired(now=600_001.0)
     task 7f: its release is dropped, no client connection could carry it in time
     """
 
--- a/tests/platform_server/test_release_acknowledgements.py
+++ b/tests/platform_server/test_release_acknowledgements.py
@@ -134,6 +134,16 @@
     assert world.loop.now() - began_at_ms >= RETENTION_MS
 
 
+def test_a_release_reaches_a_client_that_comes_after_a_minute(virtual_time_world):
+    """Guards against a release that is dropped after 10 s without a client, and never sent."""
+    world = virtual_time_world
+    peer = place_task(world)
+    end_task(world, peer, 1)
+    end_ms = world.loop.now() + 60_000.0
+    world.until(lambda: world.loop.now() >= end_ms, 70_000.0)
+    assert world.says(valid_client(world)) == ENDED_1
+
+
 def test_every_release_is_acknowledged_when_it_is_owed_no_more():
     """All orders of six events of two releases: none is acknowledged while it is owed, none twice on one
     arrival, and the last arrival's connection has the acknowledgement."""
