A task whose release still waits for a client is not adopted by 'at'

Its end was forgotten after 10 s, its release waited on: a client that named the task had it adopted after its end, and no second end would come. Its connection carries the waiting release instead. test_a_task_whose_release_has_waited_long_is_not_adopted fails without the change.

--- a/glencleat/platform_protocol/exchange.py
+++ b/glencleat/platform_protocol/exchange.py
@@ -538,6 +538,8 @@
         """Adopts a task that already runs; clients name each at every start, so a known one is ignored."""
         if setup.task_id in self.calls_by_task_id or setup.machine is None:
             return
+        if self.ports.is_release_undelivered(setup.task_id):
+            return  # the task has ended; its release goes out by this connection too, if by no other
         now = self.ports.now()
         ended = self.ended_tasks.claim(setup.task_id, setup.machine, now)
         if ended is not None:
--- a/tests/platform_server/test_release_acknowledgements.py
+++ b/tests/platform_server/test_release_acknowledgements.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from glencleat import interface as api
 from glencleat.platform_protocol import messages as m
 from glencleat.platform_protocol.ended_tasks import RETENTION_MS
 from glencleat.platform_server.release_acknowledgements import MAX_DEFERRED, ReleaseAcknowledgements
@@ -144,6 +145,22 @@
     assert world.says(valid_client(world)) == ENDED_1
 
 
+def test_a_task_whose_release_has_waited_long_is_not_adopted(virtual_time_world):
+    """Guards against a task that is adopted after its end, whose second end nobody would report: its end was
+    forgotten after 10 s, its release waited still."""
+    world = virtual_time_world
+    peer = place_task(world)
+    end_task(world, peer, 1)
+    end_ms = world.loop.now() + 3.0 * RETENTION_MS
+    world.until(lambda: world.loop.now() >= end_ms, 4.0 * RETENTION_MS)
+    client = world.client()
+    client.send(setup(1, extras=AT_H1))
+    assert world.says(client) == ENDED_1
+    settled(world)
+    assert not world.exchange.placed_calls_by_host
+    assert len(world.told(api.PlacementRequested)) == 1
+
+
 def test_every_release_is_acknowledged_when_it_is_owed_no_more():
     """All orders of six events of two releases: none is acknowledged while it is owed, none twice on one
     arrival, and the last arrival's connection has the acknowledgement."""
