--- a/tests/platform_server/test_stalls.py
+++ b/tests/platform_server/test_stalls.py
@@ -4,6 +4,8 @@
 answer and time-outs become due; when it goes on, it must know how long each of them has waited.
 """
 
+import socket
+
 import pytest
 
 from glencleat.emulators.allocator_processes import AllocatorProcesses
@@ -34,6 +36,24 @@
             super()._take(stream, task)
 
 
+class UnreachableHost:
+    """Never accepts: its backlog is full, so that a connect neither succeeds nor fails."""
+
+    def __init__(self):
+        self.listener = socket.socket()
+        self.listener.bind(("127.0.0.1", 0))
+        self.listener.listen(0)
+        self.port = self.listener.getsockname()[1]
+        self.fillers = [socket.socket() for _ in range(4)]
+        for filler in self.fillers:
+            filler.setblocking(False)
+            filler.connect_ex(self.listener.getsockname())
+
+    def close(self):
+        for sock in (self.listener, *self.fillers):
+            sock.close()
+
+
 class TimedClient:
     """One connection to an allocator; records when each request was sent and each final answer came."""
 
@@ -60,9 +80,9 @@
 
 
 class Cluster:
-    def __init__(self, folder):
+    def __init__(self, folder, host=None):
         self.loop = Loop()
-        self.host = ScriptedHost(self.loop, "h0", life_ms=30_000.0, decide_ms=400.0)
+        self.host = host or ScriptedHost(self.loop, "h0", life_ms=30_000.0, decide_ms=400.0)
         self.service = ChannelService(self.loop, [make_list_entry("h0", self.host.port)])
         self.allocators = AllocatorProcesses(folder, ALLOCATORS, seed=5)
         self.clients, self.last_task = [], 0
@@ -123,12 +143,37 @@
     cluster.wait(600.0)  # connections to the host are up
     cluster.host.mode = mode
     cluster.request_during(600.0)
+    stall(cluster, stalled_count, stall_ms)
+    check_answers(cluster)
+
+
+@pytest.mark.parametrize(("stalled_count", "stall_ms"), [(1, 300.0), (2, 2_000.0)], ids=["short", "most"])
+def test_a_stall_while_a_host_is_dialled_makes_no_request_late(tmp_path, stalled_count, stall_ms):
+    """Guards against the same for requests whose connection to a host is still to be established."""
+    cluster = Cluster(tmp_path, UnreachableHost())
+    with cluster.allocators:
+        cluster.start()
+        cluster.request_during(600.0)
+        stall(cluster, stalled_count, stall_ms)
+        check_answers(cluster)
+        logs = [cluster.allocators.log_path(number).read_text() for number in range(ALLOCATORS)]
+    assert all("connection timed out" in log for log in logs)
+    cluster.service.close()
+    cluster.host.close()
+
+
+def stall(cluster, stalled_count, stall_ms):
+    """Stops some allocators while requests arrive, then waits for as long as an answer may take."""
     for number in range(stalled_count):
         cluster.allocators.stall(number)
     cluster.request_during(stall_ms)
     for number in range(stalled_count):
         cluster.allocators.resume(number)
     cluster.wait(LATEST_MS)
+
+
+def check_answers(cluster):
+    """Each request has one answer, in time."""
     for client in cluster.clients:
         assert sorted(client.answers_by_task) == sorted(client.sent_at_by_task)
         for task, waits_ms in client.answers_by_task.items():
