The first line of a command channel connection may take as long as a call

With a first line after 1.9 s, which the site files allow, each connection was closed after 1.8 s and nothing was ever heard; set-ups went to a draining host 9.4 s after the event. The first line has 2.25 s now. A connection that was silent from its start counts by its duration in the backoff, as in the directory's client.

--- a/glencleat/platform_server/watch_client.py
+++ b/glencleat/platform_server/watch_client.py
@@ -18,6 +18,9 @@
 SILENCE_TIMEOUT_MS = 1_800.0
 """The time without a complete line after which the connection is closed; one is due every second."""
 
+FIRST_LINE_TIMEOUT_MS = 2_250.0
+"""The same before the first complete line: a call may take 2 s by the operators' site files."""
+
 PROGRESS_BYTES = 65_536
 """Bytes of an incomplete line that count as activity, because a long list may take its time."""
 
@@ -51,6 +54,8 @@
         self.partial_bytes = 0  # since the last complete line, or since as many counted as activity
         self.retry_pause = Pause(loop)  # between two attempts
         self.receiving_since_ms: float | None = None  # of the current connection's first bytes
+        self.has_received_line = False  # a complete one, on the current connection
+        self.silent_for_ms = 0.0  # how long the last connection lasted that never sent a line
         self.disconnect_count = 0
         loop.spawn(self._run(), "command channel", is_urgent=True)
 
@@ -76,15 +81,16 @@
             if self.stream is not None:
                 self.stream.close()
                 self.stream = None
-            connected_ms = (
-                0.0 if self.receiving_since_ms is None else self.loop.now() - self.receiving_since_ms
-            )
+            connected_ms = self.silent_for_ms
+            if self.receiving_since_ms is not None:
+                connected_ms = self.loop.now() - self.receiving_since_ms
             while not (yield from self.retry_pause.sleep(self.backoff.next_delay_ms(connected_ms))):
                 # The address has changed: a first interval spreads all clients that change it.
                 connected_ms = 0.0
 
     def _receive(self) -> Coroutine:
         address, self.receiving_since_ms = self.address, None
+        self.has_received_line, self.silent_for_ms = False, 0.0
         stream: Stream = yield from connect(self.loop, address, CONNECT_MS)
         self.stream = stream
         if address != self.address:
@@ -97,6 +103,7 @@
             if not data:
                 raise StreamClosedError("the peer closed the connection")
             now = self.loop.now()
+            self.has_received_line |= b"\n" in data
             self.partial_bytes = 0 if b"\n" in data else self.partial_bytes + len(data)
             # Fewer bytes don't count: a channel that sends byte by byte would prevent a reconnect.
             if not self.partial_bytes or self.partial_bytes >= PROGRESS_BYTES:
@@ -114,10 +121,13 @@
         """
         if stream.close_reason is not None:
             return
-        remaining_ms = self.last_heard_at_ms + SILENCE_TIMEOUT_MS - self.loop.now()
+        timeout_ms = SILENCE_TIMEOUT_MS if self.has_received_line else FIRST_LINE_TIMEOUT_MS
+        remaining_ms = self.last_heard_at_ms + timeout_ms - self.loop.now()
         if remaining_ms <= 0.0 and (was_deferred or not stream.is_readable):
+            # The time-out has spaced the attempts already: the next interval need not do so as well.
+            self.silent_for_ms = 0.0 if self.has_received_line else timeout_ms
             stream.close("no line received in time")
         else:
-            self.loop.call_in(
-                max(remaining_ms, 50.0), lambda: self._check_silence(stream, remaining_ms <= 0.0)
-            )
+            # The first line may come meanwhile, after which the shorter time-out holds.
+            check_in_ms = min(max(remaining_ms, 50.0), SILENCE_TIMEOUT_MS)
+            self.loop.call_in(check_in_ms, lambda: self._check_silence(stream, remaining_ms <= 0.0))
--- a/tests/platform_server/test_watch_client.py
+++ b/tests/platform_server/test_watch_client.py
@@ -3,9 +3,13 @@
 `test_watch_recovery.py` has the reconnects, `test_process.py` the complete process.
 """
 
+from itertools import pairwise
+from random import Random
+
 import pytest
 
-from glencleat.flow_control.backoff import Backoff, BackoffPolicy
+from glencleat.event_loop import StreamClosedError
+from glencleat.flow_control.backoff import COMMAND_CHANNEL_BACKOFF, Backoff, BackoffPolicy
 from glencleat.platform_server import watch_client
 from tests.support.command_channel_world import Tower, list_event
 
@@ -71,3 +75,52 @@
     client.change_address(new_server.address)
     world.until(lambda: len(changes) == 2)
     assert new_server.got == [b"resume 1\n"]
+
+
+class SlowTower(Tower):
+    """Answers each connection after a time, and not at all before the `silent_count` first ones are over."""
+
+    def __init__(self, loop, delay_ms, silent_count=0):
+        super().__init__(loop, lambda n: list_event(1))
+        self.delay_ms, self.silent_count, self.accepted_at_ms = delay_ms, silent_count, []
+
+    def serve(self, stream):
+        self.accepted_at_ms.append(self.loop.now())
+        is_silent = len(self.accepted_at_ms) <= self.silent_count
+        try:
+            yield from self.loop.sleep(60_000.0 if is_silent else self.delay_ms)
+            yield from super().serve(stream)
+        except StreamClosedError:
+            pass
+
+
+def test_a_first_line_may_take_as_long_as_a_call(virtual_time_world):
+    """Guards against a channel that is slow and never heard: each connection was closed after 1.8 s, and drains
+    were known 9.4 s after they began."""
+    world = virtual_time_world
+    server, changes = SlowTower(world.loop, delay_ms=2_000.0), []
+    backoff = Backoff(COMMAND_CHANNEL_BACKOFF, Random(1))
+    client = watch_client.WatchClient(
+        world.loop, world.channel, backoff, server.address, changes.append, world.logs.append
+    )
+    world.until(lambda: changes, ms=2_200.0)
+    assert client.disconnect_count == 0
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_a_connection_silent_from_its_start_costs_its_time_out_and_a_first_interval(virtual_time_world, seed):
+    """Guards against the longest interval on top of the time-out, see the directory's client."""
+    world = virtual_time_world
+    server, changes = SlowTower(world.loop, delay_ms=0.0, silent_count=3), []
+    watch_client.WatchClient(
+        world.loop,
+        world.channel,
+        Backoff(COMMAND_CHANNEL_BACKOFF, Random(seed)),
+        server.address,
+        changes.append,
+        world.logs.append,
+    )
+    world.until(lambda: changes, ms=60_000.0)
+    gaps_ms = [after - before for before, after in pairwise(server.accepted_at_ms)]
+    allowed_ms = watch_client.FIRST_LINE_TIMEOUT_MS + COMMAND_CHANNEL_BACKOFF.first_ms
+    assert len(gaps_ms) == 3 and max(gaps_ms) <= allowed_ms + 100.0
