Tasks placed after another host took the address stand

Told late that an address had a new host, we reported all tasks of the former one lost: also those that the new process had accepted by the former id. They ran on, uncut. The new host's start now decides, as it does for a restart under the same id; the former host keeps the address and its newer connections until the last of these tasks has ended.

--- a/glencleat/platform_protocol/exchange.py
+++ b/glencleat/platform_protocol/exchange.py
@@ -170,6 +170,8 @@
         self.calls_by_id: dict[int, SetupCall] = {}  # by the policy's call id
         self.calls_by_task_id: dict[int, SetupCall] = {}  # by the platform's task id
         self.placed_calls_by_host: dict[str, dict[int, SetupCall]] = {}  # by host, then by task id
+        # By a host with placed tasks: the host in whose process they run since it has the address.
+        self.successors_by_host: dict[str, str] = {}
         self.ended_tasks = EndedTasks()
         self.hosts_by_probe_token: dict[int, str] = {}
         self.last_probe_token = 0
@@ -316,6 +318,7 @@
             placed_calls.pop(call.setup.task_id, None)
             if not placed_calls:
                 del self.placed_calls_by_host[host]
+                self.successors_by_host.pop(host, None)
                 self.on_placed_changed(host)
 
     def _mark_placed(self, call: SetupCall, host: str) -> None:
@@ -430,7 +433,13 @@
         """Returns our attempt or placed task on that host, None if there is none."""
         call = self.calls_by_task_id.get(task_id)
         attempt = call.attempt if call is not None else None
-        return attempt if attempt is not None and attempt.host == host else None
+        if attempt is None or host not in (attempt.host, self.successors_by_host.get(attempt.host)):
+            return None
+        return attempt
+
+    def record_successor(self, host: str, successor: str) -> None:
+        """The tasks placed on a host run in the process of another one, which may report them too."""
+        self.successors_by_host[host] = successor
 
     def _handle_answer(self, attempt: SetupAttempt, message: m.PlatformMessage) -> None:
         call = attempt.call
--- a/glencleat/platform_server/connection_pool.py
+++ b/glencleat/platform_server/connection_pool.py
@@ -29,10 +29,7 @@
 from glencleat.platform_server.host_maintenance import HostMaintenance
 from glencleat.platform_server.host_registry import HostRegistry
 from glencleat.platform_server.pending_queue import PendingQueue
-from glencleat.platform_server.release_acknowledgements import (
-    ACKNOWLEDGEMENT_CHECK_MS,
-    ReleaseAcknowledgements,
-)
+from glencleat.platform_server.release_acknowledger import ReleaseAcknowledger
 
 if TYPE_CHECKING:
     from glencleat.platform_protocol.command_channel import CommandChannel, ListChange
@@ -88,10 +85,9 @@
         self.pending_queue = PendingQueue(loop, sender=self)
         self.connected_hosts: set[Host] = set()  # with connections; removed lazily
         self.releasing_hosts: set[Host] = set()  # with pending releases; removed lazily
-        self.acknowledgements: ReleaseAcknowledgements[HostConnection] = ReleaseAcknowledgements(
-            lambda host, task_id: self.exchange.is_release_owed(host, task_id)
+        self.release_acknowledger = ReleaseAcknowledger(
+            loop, lambda host, task_id: self.exchange.is_release_owed(host, task_id)
         )
-        self.is_acknowledgement_check_scheduled = False
         descriptors.on_capacity_freed = self.on_capacity_freed
         self.maintenance = HostMaintenance(self)
 
@@ -378,21 +374,7 @@
 
     def acknowledge_release(self, connection: HostConnection, task_id: int) -> None:
         """Acknowledges a release that came on the connection, at once or once a client connection has it."""
-        if not self.acknowledgements.must_defer(connection.host.name, task_id, connection):
-            connection.write(m.encode(m.RELEASE_COMPLETE, task_id))
-        elif not self.is_acknowledgement_check_scheduled:
-            self.is_acknowledgement_check_scheduled = True
-            self.loop.call_in(ACKNOWLEDGEMENT_CHECK_MS, self._check_acknowledgements)
-
-    def _check_acknowledgements(self) -> None:
-        for connection, task_id in self.acknowledgements.take_settled():
-            candidates = (connection, *connection.host.connections)
-            usable = next((other for other in candidates if not other.is_closing and other.is_open), None)
-            if usable is not None:
-                usable.write(m.encode(m.RELEASE_COMPLETE, task_id))
-        self.is_acknowledgement_check_scheduled = bool(self.acknowledgements)
-        if self.is_acknowledgement_check_scheduled:
-            self.loop.call_in(ACKNOWLEDGEMENT_CHECK_MS, self._check_acknowledgements)
+        self.release_acknowledger.handle_release(connection, task_id)
 
     # ---- called by the registry and the maintenance ----
 
@@ -402,6 +384,18 @@
         if ended_count:
             self.log(f"host {host.name}: {ended_count} tasks lost, {reason}")
 
+    def has_placed_tasks(self, host: Host) -> bool:
+        """Whether tasks are placed on the host."""
+        return host.name in self.exchange.placed_calls_by_host
+
+    def record_successor(self, host: Host, successor_name: str) -> None:
+        """The tasks that are still placed on the host run in the process of another one from now on."""
+        self.exchange.record_successor(host.name, successor_name)
+        tasks = len(self.exchange.placed_calls_by_host.get(host.name, {}))
+        self.log(
+            f"host {host.name}: {tasks} tasks placed after {successor_name} took its address stand there"
+        )
+
     def update_eviction_priorities(self, host: Host) -> None:
         """Refiles a host's connections in the descriptor budget by their current eviction priority."""
         for connection in list(host.connections):
--- a/glencleat/platform_server/host_connection.py
+++ b/glencleat/platform_server/host_connection.py
@@ -99,6 +99,7 @@
         self.is_closing = False
         # Closed by the host: what was sent before is still read, nothing more is sent.
         self.is_closed_by_host = False
+        self.began_at_ms = self.loop.now()
         self.connected_at_ms = 0.0
         self.stream: Stream | None = None  # None until it is open
         self.decoder = m.MessageDecoder()
--- a/glencleat/platform_server/host_registry.py
+++ b/glencleat/platform_server/host_registry.py
@@ -31,6 +31,12 @@
         `before_ms` is a time of the event loop.
         """
 
+    def has_placed_tasks(self, host: Host) -> bool:
+        """Whether tasks are placed on the host."""
+
+    def record_successor(self, host: Host, successor_name: str) -> None:
+        """The tasks that are still placed on the host run in the process of another one from now on."""
+
 
 class HostRegistry:
     """Hosts by name and by address.
@@ -54,6 +60,8 @@
         self.observer = observer
         self.hosts_by_name: dict[str, Host] = {}
         self.host_names_by_address: dict[tuple[str, int], str] = {}
+        # Hosts whose tasks run in the process of the host that has their address now.
+        self.replaced_hosts_by_address: dict[tuple[str, int], list[Host]] = {}
         self.created_host_count = 0
 
     def add_host(self, name: str) -> Host:
@@ -75,6 +83,11 @@
     def remove_host(self, host: Host) -> None:
         """Removes a host."""
         del self.hosts_by_name[host.name]
+        replaced_hosts = self.replaced_hosts_by_address.get(host.address, [])
+        if host in replaced_hosts:
+            replaced_hosts.remove(host)
+            if not replaced_hosts:
+                del self.replaced_hosts_by_address[host.address]
         if self.host_names_by_address.get(host.address) == host.name:
             del self.host_names_by_address[host.address]
 
@@ -100,8 +113,8 @@
             self.observer.mark_changed(host)
         previous_name = self.host_names_by_address.get(entry.address, name)
         self.host_names_by_address[entry.address] = name
-        if previous_name != name and previous_name in self.hosts_by_name:
-            self._handle_address_taken(self.hosts_by_name[previous_name])
+        if previous_name != name:
+            self._handle_address_taken(entry, previous_name)
         self._apply_process_start(host, entry.started_unix_ms)
 
     def _apply_process_start(self, host: Host, started_unix_ms: float) -> None:
@@ -111,15 +124,39 @@
             # The first report, or the same start again. If this process's clock is behind, the start seems to
             # lie in the future and is taken for now, and each report would declare newer tasks lost.
             return
-        started_at_ms = estimate_start_ms(started_unix_ms - self.channel.clock_offset_ms, self.loop.now())
         self.observer.declare_tasks_lost(
-            host, "the machine list shows a later start of its process", started_at_ms
+            host,
+            "the machine list shows a later start of its process",
+            self._estimate_start_ms(started_unix_ms),
         )
 
-    def _handle_address_taken(self, host: Host) -> None:
-        """Another host has taken the address: a connection to it would reach the wrong host."""
+    def _estimate_start_ms(self, started_unix_ms: float) -> float:
+        return estimate_start_ms(started_unix_ms - self.channel.clock_offset_ms, self.loop.now())
+
+    def _handle_address_taken(self, entry: HostEntry, previous_name: str) -> None:
+        """Another host has taken the address, and with it the hosts that were known there are gone.
+
+        Tasks placed there after the new process had started run in it, whichever name they were sent to. They
+        stand, and their host keeps the address and its connections for them.
+        """
+        hosts = self.replaced_hosts_by_address.pop(entry.address, [])
+        if previous_name in self.hosts_by_name:
+            hosts.append(self.hosts_by_name[previous_name])
+        started_at_ms = self._estimate_start_ms(entry.started_unix_ms) if entry.started_unix_ms else NEVER
+        for host in hosts:
+            if host.name != entry.machine.name and host.address == entry.address:
+                self._replace_host(host, entry, started_at_ms)
+
+    def _replace_host(self, host: Host, entry: HostEntry, started_at_ms: float) -> None:
+        reason = "another host has taken its address"
         host.record_removed(self.loop.now())
-        host.abort_connections("another host has taken its address")
-        host.address = NO_ADDRESS
+        self.observer.declare_tasks_lost(host, reason, started_at_ms)
+        if self.observer.has_placed_tasks(host):
+            for connection in [other for other in host.connections if other.began_at_ms < started_at_ms]:
+                connection.abort(reason)
+            self.replaced_hosts_by_address.setdefault(entry.address, []).append(host)
+            self.observer.record_successor(host, entry.machine.name)
+        else:
+            host.abort_connections(reason)
+            host.address = NO_ADDRESS
         self.observer.mark_changed(host)
-        self.observer.declare_tasks_lost(host, "another host has taken its address")
--- a/tests/platform_server/test_release_acknowledgements.py
+++ b/tests/platform_server/test_release_acknowledgements.py
@@ -67,7 +67,7 @@
     assert world.says(client)
     end_task(world, peer, 1)
     assert world.says(client) == ENDED_1
-    assert not world.hosts.acknowledgements
+    assert not world.hosts.release_acknowledger.deferred
     world.until(lambda: is_acknowledged(peer), 200.0)
 
 
@@ -113,7 +113,7 @@
     world.ask(other, 9)
     assert world.says(other)
     peer.streams[0].send(ENDED_1)
-    world.until(lambda: world.hosts.acknowledgements)
+    world.until(lambda: world.hosts.release_acknowledger.deferred)
     assert not is_acknowledged(peer)
     client = world.client()
     client.send(setup(1, extras=AT_H1))
@@ -129,7 +129,7 @@
     world.ask(other, 9)
     assert world.says(other)
     peer.streams[0].send(ENDED_1)
-    world.until(lambda: world.hosts.acknowledgements)
+    world.until(lambda: world.hosts.release_acknowledger.deferred)
     began_at_ms = world.loop.now()
     world.until(lambda: is_acknowledged(peer), 2.0 * RETENTION_MS)
     assert world.loop.now() - began_at_ms >= RETENTION_MS
@@ -198,8 +198,9 @@
     world = virtual_time_world
     peer = place_task(world)
     end_task(world, peer, 1)
-    checks, original_check = [], world.hosts._check_acknowledgements
-    world.hosts._check_acknowledgements = lambda: (checks.append(world.loop.now()), original_check())
+    checks, deferred = [], world.hosts.release_acknowledger.deferred
+    original = deferred.take_settled
+    deferred.take_settled = lambda: checks.append(world.loop.now()) or original()
     for _ in range(5 if repeated else 1):
         peer.streams[0].send(ENDED_1)
         settled(world, rounds=3)
