A set-up of the largest size is read at once, not after 2 s of busy polling

16,385 and 16,386 bytes with the length field did not fit the limit up to which a connection is read. It lay unread with all behind it, and each poll returned at once. The limit is now the largest message with its length field.

--- a/glencleat/platform_protocol/messages.py
+++ b/glencleat/platform_protocol/messages.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass
 
 MAX_MESSAGE_BYTES = 16_384  # of one message, without its length field
+LENGTH_BYTES = 2  # of the length field
 HEADER = struct.Struct(">HBQ")
 PARAMETER_HEADER = struct.Struct(">BH")
 
@@ -116,14 +117,15 @@
         ProtocolError: Its length or type is invalid; found as soon as those bytes are in the buffer.
     """
     available_bytes = len(buffer) - start
-    if available_bytes < 2:
+    if available_bytes < LENGTH_BYTES:
         return None
     length = buffer[start] << 8 | buffer[start + 1]
-    if not HEADER.size - 2 <= length <= MAX_MESSAGE_BYTES:
+    if not HEADER.size - LENGTH_BYTES <= length <= MAX_MESSAGE_BYTES:
         raise ProtocolError(f"invalid message length of {length} bytes")
     if available_bytes >= 3 and buffer[start + 2] not in KINDS:
         raise ProtocolError(f"message of unknown type {buffer[start + 2]}")
-    return start + length + 2 if available_bytes >= length + 2 else None
+    message_bytes = LENGTH_BYTES + length
+    return start + message_bytes if available_bytes >= message_bytes else None
 
 
 class MessageDecoder:
--- a/glencleat/platform_server/client_connections.py
+++ b/glencleat/platform_server/client_connections.py
@@ -33,6 +33,9 @@
 READ_SIZE = 16_384
 """Bytes read from one connection at a time."""
 
+LARGEST_MESSAGE_BYTES = m.MAX_MESSAGE_BYTES + m.LENGTH_BYTES
+"""A connection is read while it has fewer bytes buffered, so that any message becomes complete."""
+
 MAX_BUFFERED_BYTES = 1 << 17
 """Bytes of one connection that may be buffered while its close or a cancellation is looked for."""
 
@@ -200,7 +203,9 @@
         inbox = client.inbox
         try:
             while inbox.has_next or not inbox.is_closed:
-                has_read = client.stream.is_readable and self._read(client, READ_SIZE, until_empty=False)
+                has_read = client.stream.is_readable and self._read(
+                    client, LARGEST_MESSAGE_BYTES, until_empty=False
+                )
                 if inbox.is_closed or client.stream.close_reason is not None:
                     inbox.is_closed = True
                     self.exchange.on_client_gone(client)  # before unread messages, which may be set-ups
