Held tasks of a class without room do not hold back those of other classes

Eight tasks were refused after their time beside three of another class without room, although hosts for them were empty: three failed placements ended a pass for all. The limit now holds for each class, so a pass looks at up to three tasks of each.

test_held_tasks.py fails without the change; looks are counted at 10, 100 and 1,000 held tasks.

--- a/glencleat/policy/attempts.py
+++ b/glencleat/policy/attempts.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 from glencleat.interface import (
     AttemptAccepted,
     AttemptEnded,
@@ -26,7 +28,7 @@
 from glencleat.policy.warm_up import remaining_warm_up_share
 
 HELD_TASK_INTERVAL_MS = 100.0  # between two attempts to place held tasks
-MAX_FAILED_PLACEMENTS = 3  # held tasks without a machine that end a pass: the others would fail too
+MAX_FAILED_PLACEMENTS = 3  # held tasks of a class without a machine in a pass: its others would fail too
 MIN_TIMEOUT_MS = 300.0  # of an attempt: the time that a short queue at a machine takes
 MAX_TIMEOUT_MS = 1_500.0  # of an attempt: a common latency objective
 SLOW_REJECTION_SHARE = 0.35  # of the latency objective: a rejection may take so long, and is waited for
@@ -247,6 +249,8 @@
     def try_held_tasks(self, max_waited_share: float = NOT_DUE_MS) -> None:
         """Tries to place held tasks, in order of precedence.
 
+        A class without room does not hold back others, for which there may be machines of another kind.
+
         Args:
             max_waited_share: skips tasks that have waited longer, as a share of their latency objective.
         """
@@ -256,12 +260,13 @@
             for task in self.state.held_tasks.values()
             if now_ms - task.arrived_at_ms <= max_waited_share * task.task_class.latency_objective_ms
         ]
-        failed_placements = 0
+        failed_placements_by_class = Counter[str]()
         for task in sorted(held, key=self._precedence):
+            class_name = task.task_class.name
             if is_final(self.state, task):
                 self.answer_call(task)
-            elif failed_placements < MAX_FAILED_PLACEMENTS:
-                failed_placements += not self.try_attempt(task)
+            elif failed_placements_by_class[class_name] < MAX_FAILED_PLACEMENTS:
+                failed_placements_by_class[class_name] += not self.try_attempt(task)
 
     def _precedence(self, task: TrackedTask) -> tuple[float, bool, float, int]:
         """Sort key when capacity is short: by weight, then tasks within their objective, then by arrival."""
