Trace lines name the tasks of the policy's events and actions

The trace looked calls up by a field that no event has, so its lines never had the platform's task id, by which both sides of a task are searched for. test_trace.py fails without the change.

--- a/glencleat/platform_server/trace.py
+++ b/glencleat/platform_server/trace.py
@@ -34,7 +34,7 @@
         actions = self.module.handle(now_ms, event)
         if isinstance(event, ROUTINE_EVENTS) and all(isinstance(action, api.SetTimer) for action in actions):
             return actions
-        calls = [self.calls.get(getattr(item, "call", -1)) for item in (event, *actions)]
+        calls = [self.calls.get(getattr(item, "call_id", -1)) for item in (event, *actions)]
         platform_ids = {f"{call.setup.task_id:016x}" for call in calls if call is not None}
         shown_event = type(event).__name__ if isinstance(event, api.MachineListUpdated) else event
         self.write_line(
