--- a/glencleat/platform_protocol/exchange.py
+++ b/glencleat/platform_protocol/exchange.py
@@ -17,9 +17,7 @@
 
 import math
 from collections.abc import Callable
-from dataclasses import dataclass, field
-from enum import Enum
-from typing import Any, Protocol
+from typing import Any
 
 from glencleat import interface as api
 from glencleat.allocator.contract import ContractChecker, DecisionModule
@@ -37,6 +35,8 @@
     is_turn_valid,
 )
 from glencleat.platform_protocol.ended_tasks import EndedTasks
+from glencleat.platform_protocol.exchange_ports import ExchangePorts
+from glencleat.platform_protocol.setup_calls import ClientPort, SetupAttempt, SetupCall, SetupState
 from glencleat.platform_protocol.setup_requests import SetupError, SetupReader, SetupRequest
 from glencleat.platform_protocol.value_mapping import (
     OBSERVATION_KINDS,
@@ -45,118 +45,6 @@
 )
 
 
-class SetupState(Enum):
-    """The states of a call; the module's docstring has the transitions."""
-
-    PENDING = "taken"
-    IN_FLIGHT = "out"
-    PLACED = "stands"
-
-
-class ClientPort(Protocol):
-    """What the exchange needs of a client's connection."""
-
-    open_task_ids: set[int]  # tasks whose answer is still due on it
-
-
-class TimerHandle(Protocol):
-    """A scheduled callback."""
-
-    def cancel(self) -> None:
-        """Prevents the callback from running."""
-
-
-class ExchangePorts(Protocol):
-    """What the exchange needs of the sockets. None of these may call the exchange before it returns."""
-
-    def send_to_client(self, client: Any, data: bytes, must_deliver: bool) -> None:
-        """Writes a message to a client's connection.
-
-        If that is closed, a message that `must_deliver` is written to another trusted connection, or to the
-        next one that becomes trusted.
-        """
-
-    def is_client_waiting(self, client: Any, task: int) -> bool:
-        """Returns whether the client still waits for the task's answer, by all that it has sent until now."""
-
-    def is_release_undelivered(self, task: int) -> bool:
-        """Returns whether a release of the task is still to be written to a client's connection."""
-
-    def mark_trusted(self, client: Any) -> None:
-        """Marks a connection on which a task was placed; pending releases may be written to it."""
-
-    def offer_attempt(self, attempt: SetupAttempt) -> None:
-        """Sends `attempt.encode_setup(now)` to its host; later reports a failure by `on_attempt_failed`."""
-
-    def cancel_attempt(self, attempt: SetupAttempt) -> DeliveryOutcome:
-        """Writes a cancellation to the host or closes the connection; returns how far the attempt had got."""
-
-    def has_unread_bytes(self, attempt: SetupAttempt) -> bool:
-        """Returns whether bytes have been received, but not read, on the attempt's connection."""
-
-    def release_task(self, host: str, task: int) -> None:
-        """Releases a placed task on its host, at once or as soon as the host can be reached."""
-
-    def request_load_report(self, host: str, token: int) -> bool:
-        """Requests a load report of the host; returns False if the request can't be sent."""
-
-    def call_in(self, in_ms: float, call: Callable[[], None]) -> TimerHandle:
-        """Schedules a callback."""
-
-    def now(self) -> float:
-        """Returns the current time in milliseconds."""
-
-    def log(self, text: str) -> None:
-        """Writes a log line."""
-
-
-@dataclass(slots=True, eq=False)
-class SetupCall:
-    """A client's set-up, until it is answered without a placement or the placed task has ended."""
-
-    call_id: int
-    setup: SetupRequest
-    client: ClientPort
-    state: SetupState = SetupState.PENDING
-    attempt_count: int = 0
-    attempt: SetupAttempt | None = None
-    placed_at_ms: float = 0.0
-    # The earliest time at which an attempt that may have run could have reached its host.
-    first_uncertain_at_ms: float | None = None
-
-
-@dataclass(slots=True, eq=False)
-class SetupAttempt:
-    """One Bind of the policy. `connection` belongs to the implementer of the ports."""
-
-    call: SetupCall
-    number: int
-    host: str
-    bound_at_ms: float
-    deadline_at_ms: float
-    timer: TimerHandle | None = None
-    connection: Any = field(default=None, repr=False)
-
-    @property
-    def is_in_flight(self) -> bool:
-        """Whether it waits for the host's answer."""
-        return self.call.attempt is self and self.call.state is SetupState.IN_FLIGHT
-
-    def encode_setup(self, now: float) -> bytes:
-        """Returns the set-up for the host: the client's, with the time that the attempt has left."""
-        setup = self.call.setup
-        remaining_ms = max(1, round(self.deadline_at_ms - now))
-        parameters = {
-            m.CLASS: setup.task_class.name.encode(),
-            m.TIMEOUT: b"%d" % remaining_ms,
-            m.NAME: setup.name,
-        }
-        if setup.key is not None:
-            parameters[m.KEY] = setup.key
-        parameters[m.DESCRIPTION] = setup.description
-        return m.encode(m.SETUP, setup.task_id, parameters)
-
-
 class Exchange:
     """All calls of one allocator. The process that assembles the parts sets `list_machines`."""
 
--- a/glencleat/platform_server/connection_pool.py
+++ b/glencleat/platform_server/connection_pool.py
@@ -23,7 +23,8 @@
 from glencleat.flow_control.connection_limiter import ConnectionLimiter
 from glencleat.platform_protocol import messages as m
 from glencleat.platform_protocol.delivery import DeliveryOutcome
-from glencleat.platform_protocol.exchange import Exchange, SetupAttempt
+from glencleat.platform_protocol.exchange import Exchange
+from glencleat.platform_protocol.setup_calls import SetupAttempt
 from glencleat.platform_server.failure_detector import NEVER
 from glencleat.platform_server.host_connection import Host, HostConnection
 from glencleat.platform_server.host_maintenance import HostMaintenance
--- a/glencleat/platform_server/host_connection.py
+++ b/glencleat/platform_server/host_connection.py
@@ -17,7 +17,8 @@
 from glencleat.flow_control.connection_limiter import ConnectionLimiter
 from glencleat.platform_protocol import messages as m
 from glencleat.platform_protocol.delivery import DeliveryOutcome
-from glencleat.platform_protocol.exchange import Exchange, SetupAttempt
+from glencleat.platform_protocol.exchange import Exchange
+from glencleat.platform_protocol.setup_calls import SetupAttempt
 from glencleat.platform_server.pooled_host import PooledHost
 
 if TYPE_CHECKING:
--- a/glencleat/platform_server/pending_queue.py
+++ b/glencleat/platform_server/pending_queue.py
@@ -5,7 +5,7 @@
 from typing import Protocol
 
 from glencleat.event_loop import Loop
-from glencleat.platform_protocol.exchange import SetupAttempt
+from glencleat.platform_protocol.setup_calls import SetupAttempt
 
 MAX_QUEUED_ATTEMPTS = 500
 
--- a/glencleat/platform_server/process.py
+++ b/glencleat/platform_server/process.py
@@ -24,8 +24,9 @@
 from glencleat.flow_control.backoff import COMMAND_CHANNEL_BACKOFF, Backoff
 from glencleat.platform_protocol.command_channel import CommandChannel, ListChange, parse_address
 from glencleat.platform_protocol.delivery import DeliveryOutcome
-from glencleat.platform_protocol.exchange import Exchange, SetupAttempt
+from glencleat.platform_protocol.exchange import Exchange
 from glencleat.platform_protocol.messages import ProtocolError
+from glencleat.platform_protocol.setup_calls import SetupAttempt
 from glencleat.platform_server.client_connections import ClientConnections
 from glencleat.platform_server.connection_pool import ConnectionPool
 from glencleat.platform_server.graceful_shutdown import (
--- a/glencleat/platform_server/trace.py
+++ b/glencleat/platform_server/trace.py
@@ -15,7 +15,7 @@
 from glencleat.platform_protocol import messages as m
 
 if TYPE_CHECKING:
-    from glencleat.platform_protocol.exchange import SetupCall
+    from glencleat.platform_protocol.setup_calls import SetupCall
 
 ROUTINE_EVENTS = (api.TimerFired, api.MachineListUpdated, api.TaskObserved)
 """Events that are traced only if the policy answers with more than a timer."""
--- a/tests/platform_protocol/test_exchange.py
+++ b/tests/platform_protocol/test_exchange.py
@@ -6,7 +6,7 @@
 from glencleat import interface as api
 from glencleat.platform_protocol import messages as m
 from glencleat.platform_protocol.delivery import OUTCOMES_BY_DELIVERY, DeliveryOutcome
-from glencleat.platform_protocol.exchange import SetupState
+from glencleat.platform_protocol.setup_calls import SetupState
 from tests.support.exchange_world import SETTINGS, Owner, World, list_change, machine, read
 
 NEVER_RAN_OUTCOMES = {api.Outcome.REJECTED, api.Outcome.UNREACHABLE, api.Outcome.NOT_SENT}
