A system that refuses socket time stamps no longer makes waits as long as the connection

Where the option is refused, a read fell back to one that never moved the earliest arrival time, so each message seemed to have waited since its connection was accepted. Reads now move it with or without time stamps. Streams without time stamps, all those to hosts, no longer keep a proof of emptiness that nobody uses.

Both tests that play such a system fail without the change (400 ms too long after 400).

--- a/glencleat/event_loop/streams.py
+++ b/glencleat/event_loop/streams.py
@@ -61,17 +61,17 @@
         self.interest = 0
         self.is_readable = False
         self.consecutive_reads = 0  # without a wait in between
-        self.is_timestamping = False
+        self.empty_at_unix_ms = self.loop.clock.wall()  # when nothing had arrived yet
+        self.emptiness: EmptinessProof | None = None  # None unless `enable_timestamps` was called
         # Of the last bytes read: the earliest time at which they may have arrived, and when the last of them
         # did; None if the kernel doesn't say.
-        self.received_after_unix_ms = self.loop.clock.wall()
+        self.received_after_unix_ms = self.empty_at_unix_ms
         self.received_at_unix_ms: float | None = None
-        self.emptiness = EmptinessProof(loop, self.received_after_unix_ms)
         loop.poller.watch(self.fd, 0, self._on_event)
 
     def _set_interest(self, interest: int) -> None:
         if interest != self.interest and self.close_reason is None:
-            if interest & ~self.interest & READ:
+            if self.emptiness is not None and interest & ~self.interest & READ:
                 self.emptiness.record_watched()
             self.interest = interest
             self.loop.poller.change(self.fd, interest)
@@ -80,7 +80,8 @@
         if mask & WRITE and self.send_buffer:
             self._write_buffer()
         if self.close_reason is None and mask & ~WRITE:
-            self.emptiness.record_reported()
+            if self.emptiness is not None:
+                self.emptiness.record_reported()
             self.is_readable = True
             if self.reader is not None:
                 self.wake_reader()
@@ -124,7 +125,11 @@
         if self.close_reason is not None:
             raise StreamClosedError(self.close_reason)
         try:
-            data: bytes = self._recv_with_timestamp(size) if self.is_timestamping else self.sock.recv(size)
+            data: bytes = (
+                self.sock.recv(size)
+                if self.emptiness is None
+                else self._recv_with_timestamp(size, self.emptiness)
+            )
         except (BlockingIOError, InterruptedError):
             self._await_more()
             return None
@@ -169,25 +174,25 @@
         They show how long bytes waited to be read. The second stays None where the system doesn't support the
         socket option, and after a read that may have left something unread.
         """
+        self.emptiness = EmptinessProof(self.loop, self.empty_at_unix_ms)
         with contextlib.suppress(OSError):
             self.sock.setsockopt(socket.SOL_SOCKET, SO_TIMESTAMPNS, 1)
-            self.is_timestamping = True
 
-    def _recv_with_timestamp(self, size: int) -> bytes:
+    def _recv_with_timestamp(self, size: int, emptiness: EmptinessProof) -> bytes:
         if self.interest & READ:
-            self.emptiness.record_unreported_read()
+            emptiness.record_unreported_read()
         began_unix_ms = self.loop.clock.wall()
         try:
             data, ancillary, _, _ = self.sock.recvmsg(size, socket.CMSG_SPACE(TIMESPEC.size))
         except BlockingIOError:
-            self.emptiness.record_empty(began_unix_ms)
+            emptiness.record_empty(began_unix_ms)
             raise
-        self.received_after_unix_ms, self.received_at_unix_ms = self.emptiness.empty_at_unix_ms, None
+        self.received_after_unix_ms, self.received_at_unix_ms = emptiness.empty_at_unix_ms, None
         if len(data) == size:
             # More may be unread, which the kernel may keep as one segment with what was read: its time stamp
             # is that of the segment's last byte.
             return bytes(data)
-        self.emptiness.record_empty(began_unix_ms)
+        emptiness.record_empty(began_unix_ms)
         for level, kind, raw in ancillary:
             if level == socket.SOL_SOCKET and kind == SO_TIMESTAMPNS and len(raw) == TIMESPEC.size:
                 seconds, nanoseconds = TIMESPEC.unpack(raw)
@@ -401,7 +406,7 @@
             return
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         stream = Stream(self.loop, sock, self.max_unsent_bytes)
-        stream.emptiness.empty_at_unix_ms = self.emptiness.empty_at_unix_ms
+        stream.empty_at_unix_ms = self.emptiness.empty_at_unix_ms
         self.open_streams.add(stream)
         stream.close_callbacks.append(lambda _: self.open_streams.discard(stream))
         self.on_accept(stream)
--- a/tests/event_loop/test_arrival_times.py
+++ b/tests/event_loop/test_arrival_times.py
@@ -8,13 +8,15 @@
 
 import pytest
 
-from glencleat.event_loop import Loop, Stream
+from glencleat.event_loop import Loop, Stream, streams
 from glencleat.event_loop.loop import READ
 from glencleat.event_loop.streams import SO_TIMESTAMPNS, TIMESPEC
 from glencleat.platform_protocol import messages as m
 from glencleat.platform_protocol.inbox import Inbox
 from tests.support.exchange_world import setup
 
+UNSUPPORTED_OPTION = 9_999
+
 STEP_MS = 10.0
 
 
@@ -235,7 +237,7 @@
 def test_bytes_without_a_time_stamp_count_from_the_last_poll_without_them(world, monkeypatch):
     """Guards against a wait of 0 for what comes before the kernel stamps the accepted socket's bytes."""
     world.until(lambda: world.loop.poll_count > 2)
-    monkeypatch.setattr(Stream, "enable_timestamps", lambda self: setattr(self, "is_timestamping", True))
+    monkeypatch.setattr(streams, "SO_TIMESTAMPNS", UNSUPPORTED_OPTION)
     world.owners.listener.sock.setsockopt(socket.SOL_SOCKET, SO_TIMESTAMPNS, 0)
     sock = world.client()
     sock.send(setup(1, wait=8000))
@@ -245,3 +247,17 @@
     world.module.next.append([])
     world.until(lambda: world.module.events)
     assert 7000.0 < world.module.events[0].remaining_ms <= 7920.0
+
+
+def test_without_time_stamps_a_message_does_not_count_from_the_start_of_its_connection(world, monkeypatch):
+    """Guards against waits as long as the connection, on a system that refuses the socket option."""
+    monkeypatch.setattr(streams, "SO_TIMESTAMPNS", UNSUPPORTED_OPTION)
+    world.owners.listener.sock.setsockopt(socket.SOL_SOCKET, SO_TIMESTAMPNS, 0)
+    sock = world.client()
+    world.until(lambda: world.owners.connections)
+    end = world.loop.now() + 400.0
+    world.until(lambda: world.loop.now() > end)
+    world.module.next.append([])
+    sock.send(setup(1, wait=8000))
+    world.until(lambda: world.module.events)
+    assert 7_800.0 < world.module.events[0].remaining_ms <= 8_000.0
