A host's release that stops in its middle: told by its next connection, once

The same question as for clients' unfinished messages, asked of hosts: a stalled half release is made good by the connection that checks a quiet host. Three cuts, in 2 s.

--- a/tests/platform_server/test_host_failures.py
+++ b/tests/platform_server/test_host_failures.py
@@ -192,3 +192,24 @@
     world.until(lambda: "h1" in world.exchange.placed_calls_by_host)
     world.list(("h1", peer.address, started))
     assert "h1" in world.exchange.placed_calls_by_host
+
+
+@pytest.mark.parametrize("cut_at", [1, 8, 14])
+def test_a_release_that_stops_in_its_middle_comes_on_the_next_connection(virtual_time_world, cut_at):
+    """A host's connection stalls in a message: the host is quiet, so it is checked by a new connection."""
+    world = virtual_time_world
+    peer, client = Peer(world.loop, stands), world.client()
+    world.list(("h1", peer.address))
+    world.ask(client, 1)
+    assert world.says(client)
+    release = m.encode_with_cause(m.RELEASE, 1, m.ENDED)
+    peer.streams[0].send(release[:cut_at])
+    began_at_ms = world.loop.now()
+    world.until(lambda: len(peer.streams) == 2, 4_000.0)
+    peer.streams[1].send(release)
+    assert world.says(client) == release
+    assert world.loop.now() - began_at_ms < 2_000.0
+    peer.streams[0].send(release[cut_at:])
+    settled(world)
+    with pytest.raises(BlockingIOError):
+        client.recv(100)
