--- a/tests/platform_server/test_process_races.py
+++ b/tests/platform_server/test_process_races.py
@@ -14,9 +14,10 @@
 from glencleat.emulators.allocator_processes import AllocatorProcesses
 from glencleat.emulators.channel import ChannelService, make_list_entry
 from glencleat.emulators.platform_peers import PlatformHost, PlatformOwner
-from glencleat.event_loop import Loop, StreamClosedError, connect
+from glencleat.event_loop import Loop
 from glencleat.platform_protocol import messages as m
 from tests.support.exchange_world import setup
+from tests.support.platform_client import PlatformClient
 from tests.support.socket_world import run_until
 
 COUNT, LIFE_MS = 20, 400.0
@@ -40,23 +41,12 @@
         self.loop.call_in(50.0, self._send_blanks)
 
 
-class Client:
-    """One client connection that records the answers to each request."""
+class Client(PlatformClient):
+    """Records the answers to each request."""
 
     def __init__(self, loop, address):
-        self.loop, self.requested, self.answers, self.stream = loop, [], defaultdict(list), None
-        loop.spawn(self.run(address), "client")
-
-    def run(self, address):
-        decoder = m.MessageDecoder()
-        try:
-            self.stream = yield from connect(self.loop, address, 5_000.0)
-            while data := (yield from self.stream.read()):
-                decoder.feed(data)
-                for message in decoder.messages():
-                    self.record(message)
-        except StreamClosedError:
-            pass
+        super().__init__(loop, address)
+        self.requested, self.answers = [], defaultdict(list)
 
     def record(self, message):
         self.answers[message.task_id].append(message.kind)
--- a/tests/platform_server/test_release_restarts.py
+++ b/tests/platform_server/test_release_restarts.py
@@ -9,9 +9,10 @@
 
 from glencleat.emulators.allocator_processes import AllocatorProcesses
 from glencleat.emulators.channel import ChannelService, make_list_entry
-from glencleat.event_loop import Loop, StreamClosedError, connect
+from glencleat.event_loop import Loop
 from glencleat.platform_protocol import messages as m
 from tests.support.exchange_world import setup
+from tests.support.platform_client import PlatformClient
 from tests.support.socket_world import Peer, run_until
 
 TASK = 1
@@ -47,24 +48,6 @@
             self.send_releases(stream)
 
 
-class Client:
-    """One connection to the allocator; records the messages that it gets."""
-
-    def __init__(self, loop, address):
-        self.loop, self.received, self.stream = loop, [], None
-        loop.spawn(self._run(address), "client")
-
-    def _run(self, address):
-        decoder = m.MessageDecoder()
-        try:
-            self.stream = yield from connect(self.loop, address, 5_000.0)
-            while data := (yield from self.stream.read()):
-                decoder.feed(data)
-                self.received.extend((message.kind, message.task_id) for message in decoder.messages())
-        except StreamClosedError:
-            pass
-
-
 class Cluster:
     def __init__(self, folder):
         self.loop = Loop()
@@ -78,7 +61,7 @@
         self.until(lambda: self.allocators.is_alive(0) and self.allocators.listen_address(0), 30_000.0)
 
     def connect(self):
-        client = Client(self.loop, self.allocators.listen_address(0))
+        client = PlatformClient(self.loop, self.allocators.listen_address(0))
         self.until(lambda: client.stream, 5_000.0)
         return client
 
--- a/tests/platform_server/test_stalls.py
+++ b/tests/platform_server/test_stalls.py
@@ -11,9 +11,10 @@
 from glencleat.emulators.allocator_processes import AllocatorProcesses
 from glencleat.emulators.channel import ChannelService, make_list_entry
 from glencleat.emulators.platform_peers import PlatformHost
-from glencleat.event_loop import Loop, StreamClosedError, connect
+from glencleat.event_loop import Loop
 from glencleat.platform_protocol import messages as m
 from tests.support.exchange_world import setup
+from tests.support.platform_client import PlatformClient
 from tests.support.socket_world import run_until
 
 ALLOCATORS = 3
@@ -54,25 +55,17 @@
             sock.close()
 
 
-class TimedClient:
-    """One connection to an allocator; records when each request was sent and each final answer came."""
+class TimedClient(PlatformClient):
+    """Records when each request was sent and how long each final answer took."""
 
     def __init__(self, loop, address):
-        self.loop, self.sent_at_by_task, self.answers_by_task, self.stream = loop, {}, {}, None
-        loop.spawn(self._run(address), "client")
-
-    def _run(self, address):
-        decoder = m.MessageDecoder()
-        try:
-            self.stream = yield from connect(self.loop, address, 5_000.0)
-            while data := (yield from self.stream.read()):
-                decoder.feed(data)
-                for message in decoder.messages():
-                    if message.kind == m.ANSWER or message.task_id not in self.answers_by_task:
-                        waited_ms = self.loop.now() - self.sent_at_by_task[message.task_id]
-                        self.answers_by_task.setdefault(message.task_id, []).append(waited_ms)
-        except StreamClosedError:
-            pass
+        super().__init__(loop, address)
+        self.sent_at_by_task, self.answers_by_task = {}, {}
+
+    def record(self, message):
+        if message.kind == m.ANSWER or message.task_id not in self.answers_by_task:
+            waited_ms = self.loop.now() - self.sent_at_by_task[message.task_id]
+            self.answers_by_task.setdefault(message.task_id, []).append(waited_ms)
 
     def request(self, task):
         self.sent_at_by_task[task] = self.loop.now()
