A host that is listed elsewhere is forgotten at its former address

A host whose tasks stand in its successor's process was kept for that address until a third host took it, also after the list had moved it. It is forgotten when it moves, by the same step as when it is removed. test_a_host_that_is_listed_elsewhere_... fails without the change.

That a moved host is not concerned by who takes its former address held already and has a test now, which fails without the comparison of addresses.

--- a/glencleat/platform_server/host_registry.py
+++ b/glencleat/platform_server/host_registry.py
@@ -83,11 +83,7 @@
     def remove_host(self, host: Host) -> None:
         """Removes a host."""
         del self.hosts_by_name[host.name]
-        replaced_hosts = self.replaced_hosts_by_address.get(host.address, [])
-        if host in replaced_hosts:
-            replaced_hosts.remove(host)
-            if not replaced_hosts:
-                del self.replaced_hosts_by_address[host.address]
+        self._forget_replacement(host)
         if self.host_names_by_address.get(host.address) == host.name:
             del self.host_names_by_address[host.address]
 
@@ -109,6 +105,7 @@
         host.record_listed(draining=entry.machine.phase is api.MachinePhase.DRAINING)
         if entry.address != host.address:
             host.abort_connections("the host's address has changed")
+            self._forget_replacement(host)
             host.address = entry.address
             self.observer.mark_changed(host)
         previous_name = self.host_names_by_address.get(entry.address, name)
@@ -144,9 +141,18 @@
             hosts.append(self.hosts_by_name[previous_name])
         started_at_ms = self._estimate_start_ms(entry.started_unix_ms) if entry.started_unix_ms else NEVER
         for host in hosts:
+            # One that has moved on is no longer concerned by who takes its former address.
             if host.name != entry.machine.name and host.address == entry.address:
                 self._replace_host(host, entry, started_at_ms)
 
+    def _forget_replacement(self, host: Host) -> None:
+        """The host leaves its address, so that another one's start there no longer concerns its tasks."""
+        hosts = self.replaced_hosts_by_address.get(host.address, [])
+        if host in hosts:
+            hosts.remove(host)
+            if not hosts:
+                del self.replaced_hosts_by_address[host.address]
+
     def _replace_host(self, host: Host, entry: HostEntry, started_at_ms: float) -> None:
         reason = "another host has taken its address"
         host.record_removed(self.loop.now())
--- a/tests/platform_server/test_address_changes.py
+++ b/tests/platform_server/test_address_changes.py
@@ -103,6 +103,28 @@
     assert not taken.placed_tasks() and not world.hosts.registry.replaced_hosts_by_address
 
 
+def test_a_host_that_is_listed_elsewhere_is_forgotten_at_its_former_address(world, taken):
+    """Guards against hosts that are kept for an address until another one takes it."""
+    taken.tell_list()
+    assert world.says(taken.client) == release(OLD_TASK, m.FAILED)
+    assert world.hosts.registry.replaced_hosts_by_address
+    other = Peer(world.loop, stands)
+    world.list(("h1", other.address))
+    assert not world.hosts.registry.replaced_hosts_by_address
+
+
+def test_a_host_that_has_moved_is_not_concerned_by_who_takes_its_former_address(world):
+    peer, client = Peer(world.loop, stands), world.client()
+    former_address = Peer(world.loop, stands).address
+    world.list(("h1", former_address))
+    world.list(("h1", peer.address))
+    world.ask(client, OLD_TASK)
+    assert world.says(client) == m.encode(m.ANSWER, OLD_TASK, {m.DESCRIPTION: b"ok"})
+    world.list(("h2", former_address, world.loop.clock.wall()))
+    assert "h1" in world.exchange.placed_calls_by_host
+    assert world.hosts.hosts_by_name["h1"].address == peer.address
+
+
 def test_no_new_task_is_sent_by_the_former_name(world, taken):
     taken.tell_list()
     assert world.says(taken.client) == release(OLD_TASK, m.FAILED)
