--- a/glencleat/event_loop/emptiness.py
+++ b/glencleat/event_loop/emptiness.py
@@ -2,7 +2,8 @@
 
 The kernel's time stamp of a read belongs to its last byte alone. Everything else that the read returned may
 have arrived at any time since the descriptor was last known to be empty: at a read that found nothing more,
-or at a poll that watched it and did not report it. Streams and listeners own one proof each.
+or at a poll that watched it and did not report it. Listeners own a proof each, and so do streams with time
+stamps.
 """
 
 from __future__ import annotations
--- a/glencleat/platform_protocol/ended_tasks.py
+++ b/glencleat/platform_protocol/ended_tasks.py
@@ -8,10 +8,24 @@
 
 from __future__ import annotations
 
+from typing import NamedTuple
+
 RETENTION_MS = 10_000.0  # ends have to be reported within 8 s
 MAX_ENDED_TASKS = 4_000  # beyond it the oldest are dropped
 
 
+class ReportedEnd(NamedTuple):
+    """The end of a task, as its host reported it first."""
+
+    cause: int
+    is_reported: bool  # a client was notified
+    reported_at_ms: float
+
+    def is_retained(self, now: float) -> bool:
+        """Whether the retention time is not over."""
+        return now - self.reported_at_ms <= RETENTION_MS
+
+
 class EndedTasks:
     """The recently ended tasks by id and host, each with its cause and whether a client was notified.
 
@@ -22,8 +36,7 @@
     """
 
     def __init__(self) -> None:
-        # By task id and host, the oldest first: cause, whether a client was notified, time of the report.
-        self.ends_by_task_and_host: dict[tuple[int, str], tuple[int, bool, float]] = {}
+        self.ends_by_task_and_host: dict[tuple[int, str], ReportedEnd] = {}  # the oldest first
 
     def record_end(self, task_id: int, host: str, cause: int, is_reported: bool, now: float) -> None:
         """Records that a host reported a task's end.
@@ -38,34 +51,29 @@
         A report that is repeated within the retention time, because it was not acknowledged, neither undoes
         that a client was notified nor extends the retention.
         """
-        ended_at_ms = now
-        previous = self.ends_by_task_and_host.get((task_id, host))
-        if previous is not None and now - previous[2] <= RETENTION_MS:
-            is_reported |= previous[1]
-            ended_at_ms = previous[2]
+        ends = self.ends_by_task_and_host
+        end = ReportedEnd(cause, is_reported, now)
+        previous = ends.get((task_id, host))
+        if previous is not None and previous.is_retained(now):
+            end = ReportedEnd(cause, is_reported or previous.is_reported, previous.reported_at_ms)
         else:
-            self.ends_by_task_and_host.pop((task_id, host), None)
-        self.ends_by_task_and_host[task_id, host] = cause, is_reported, ended_at_ms
-        while (
-            len(self.ends_by_task_and_host) > MAX_ENDED_TASKS
-            or now - next(iter(self.ends_by_task_and_host.values()))[2] > RETENTION_MS
-        ):
-            del self.ends_by_task_and_host[next(iter(self.ends_by_task_and_host))]
+            ends.pop((task_id, host), None)  # so that it is the newest
+        ends[task_id, host] = end
+        while len(ends) > MAX_ENDED_TASKS or not next(iter(ends.values())).is_retained(now):
+            del ends[next(iter(ends))]
 
     def is_unclaimed(self, task_id: int, host: str, now: float) -> bool:
         """Whether an end was reported within the retention time of which no client was notified."""
-        _, is_reported, ended_at_ms = self.ends_by_task_and_host.get((task_id, host), (0, True, now))
-        return not is_reported and now - ended_at_ms <= RETENTION_MS
+        end = self.ends_by_task_and_host.get((task_id, host))
+        return end is not None and not end.is_reported and end.is_retained(now)
 
     def claim(self, task_id: int, host: str, now: float) -> tuple[int, bool] | None:
         """Returns the cause of a recent end and whether a client had been notified of it, and marks it so.
 
         None if no end of that task on that host was reported within the retention time.
         """
-        cause, is_reported, ended_at_ms = self.ends_by_task_and_host.get(
-            (task_id, host), (0, True, -float("inf"))
-        )
-        if now - ended_at_ms > RETENTION_MS:
+        end = self.ends_by_task_and_host.get((task_id, host))
+        if end is None or not end.is_retained(now):
             return None
-        self.ends_by_task_and_host[task_id, host] = cause, True, ended_at_ms
-        return cause, is_reported
+        self.ends_by_task_and_host[task_id, host] = end._replace(is_reported=True)
+        return end.cause, end.is_reported
--- a/glencleat/platform_protocol/exchange.py
+++ b/glencleat/platform_protocol/exchange.py
@@ -291,26 +291,29 @@
                 # Late, repeated, or for an unknown task: by the protocol page such an answer has no effect.
                 self.late_answer_count += 1
         elif message.kind == m.RELEASE:
-            cause, reason, report = (
-                message.cause,
-                value_mapping.read_reason(message),
-                value_mapping.read_load_report(message),
-            )
-            if attempt is not None and attempt.call.state is SetupState.PLACED:
-                self.ended_tasks.record_end(message.task_id, host, cause, True, self.ports.now())
-                self._end_attempt(
-                    attempt, OUTCOMES_AFTER_PLACEMENT.get(cause, api.Outcome.LOST), reason, report
-                )
-            elif attempt is not None and is_awaited:
-                self._end_attempt(
-                    attempt, OUTCOMES_BEFORE_PLACEMENT.get(cause, api.Outcome.LOST), reason, report
-                )
-            elif message.task_id not in self.calls_by_task_id:
-                is_reported = self.ports.is_release_undelivered(message.task_id)
-                self.ended_tasks.record_end(message.task_id, host, cause, is_reported, self.ports.now())
+            self._handle_host_release(host, attempt, is_awaited, message)
         elif message.kind == m.OBSERVATION:
             self._handle_observation(attempt, message)
 
+    def _handle_host_release(
+        self, host: str, attempt: SetupAttempt | None, is_awaited: bool, message: m.PlatformMessage
+    ) -> None:
+        cause, reason, report = (
+            message.cause,
+            value_mapping.read_reason(message),
+            value_mapping.read_load_report(message),
+        )
+        if attempt is not None and attempt.call.state is SetupState.PLACED:
+            self.ended_tasks.record_end(message.task_id, host, cause, True, self.ports.now())
+            outcome = OUTCOMES_AFTER_PLACEMENT.get(cause, api.Outcome.LOST)
+            self._end_attempt(attempt, outcome, reason, report)
+        elif attempt is not None and is_awaited:
+            outcome = OUTCOMES_BEFORE_PLACEMENT.get(cause, api.Outcome.LOST)
+            self._end_attempt(attempt, outcome, reason, report)
+        elif message.task_id not in self.calls_by_task_id:
+            is_reported = self.ports.is_release_undelivered(message.task_id)
+            self.ended_tasks.record_end(message.task_id, host, cause, is_reported, self.ports.now())
+
     def is_release_owed(self, host: str, task_id: int) -> bool:
         """Whether the end of a host's task has not reached a client connection yet and still may."""
         return self.ports.is_release_undelivered(task_id) or self.ended_tasks.is_unclaimed(
--- a/glencleat/platform_protocol/exchange_ports.py
+++ b/glencleat/platform_protocol/exchange_ports.py
@@ -15,8 +15,8 @@
     def send_to_client(self, client: Any, data: bytes, must_deliver: bool) -> None:
         """Writes a message to a client's connection.
 
-        If that is closed, a message that `must_deliver` is written to another trusted connection, or to the
-        next one that becomes trusted.
+        If that is closed, a message that `must_deliver` is written to another connection of a client that is
+        known to be valid, or to the next such one.
         """
 
     def is_client_waiting(self, client: Any, task: int) -> bool:
