Tests of allocator processes share one cluster, and one start of an unclaimed end

The stalls and the release restarts each built the loop, the channel, the processes and their end. Two tests of acknowledgements had the same eight lines.

--- a/tests/platform_server/test_release_acknowledgements.py
+++ b/tests/platform_server/test_release_acknowledgements.py
@@ -29,6 +29,17 @@
     return peer
 
 
+def report_unclaimed_end(world):
+    """A host with another client's task reports the end of task 1, which no client has named."""
+    peer, other = Peer(world.loop, stands), world.client()
+    world.list(("h1", peer.address))
+    world.ask(other, 9)
+    assert world.says(other)
+    peer.streams[0].send(ENDED_1)
+    world.until(lambda: world.hosts.release_acknowledger.deferred)
+    return peer, other
+
+
 def valid_client(world, task=9):
     """A client with a valid set-up, which is held."""
     sock = world.client()
@@ -108,12 +119,7 @@
 def test_an_end_that_nobody_has_claimed_is_acknowledged_when_its_client_has_it(virtual_time_world):
     """After a restart: the host reports the end before a client names the task."""
     world = virtual_time_world
-    peer, other = Peer(world.loop, stands), world.client()
-    world.list(("h1", peer.address))
-    world.ask(other, 9)
-    assert world.says(other)
-    peer.streams[0].send(ENDED_1)
-    world.until(lambda: world.hosts.release_acknowledger.deferred)
+    peer, other = report_unclaimed_end(world)
     assert not is_acknowledged(peer)
     client = world.client()
     client.send(setup(1, extras=AT_H1))
@@ -124,12 +130,7 @@
 
 def test_an_end_that_nobody_claims_is_acknowledged_after_the_retention(virtual_time_world):
     world = virtual_time_world
-    peer, other = Peer(world.loop, stands), world.client()
-    world.list(("h1", peer.address))
-    world.ask(other, 9)
-    assert world.says(other)
-    peer.streams[0].send(ENDED_1)
-    world.until(lambda: world.hosts.release_acknowledger.deferred)
+    peer, _ = report_unclaimed_end(world)
     began_at_ms = world.loop.now()
     world.until(lambda: is_acknowledged(peer), 2.0 * RETENTION_MS)
     assert world.loop.now() - began_at_ms >= RETENTION_MS
--- a/tests/platform_server/test_release_restarts.py
+++ b/tests/platform_server/test_release_restarts.py
@@ -7,13 +7,11 @@
 
 import pytest
 
-from glencleat.emulators.allocator_processes import AllocatorProcesses
-from glencleat.emulators.channel import ChannelService, make_list_entry
-from glencleat.event_loop import Loop
 from glencleat.platform_protocol import messages as m
 from tests.support.exchange_world import setup
 from tests.support.platform_client import PlatformClient
-from tests.support.socket_world import Peer, run_until
+from tests.support.process_cluster import ProcessCluster
+from tests.support.socket_world import Peer
 
 TASK = 1
 RELEASE_DUE_MS = 1_000.0  # from the host's release, by the protocol page
@@ -25,6 +23,10 @@
     def __init__(self, loop):
         super().__init__(loop, self.handle)
         self.unacknowledged = set()
+        self.port = self.address[1]
+
+    def close(self):
+        self.listener.close()
 
     def accept(self, stream):
         super().accept(stream)
@@ -48,28 +50,14 @@
             self.send_releases(stream)
 
 
-class Cluster:
-    def __init__(self, folder):
-        self.loop = Loop()
-        self.host = RepeatingHost(self.loop)
-        self.service = ChannelService(self.loop, [make_list_entry("h0", self.host.address[1])])
-        self.allocators = AllocatorProcesses(folder, 1, seed=5)
-        self.allocators.configure(0, self.service.address, self.service.take_snapshot())
-
-    def start(self):
-        self.allocators.start(0)
-        self.until(lambda: self.allocators.is_alive(0) and self.allocators.listen_address(0), 30_000.0)
-
+class Cluster(ProcessCluster):
     def connect(self):
         client = PlatformClient(self.loop, self.allocators.listen_address(0))
         self.until(lambda: client.stream, 5_000.0)
         return client
 
-    def until(self, is_done, ms):
-        run_until(self.loop, is_done, ms, lambda: self.allocators.log_path(0).read_text()[-1_000:])
-
     def logs(self, text):
-        return text in self.allocators.log_path(0).read_text()
+        return text in self.read_logs()[0]
 
     def end_process(self, signal_number):
         self.allocators.processes_by_number[0].send_signal(signal_number)
@@ -80,12 +68,9 @@
 
 @pytest.fixture
 def cluster(tmp_path):
-    cluster = Cluster(tmp_path)
-    with cluster.allocators:
+    with Cluster(tmp_path, 1, RepeatingHost) as cluster:
         cluster.start()
         yield cluster
-    cluster.service.close()
-    cluster.host.listener.close()
 
 
 @pytest.mark.parametrize("signal_number", [signal.SIGKILL, signal.SIGTERM], ids=["killed", "stopped"])
--- a/tests/platform_server/test_stalls.py
+++ b/tests/platform_server/test_stalls.py
@@ -8,14 +8,11 @@
 
 import pytest
 
-from glencleat.emulators.allocator_processes import AllocatorProcesses
-from glencleat.emulators.channel import ChannelService, make_list_entry
 from glencleat.emulators.platform_peers import PlatformHost
-from glencleat.event_loop import Loop
 from glencleat.platform_protocol import messages as m
 from tests.support.exchange_world import setup
 from tests.support.platform_client import PlatformClient
-from tests.support.socket_world import run_until
+from tests.support.process_cluster import ProcessCluster
 
 ALLOCATORS = 3
 WAIT_MS = 3_000.0  # how long each client waits
@@ -37,6 +34,10 @@
             super()._take(stream, task)
 
 
+def make_scripted_host(loop):
+    return ScriptedHost(loop, "h0", life_ms=30_000.0, decide_ms=400.0)
+
+
 class UnreachableHost:
     """Never accepts: its backlog is full, so that a connect neither succeeds nor fails."""
 
@@ -72,26 +73,16 @@
         self.stream.send(setup(task, wait=int(WAIT_MS)))
 
 
-class Cluster:
-    def __init__(self, folder, host=None):
-        self.loop = Loop()
-        self.host = host or ScriptedHost(self.loop, "h0", life_ms=30_000.0, decide_ms=400.0)
-        self.service = ChannelService(self.loop, [make_list_entry("h0", self.host.port)])
-        self.allocators = AllocatorProcesses(folder, ALLOCATORS, seed=5)
+class Cluster(ProcessCluster):
+    def __init__(self, folder, make_host):
+        super().__init__(folder, ALLOCATORS, make_host)
         self.clients, self.last_task = [], 0
 
     def start(self):
-        for number in range(ALLOCATORS):
-            self.allocators.configure(number, self.service.address, self.service.take_snapshot())
-            self.allocators.start(number)
-        self.until(lambda: all(self.allocators.listen_address(i) for i in range(ALLOCATORS)), 30_000.0)
+        super().start()
         self.clients = [TimedClient(self.loop, self.allocators.listen_address(i)) for i in range(ALLOCATORS)]
         self.until(lambda: all(client.stream for client in self.clients), 5_000.0)
 
-    def until(self, is_done, ms):
-        logs = lambda: [self.allocators.log_path(i).read_text()[-300:] for i in range(ALLOCATORS)]  # noqa: E731
-        run_until(self.loop, is_done, ms, logs)
-
     def wait(self, ms):
         end = self.loop.now() + ms
         self.until(lambda: self.loop.now() >= end, ms + 5_000.0)
@@ -110,12 +101,9 @@
 
 @pytest.fixture
 def cluster(tmp_path):
-    cluster = Cluster(tmp_path)
-    with cluster.allocators:
+    with Cluster(tmp_path, make_scripted_host) as cluster:
         cluster.start()
         yield cluster
-    cluster.service.close()
-    cluster.host.close()
 
 
 @pytest.mark.parametrize(
@@ -143,16 +131,12 @@
 @pytest.mark.parametrize(("stalled_count", "stall_ms"), [(1, 300.0), (2, 2_000.0)], ids=["short", "most"])
 def test_a_stall_while_a_host_is_dialled_makes_no_request_late(tmp_path, stalled_count, stall_ms):
     """Guards against the same for requests whose connection to a host is still to be established."""
-    cluster = Cluster(tmp_path, UnreachableHost())
-    with cluster.allocators:
+    with Cluster(tmp_path, lambda loop: UnreachableHost()) as cluster:
         cluster.start()
         cluster.request_during(600.0)
         stall(cluster, stalled_count, stall_ms)
         check_answers(cluster)
-        logs = [cluster.allocators.log_path(number).read_text() for number in range(ALLOCATORS)]
-    assert all("connection timed out" in log for log in logs)
-    cluster.service.close()
-    cluster.host.close()
+        assert all("connection timed out" in log for log in cluster.read_logs())
 
 
 def stall(cluster, stalled_count, stall_ms):
