--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -306,7 +306,9 @@
 
     def say(self, data: bytes) -> None:
         if not (self.is_closed or self.is_dead or self.host.is_silent):
-            self.host.record(f"{self.host.name} > {self.number}: " + describe(*decode(bytearray(data))[0]))
+            message = decode(bytearray(data))[0]
+            if message[0] != NOTE:
+                self.host.record(f"{self.host.name} > {self.number}: " + describe(*message))
             self.writer.write(data)
 
     def reset(self) -> None:
