A client that releases a placed task carries the releases of other tasks

What callers saw: an owner dropped its connection, came again and ended one of its two tasks there.

Cause: only a set-up or a placement on the connection showed that its client is not a faulty one (ClientConnection.is_proven). The owner's release of a placed task was carried out, and proved nothing, so the release of the other task waited for a set-up. Evidence: the case's log has "its release waits for a client connection" at the host's release, with one open client connection that had just been served.

Change: a client that releases a placed task is trusted, like one whose task was placed; so is one that releases a task whose own end still waits, as the host ended it first. Task ids are 64 random bits, so a faulty client can't name one. What proves nothing stays so, and two tests hold it: the release of an unknown id and of another client's open set-up.

--- a/glencleat/platform_protocol/exchange.py
+++ b/glencleat/platform_protocol/exchange.py
@@ -455,14 +455,20 @@
         self.event_dispatcher.dispatch_event(self._make_placement_request(call, 0.0))
 
     def on_client_release(self, client: ClientPort, message: m.PlatformMessage) -> None:
-        """Handles a client's release: of an open call on its own connection, of a placed task on any."""
+        """Handles a client's release: of an open call on its own connection, of a placed task on any.
+
+        Whoever names a task that was placed is an owner, whichever connection it was placed on.
+        """
         call = self.calls_by_task_id.get(message.task_id)
         if call is None:
+            if self.ports.is_release_undelivered(message.task_id):
+                self.ports.mark_trusted(client)  # the host ended it first: its release can go out now
             return
         if call.state is SetupState.PLACED:
             self.ports.send_to_client(
                 client, m.encode(m.RELEASE_COMPLETE, message.task_id), must_deliver=False
             )
+            self.ports.mark_trusted(client)
             self._stop_task(call)
         elif call.client is client:
             self._abandon_call(call)
--- a/glencleat/platform_protocol/exchange_ports.py
+++ b/glencleat/platform_protocol/exchange_ports.py
@@ -26,7 +26,10 @@
         """Returns whether a release of the task is still to be written to a client's connection."""
 
     def mark_trusted(self, client: Any) -> None:
-        """Marks a connection on which a task was placed; pending releases may be written to it."""
+        """Marks a connection on which a task was placed, or a placed one released by its client.
+
+        Pending releases may be written to it.
+        """
 
     def offer_attempt(self, attempt: SetupAttempt) -> None:
         """Sends `attempt.encode_setup(now)` to its host; later reports a failure by `on_attempt_failed`."""
--- a/glencleat/platform_server/client_connections.py
+++ b/glencleat/platform_server/client_connections.py
@@ -62,7 +62,8 @@
         self.open_task_ids: set[int] = set()
         self.created_at_ms = self.last_used_at_ms = now
         self.has_received_message = False  # a complete one
-        self.is_trusted = False  # one of its tasks was placed, which never happens to an invalid client
+        # One of its tasks was placed, or it released one that was: neither happens to an invalid client.
+        self.is_trusted = False
         self.has_valid_setup = False  # one of its set-ups could be used, whatever the answer was
         self.invalid_setup_count = 0
         self.unsent_releases = UnsentReleases()
@@ -322,7 +323,10 @@
         return client.stream.try_send(data)
 
     def mark_trusted(self, client: ClientConnection) -> None:
-        """Records that a task of the client was placed: its connection is preferred for releases."""
+        """Records that a task of the client was placed, or that it released one.
+
+        Its connection is preferred for releases.
+        """
         if not client.is_trusted:
             client.is_trusted = True
             self.releases.record_trusted(client)
--- a/glencleat/platform_server/client_timeouts.py
+++ b/glencleat/platform_server/client_timeouts.py
@@ -31,7 +31,7 @@
 
     created_at_ms: float
     has_received_message: bool  # a complete one
-    is_proven: bool  # all its set-ups were valid, or a task was placed for it
+    is_proven: bool  # all its set-ups were valid, or it is trusted
     has_open_setups: bool
     partial_since_ms: (
         float | None
--- a/glencleat/platform_server/process.py
+++ b/glencleat/platform_server/process.py
@@ -171,7 +171,7 @@
         return self.client_connections.releases.is_undelivered(task)
 
     def mark_trusted(self, client: Any) -> None:
-        """Records that a task of the client was placed."""
+        """See `ExchangePorts`."""
         self.client_connections.mark_trusted(client)
 
     def offer_attempt(self, attempt: SetupAttempt) -> None:
--- a/glencleat/platform_server/release_delivery.py
+++ b/glencleat/platform_server/release_delivery.py
@@ -19,7 +19,7 @@
     stream: Stream
     unsent_releases: UnsentReleases
     last_used_at_ms: float
-    is_trusted: bool  # one of its tasks was placed
+    is_trusted: bool  # one of its tasks was placed, or it released one that was
 
     @property
     def is_proven(self) -> bool:
--- a/tests/platform_server/test_client_releases.py
+++ b/tests/platform_server/test_client_releases.py
@@ -113,6 +113,56 @@
     return sock
 
 
+def ending_client(world, task):
+    """A client that has sent a health check and ended a placed task, and no set-up."""
+    sock = health_checking_client(world)
+    sock.send(m.encode_with_cause(m.RELEASE, task, m.ENDED))
+    assert world.says(sock) == m.encode(m.RELEASE_COMPLETE, task)
+    return sock
+
+
+def test_a_release_goes_to_an_owner_that_came_again_and_ended_a_task_there(world, placed):
+    """Guards against an owner that comes again without a set-up and is never told of its other task's end."""
+    owner = ending_client(world, 2)
+    end_task(world, placed, 1)
+    assert world.says(owner) == ENDED_1 and not world.owners.releases.pending
+
+
+def test_a_waiting_release_goes_with_the_answer_to_a_client_that_ends_a_placed_task(world, placed):
+    end_task(world, placed, 1)
+    owner = health_checking_client(world)
+    owner.send(m.encode_with_cause(m.RELEASE, 2, m.ENDED))
+    received = b""
+    while len(received) < len(m.encode(m.RELEASE_COMPLETE, 2) + ENDED_1):
+        received += world.says(owner)
+    assert {message.task_id for message in read(received)} == {1, 2}
+    assert not world.owners.releases.pending
+
+
+def test_a_waiting_release_goes_to_the_client_that_ends_its_task(world, placed):
+    """The client knows the task, though the host ended it first: its release crossed that of the host."""
+    end_task(world, placed, 1)
+    owner = health_checking_client(world)
+    owner.send(m.encode_with_cause(m.RELEASE, 1, m.ENDED))
+    assert world.says(owner) == ENDED_1 and not world.owners.releases.pending
+
+
+@pytest.mark.parametrize("task", [77, 8])
+def test_the_release_of_an_unknown_or_open_task_proves_nothing(world, placed, task):
+    """Faulty clients release ids that were never placed, and ids of other clients' open set-ups."""
+    world.calls += 1
+    world.module.next.append([])  # the call is held, without a placement
+    world.client().send(setup(8))
+    world.until(lambda: 8 in world.exchange.calls_by_task_id)
+    other = health_checking_client(world)
+    other.send(m.encode_with_cause(m.RELEASE, task, m.ENDED))
+    settled(world)
+    end_task(world, placed, 1)
+    settled(world)
+    with pytest.raises(BlockingIOError):
+        other.recv(100)
+
+
 @pytest.mark.parametrize(
     "connect", [silent_client, health_checking_client, invalid_client, partly_invalid_client]
 )
