A host whose earlier connections are reset after an outage has started again

Cause: the first connection that opened after the outage dropped all evidence of it (FailureDetector.record_connected), as a healed partition would. The record of the case shows the new connection 0.5 s after the return, without a word about the task, and no further step until the list.

A process that survived answers; one that is new resets it. Any other end, an answer or silence leaves it to the list. Streams keep their errno.

--- a/glencleat/event_loop/streams.py
+++ b/glencleat/event_loop/streams.py
@@ -55,6 +55,7 @@
         self.send_buffer = bytearray()
         self.queued_bytes = self.written_bytes = 0
         self.close_reason: str | None = None
+        self.error_code: int | None = None  # the errno that ended it; None if it ended in another way
         self.close_callbacks: list[Callable[[str], None]] = []
         self.reader: LoopTask | None = None
         self.flusher: LoopTask | None = None
@@ -86,6 +87,7 @@
             if self.reader is not None:
                 self.wake_reader()
             elif mask & ~(READ | WRITE):  # hang-up or error while no task reads
+                self.error_code = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) or None
                 self.close("connection lost")
             else:
                 # Otherwise level-triggered epoll would spin until a task reads.
@@ -134,7 +136,7 @@
             self._await_more()
             return None
         except OSError as error:
-            self.close(f"connection lost: {error.strerror}")
+            self._close_by_error(error)
             raise StreamClosedError(self.close_reason or "") from None
         if len(data) < size:
             self._await_more()
@@ -240,7 +242,7 @@
         except (BlockingIOError, InterruptedError):
             sent = 0
         except OSError as error:
-            self.close(f"connection lost: {error.strerror}")
+            self._close_by_error(error)
             return
         self.written_bytes += sent
         del self.send_buffer[:sent]
@@ -268,6 +270,10 @@
         with contextlib.suppress(OSError):
             self.sock.shutdown(socket.SHUT_WR)
 
+    def _close_by_error(self, error: OSError) -> None:
+        self.error_code = error.errno
+        self.close(f"connection lost: {error.strerror}")
+
     def close(self, reason: str = "closed") -> None:
         """Closes the socket, wakes waiting tasks, runs the close callbacks; later calls have no effect."""
         if self.close_reason is not None:
--- a/glencleat/platform_protocol/exchange.py
+++ b/glencleat/platform_protocol/exchange.py
@@ -116,9 +116,13 @@
             self.ports.send_to_client(call.client, m.encode(m.MIGRATE, call.setup.task_id), must_deliver=True)
             self._stop_task(call)
 
-    def _start_probe(self, action: api.Probe) -> None:
+    def allocate_probe_token(self) -> int:
+        """Returns the id of a new health check; its answer is ignored unless the policy asked for it."""
         self.last_probe_token += 1
-        token = self.last_probe_token
+        return self.last_probe_token
+
+    def _start_probe(self, action: api.Probe) -> None:
+        token = self.allocate_probe_token()
         self.hosts_by_probe_token[token] = action.machine
         if self.ports.request_load_report(action.machine, token):
             self.ports.call_in(
--- a/glencleat/platform_server/connection_pool.py
+++ b/glencleat/platform_server/connection_pool.py
@@ -316,6 +316,8 @@
 
     def on_connected(self, host: Host, connection: HostConnection) -> None:
         """A connection has opened: sends the waiting releases on it."""
+        for older in host.restart_detector.record_reconnected(self.loop.now()):
+            older.send_health_check(self.exchange.allocate_probe_token())
         host.record_connected(self.loop.now())
         self.on_host_heard(host)
         for task in host.unsent_releases:
@@ -338,6 +340,9 @@
         if host.is_unreachable(self.connect_ms, disconnected=host.is_disconnected):
             host.is_reported_unreachable = True
             self.exchange.on_reachability_changed(host.name, is_reachable=False)
+            if not host.is_refusing and self.has_placed_tasks(host):
+                fresh = [other for other in host.connections if other.is_open and self._is_fresh(other)]
+                host.restart_detector.begin_outage(host.last_heard_at_ms, fresh)
         self.on_capacity_freed()
 
     def on_host_heard(self, host: Host) -> None:
@@ -346,6 +351,12 @@
             host.is_reported_unreachable = False
             self.exchange.on_reachability_changed(host.name, is_reachable=True)
 
+    def record_task_message(self, host: Host, task_id: int) -> None:
+        """The host reports on a task, which may be one that is placed there."""
+        call = self.exchange.placed_calls_by_host.get(host.name, {}).get(task_id)
+        if call is not None:
+            host.restart_detector.record_task_message(call.placed_at_ms)
+
     def on_connection_lost(self, host: Host, connection: HostConnection, reason: str) -> None:
         """A connection that the pool was not closing has ended.
 
--- a/glencleat/platform_server/host_connection.py
+++ b/glencleat/platform_server/host_connection.py
@@ -67,6 +67,9 @@
     def on_connection_lost(self, host: Host, connection: HostConnection, reason: str) -> None:
         """A connection has ended that neither `close_gracefully` nor `abort` was closing."""
 
+    def record_task_message(self, host: Host, task_id: int) -> None:
+        """The host reports on a task, which may be one that is placed there."""
+
     def mark_changed(self, host: Host) -> None:
         """The host may need maintenance earlier than planned."""
 
@@ -130,6 +133,11 @@
         """Whether it is open and carries no open attempt."""
         return self.stream is not None and not self.open_attempt_count
 
+    @property
+    def was_reset(self) -> bool:
+        """Whether the host has reset it, which ended it."""
+        return self.stream is not None and self.stream.error_code == errno.ECONNRESET
+
     def detect_close_by_host(self) -> bool:
         """Checks whether the host has closed the connection by now, and records it.
 
@@ -244,6 +252,14 @@
         if self.stream is not None:
             self.stream.try_send(data)
 
+    def send_health_check(self, token: int) -> None:
+        """Sends a health check, whose answer or reset shows what has become of the host's process.
+
+        It counts as a use, so that the connection isn't closed as unneeded before that.
+        """
+        self.last_used_at_ms = self.loop.now()
+        self.write(m.encode_with_cause(m.PROBE, token, 0))
+
     def cancel_attempt(self, attempt: SetupAttempt) -> DeliveryOutcome:
         """Cancels an attempt and returns what is known of its delivery.
 
@@ -319,6 +335,7 @@
                 raise StreamClosedError("the host closed the connection")
             self.last_used_at_ms = self.loop.now()
             self.host.record_bytes(self.last_used_at_ms)
+            self.host.restart_detector.record_received(self)
             self.host.backoff.reset()
             self.pool.on_host_heard(self.host)
             if self.is_unresponsive:
@@ -335,6 +352,8 @@
             self.pool.trace.record_message(f"host {host.name}", message)
         if message.kind != m.PROBE_ANSWER:
             host.record_unsolicited_message(self.loop.now())
+        if message.kind in (m.OBSERVATION, m.RELEASE):
+            self.pool.record_task_message(host, message.task_id)
         if message.kind in (m.RELEASE, m.RELEASE_COMPLETE) and message.task_id in host.pending_releases:
             del host.pending_releases[message.task_id]
             self.pool.mark_changed(host)
--- a/glencleat/platform_server/host_maintenance.py
+++ b/glencleat/platform_server/host_maintenance.py
@@ -149,6 +149,7 @@
                 has_connection=bool(connections),
                 quiet_limit_ms=quiet_limit_ms(self.pool.allocator_count),
             )
+            due_ms = min(due_ms, host.restart_detector.verdict_due_ms)
         elif host.unsent_releases and host.has_address and not host.is_connecting:
             due_ms = host.next_connect_at_ms
         if host.is_removed and not has_placed_tasks and not host.has_open_attempts:
@@ -189,7 +190,12 @@
             assert host in self.pool.releasing_hosts or not host.pending_releases
 
     def _assess_host(self, host: Host, now_ms: float) -> None:
-        """Has the failure detector assess a host with placed tasks, and takes the action it requests."""
+        """Has the detectors assess a host with placed tasks, and takes the action they request."""
+        restarted_at_ms = host.restart_detector.find_restart_ms(now_ms)
+        if restarted_at_ms is not None:
+            host.restart_detector.clear()
+            self.pool.declare_tasks_lost(host, "it has started again while unreachable", restarted_at_ms)
+            return
         assessment = host.assess(
             now_ms,
             has_address=host.has_address,
--- a/glencleat/platform_server/pooled_host.py
+++ b/glencleat/platform_server/pooled_host.py
@@ -8,6 +8,7 @@
 
 from glencleat.flow_control.backoff import HOST_BACKOFF, Backoff
 from glencleat.platform_server.failure_detector import FailureDetector
+from glencleat.platform_server.restart_detector import RestartDetector
 
 NO_ADDRESS: tuple[str, int] = ("", 0)
 """The address of a host for which no machine list gives one."""
@@ -24,6 +25,10 @@
     def open_attempt_count(self) -> int:
         """The number of attempts that wait for the connection to open or for an answer."""
 
+    @property
+    def was_reset(self) -> bool:
+        """Whether the host has reset the connection."""
+
     def abort(self, reason: str) -> None:
         """Closes the connection at once."""
 
@@ -66,10 +71,12 @@
         self.next_connect_at_ms = 0.0
         # Releases that the host has not acknowledged, each with the connection it was written to.
         self.pending_releases: dict[int, ConnectionT | None] = {}
+        self.restart_detector: RestartDetector[ConnectionT] = RestartDetector()
 
     def remove_connection(self, connection: ConnectionT) -> None:
         """Removes a connection that has ended or is closing."""
         if connection in self.connections:
+            self.restart_detector.record_ended(connection, was_reset=connection.was_reset)
             del self.connections[connection]
             self.on_change(self)
 
--- a/tests/support/pool_world.py
+++ b/tests/support/pool_world.py
@@ -40,7 +40,7 @@
 
 
 class FakeStream:
-    is_readable, send_buffer = False, b""
+    is_readable, send_buffer, error_code = False, b"", None
 
     def __init__(self, world, peer, number):
         self.world = world
