Floods of small messages from hundreds of clients stay within the memory limit

The process grew from 20 to 82 and 102 MB, its limit being 64 MB.

Cause: up to 128 KiB are read ahead on each connection to find out who has closed or cancelled, and each release among them was entered in an index of some ten times the release's bytes. Ruled out: 400 clients that write slowly, stop half way through the largest message or send heads of 5,450 empty fields leave the process at 21.5 MB; health checks from 190 clients at 27.4 MB; all answered other clients in time.

Bytes read ahead are bounded for all connections together (receive_budget.py), 4 MiB.

--- a/glencleat/platform_server/client_connections.py
+++ b/glencleat/platform_server/client_connections.py
@@ -17,6 +17,7 @@
 from glencleat.platform_protocol.inbox import Inbox
 from glencleat.platform_server.client_timeouts import ClientActivity, is_message_overdue
 from glencleat.platform_server.pending_releases import UnsentReleases
+from glencleat.platform_server.receive_budget import LARGEST_MESSAGE_BYTES, ReceiveBudget
 from glencleat.platform_server.release_delivery import ReleaseDelivery
 
 if TYPE_CHECKING:
@@ -33,12 +34,6 @@
 READ_SIZE = 16_384
 """Bytes read from one connection at a time."""
 
-LARGEST_MESSAGE_BYTES = m.MAX_MESSAGE_BYTES + m.LENGTH_BYTES
-"""A connection is read while it has fewer bytes buffered, so that any message becomes complete."""
-
-MAX_BUFFERED_BYTES = 1 << 17
-"""Bytes of one connection that may be buffered while its close or a cancellation is looked for."""
-
 ACCEPT_BATCHES = 64
 """Batches of the listen backlog that one check accepts."""
 
@@ -60,6 +55,7 @@
     def __init__(self, client_connections: ClientConnections, stream: Stream, now: float) -> None:
         self.client_connections, self.stream, self.inbox = client_connections, stream, Inbox()
         self.open_task_ids: set[int] = set()
+        self.buffered_bytes = 0  # of the inbox, as counted in the receive budget
         self.created_at_ms = self.last_used_at_ms = now
         self.has_received_message = False  # a complete one
         # One of its tasks was placed, or it released one that was: neither happens to an invalid client.
@@ -85,7 +81,7 @@
         """What the descriptor budget evicts this connection by."""
         if (
             self.open_task_ids
-            or self.inbox.scanned_bytes
+            or self.inbox.complete_bytes
             or self.stream.send_buffer
             or self.client_connections.releases.is_last_carrier(self)
         ):
@@ -135,6 +131,7 @@
     def __init__(self, loop: Loop, descriptors: DescriptorBudget, log: Callable[[str], None]) -> None:
         self.loop, self.descriptors, self.log = loop, descriptors, log
         self.connections: dict[ClientConnection, None] = {}  # in the order of their arrival
+        self.receive_budget = ReceiveBudget()
         self.releases = ReleaseDelivery(
             self.connections, self._has_closed, descriptors.update_priority, loop.now, log
         )
@@ -222,6 +219,7 @@
             self.log(f"client connection closed: {error}")
         finally:
             self.connections.pop(client, None)
+            self._update_buffered(client)
             self.exchange.on_client_gone(client)
 
     def _read(self, client: ClientConnection, max_buffered: int, until_empty: bool) -> bool:
@@ -246,18 +244,25 @@
                     break
         except StreamClosedError:
             has_read = inbox.is_closed = True
+        self._update_buffered(client)
         return has_read
 
+    def _update_buffered(self, client: ClientConnection) -> None:
+        buffered_bytes = len(client.inbox.buffer) if client in self.connections else 0
+        self.receive_budget.record_change(buffered_bytes - client.buffered_bytes)
+        client.buffered_bytes = buffered_bytes
+
     def read_pending(self, client: ClientConnection) -> bool:
         """Reads what has arrived by now, out of turn, since a close or a cancellation takes effect at once.
 
         Returns whether something arrived.
         """
-        has_read = self._read(client, MAX_BUFFERED_BYTES, until_empty=True)
+        limit_bytes = self.receive_budget.connection_limit_bytes
+        has_read = self._read(client, limit_bytes, until_empty=True)
         client.track_partial_message(self.loop.now())
         if has_read:
             client.stream.wake_reader()
-        elif len(client.inbox.buffer) >= MAX_BUFFERED_BYTES and client.stream.has_peer_closed():
+        elif len(client.inbox.buffer) >= limit_bytes and client.stream.has_peer_closed():
             client.inbox.is_closed = True
         return has_read
 
@@ -283,6 +288,7 @@
             if message_and_arrival is None:
                 break
             self._handle_message(client, *message_and_arrival)
+        self._update_buffered(client)
         client.track_partial_message(self.loop.now())
         self.descriptors.update_priority(client, was_used=True)
         return client.inbox.has_next
