Tasks that clients hand over without a sign of them from their host are bounded

The process grew from 20 to 126 MB with one listed host and to 153 MB with ever new ones; its limit is 64 MB.

Cause: each named task was adopted and kept until its host is lost, and the policy kept a record of each host that no list names until the next list event. Ruled out, by floods of the same length: nine other kinds of message left the process at 20 to 21 MB, valid set-ups that fill the fleet at 29 MB.

Change: at most 4,096 tasks are kept of which their host has reported nothing; beyond, the client that has named most loses its oldest one, which is forgotten and not touched at its host. The policy forgets taskless machines that no list names also between two lists, beyond 256 of them (design.md).

--- a/glencleat/platform_protocol/exchange.py
+++ b/glencleat/platform_protocol/exchange.py
@@ -38,6 +38,7 @@
 from glencleat.platform_protocol.exchange_ports import ExchangePorts
 from glencleat.platform_protocol.setup_calls import ClientPort, SetupAttempt, SetupCall, SetupState
 from glencleat.platform_protocol.setup_requests import SetupError, SetupReader, SetupRequest
+from glencleat.platform_protocol.unconfirmed_tasks import UnconfirmedTasks
 from glencleat.platform_protocol.value_mapping import (
     OBSERVATION_KINDS,
     OUTCOMES_AFTER_PLACEMENT,
@@ -61,6 +62,7 @@
         # By a host with placed tasks: the host in whose process they run since it has the address.
         self.successors_by_host: dict[str, str] = {}
         self.ended_tasks = EndedTasks()
+        self.unconfirmed_tasks: UnconfirmedTasks[ClientPort] = UnconfirmedTasks()
         self.hosts_by_probe_token: dict[int, str] = {}
         self.last_probe_token = 0
         self.list_machines: Callable[[], tuple[api.Machine, ...]] = tuple
@@ -205,6 +207,7 @@
         self.calls_by_id.pop(call.call_id, None)
         self.calls_by_task_id.pop(call.setup.task_id, None)
         call.client.open_task_ids.discard(call.setup.task_id)
+        self.unconfirmed_tasks.discard(call.client, call.setup.task_id)
         placed_calls = self.placed_calls_by_host.get(host)
         if placed_calls is not None:
             placed_calls.pop(call.setup.task_id, None)
@@ -357,7 +360,10 @@
 
     def _handle_observation(self, attempt: SetupAttempt | None, message: m.PlatformMessage) -> None:
         topic, value = message.get_text(m.TOPIC), m.parse_number(message.get_text(m.VALUE) or "0")
-        if attempt is not None and attempt.call.state is SetupState.PLACED and topic in OBSERVATION_KINDS:
+        if attempt is None or attempt.call.state is not SetupState.PLACED:
+            return
+        self.unconfirmed_tasks.discard(attempt.call.client, message.task_id)
+        if topic in OBSERVATION_KINDS:
             self.event_dispatcher.dispatch_event(
                 api.TaskObserved(attempt.call.call_id, attempt.host, OBSERVATION_KINDS[topic], value)
             )
@@ -457,6 +463,15 @@
         call.attempt_count, call.attempt = 1, SetupAttempt(call, 0, setup.machine, now, now)
         self._mark_placed(call, setup.machine)
         self.event_dispatcher.dispatch_event(self._make_placement_request(call, 0.0))
+        self._bound_unconfirmed(client, setup.task_id)
+
+    def _bound_unconfirmed(self, client: ClientPort, task_id: int) -> None:
+        """Records a task that its host has not reported yet; forgets another if there are too many."""
+        forgotten_task_id = self.unconfirmed_tasks.add(client, task_id)
+        forgotten = self.calls_by_task_id.get(forgotten_task_id or 0)
+        if forgotten is not None and forgotten.attempt is not None:
+            self.ports.log(f"task {forgotten_task_id:x}: forgotten, its host has not reported it")
+            self._end_attempt(forgotten.attempt, api.Outcome.STOPPED)
 
     def on_client_release(self, client: ClientPort, message: m.PlatformMessage) -> None:
         """Handles a client's release: of an open call on its own connection, of a placed task on any.
--- a/glencleat/policy/machine_list.py
+++ b/glencleat/policy/machine_list.py
@@ -67,7 +67,7 @@
             self.update_machine(machine, entry)
             machine.listed_at_ms = now_ms
             machine.sums_updated_at_ms = NEVER_MS
-        self._forget_removed()
+        self.forget_removed()
 
     def _schedule_retry(self) -> None:
         self.retry_at_ms = self.state.now_ms + self.retry_delay_ms * self.state.random.uniform(
@@ -95,8 +95,11 @@
         if phase is MachinePhase.REMOVED:
             self.state.removal_candidates[machine.name] = None
 
-    def _forget_removed(self) -> None:
-        """Forgets removed machines without own tasks; over months of running they would pile up."""
+    def forget_removed(self) -> None:
+        """Forgets removed machines without own tasks; over months of running they would pile up.
+
+        After each list update, and between two of them once there are more than MAX_REMOVAL_CANDIDATES.
+        """
         state = self.state
         for name in state.removal_candidates:
             machine = state.machines.get(name)
--- a/glencleat/policy/scheduler.py
+++ b/glencleat/policy/scheduler.py
@@ -49,6 +49,7 @@
 MAX_ORDERED_MACHINES = 8_000_000  # in all hash orders together, 2 bytes each; evicted by least recent use
 PRESSURE_MEMORY_SHARE = 0.92  # of a machine's memory: from here on harvesting is suspended
 PRESSURE_SERVICE_LEVEL = 0.8  # share of full service below which harvesting is suspended
+MAX_REMOVAL_CANDIDATES = 256  # removed machines without own tasks that are kept until the next list update
 
 
 class Scheduler:
@@ -110,6 +111,8 @@
         state.actions = []
         state.started_at_ms = min(state.started_at_ms, now_ms)
         self.handlers[type(event)](event)
+        if len(state.removal_candidates) > MAX_REMOVAL_CANDIDATES:
+            self.machine_list.forget_removed()
         self._set_timer()
         return state.actions
 
--- a/tests/policy/test_scheduler.py
+++ b/tests/policy/test_scheduler.py
@@ -8,7 +8,7 @@
 
 from glencleat import interface as api
 from glencleat.policy.policy_state import MIN_LOG_INTERVAL_MS
-from glencleat.policy.scheduler import Scheduler
+from glencleat.policy.scheduler import MAX_REMOVAL_CANDIDATES, Scheduler
 from tests.support.policy_world import (
     PolicyWorld,
     binds,
@@ -118,3 +118,26 @@
     actions = world.request(tenant="t")[1] + world.run_for(1_500.0)
     assert binds(actions)
     assert bool(kinds(actions, api.Probe)) == bool(overrides.get("reports_on_probe"))
+
+
+def test_machines_that_no_list_names_are_forgotten_between_two_lists():
+    """Guards against state that grows with the names of hosts in handed-over tasks, while the list is quiet."""
+    world = PolicyWorld([machine("m")])
+    for number in range(4 * MAX_REMOVAL_CANDIDATES):
+        call_id, _ = world.request(machine=f"unknown-{number}")
+        world.handle(
+            api.AttemptEnded(call_id, 0, f"unknown-{number}", api.Outcome.LOST, 1.0, is_call_closed=True)
+        )
+    assert len(world.scheduler.state.machines) <= MAX_REMOVAL_CANDIDATES + 2
+    assert binds(world.request()[1])
+
+
+def test_a_removed_machine_with_tasks_is_not_forgotten():
+    world = PolicyWorld([machine("m")])
+    standing_call_id, _ = world.request(machine="unknown")
+    for number in range(4 * MAX_REMOVAL_CANDIDATES):
+        call_id, _ = world.request(machine=f"unknown-{number}")
+        world.handle(
+            api.AttemptEnded(call_id, 0, f"unknown-{number}", api.Outcome.LOST, 1.0, is_call_closed=True)
+        )
+    assert standing_call_id in world.scheduler.state.machines["unknown"].tasks
--- a/tests/support/exchange_world.py
+++ b/tests/support/exchange_world.py
@@ -162,6 +162,11 @@
         (message,) = read(m.encode(kind, task, raw))
         self.exchange.on_host_message(host, connection or self.offers[-1].connection, message)
 
+    def client_releases(self, task, client=None, cause=m.CANCELLED):
+        """Receives a client's release: it takes a set-up back, or ends a placed task."""
+        (message,) = read(m.encode_with_cause(m.RELEASE, task, cause))
+        self.exchange.on_client_release(client or self.owner, message)
+
     def events_of(self, kind):
         """The policy's events of that type so far."""
         return [event for event in self.module.events if isinstance(event, kind)]
