A set-up that comes again after it may have run fails instead of running twice

Cause: a call whose client has left was removed with all that was known of its attempts, so the second sending was a new call. Evidence: the hosts' own list of set-ups, the same id 1 to 3 ms apart.

The same id then fails; idempotent classes are not concerned, and a key that all hosts know makes it a call again within the window of its first attempt. If the end of the first connection is still unread, its call is abandoned first.

--- a/glencleat/platform_protocol/exchange.py
+++ b/glencleat/platform_protocol/exchange.py
@@ -38,6 +38,7 @@
 from glencleat.platform_protocol.exchange_ports import ExchangePorts
 from glencleat.platform_protocol.setup_calls import ClientPort, SetupAttempt, SetupCall, SetupState
 from glencleat.platform_protocol.setup_requests import SetupError, SetupReader, SetupRequest
+from glencleat.platform_protocol.uncertain_calls import UncertainCalls
 from glencleat.platform_protocol.unconfirmed_tasks import UnconfirmedTasks
 from glencleat.platform_protocol.value_mapping import (
     OBSERVATION_KINDS,
@@ -62,6 +63,7 @@
         # By a host with placed tasks: the host in whose process they run since it has the address.
         self.successors_by_host: dict[str, str] = {}
         self.ended_tasks = EndedTasks()
+        self.uncertain_calls = UncertainCalls()
         self.unconfirmed_tasks: UnconfirmedTasks[ClientPort] = UnconfirmedTasks()
         self.hosts_by_probe_token: dict[int, str] = {}
         self.last_probe_token = 0
@@ -179,6 +181,8 @@
             attempt.timer.cancel()
         was_placed = call.state is SetupState.PLACED
         call.state, call.attempt = SetupState.PENDING, None
+        if outcome not in NEVER_RAN and call.first_uncertain_at_ms is None:
+            call.first_uncertain_at_ms = attempt.bound_at_ms
         is_call_closed = was_placed or has_client_left
         if is_call_closed:
             self._remove_call(call, attempt.host)
@@ -188,8 +192,6 @@
                 call.client, m.encode_with_cause(m.RELEASE, call.setup.task_id, cause), must_deliver=True
             )
         elapsed_ms = max(0.0, now - attempt.bound_at_ms)
-        if outcome not in NEVER_RAN and call.first_uncertain_at_ms is None:
-            call.first_uncertain_at_ms = attempt.bound_at_ms
         if not was_placed:
             self.failed_attempts_by_outcome[outcome] = self.failed_attempts_by_outcome.get(outcome, 0) + 1
             if outcome is not api.Outcome.REJECTED and not has_client_left:
@@ -204,6 +206,11 @@
         )
 
     def _remove_call(self, call: SetupCall, host: str = "") -> None:
+        if call.first_uncertain_at_ms is not None:
+            setup, now = call.setup, self.ports.now()
+            self.uncertain_calls.record(
+                setup.task_id, setup.task_class, call.first_uncertain_at_ms, setup.timeout_ms, now
+            )
         self.calls_by_id.pop(call.call_id, None)
         self.calls_by_task_id.pop(call.setup.task_id, None)
         call.client.open_task_ids.discard(call.setup.task_id)
@@ -385,7 +392,7 @@
             ProtocolError: An answer to it could not be told from the answer to an earlier set-up.
         """
         task_id = message.task_id
-        known = self.calls_by_task_id.get(task_id)
+        known = self._find_awaited_call(task_id)
         if known is not None and known.client is client and known.state is not SetupState.PLACED:
             # The client would take an answer with this id for that to the first set-up, which is still due.
             raise m.ProtocolError(f"second set-up for task {task_id}, which is still open")
@@ -405,6 +412,16 @@
             self._open_call(client, setup, setup.timeout_ms - waited_ms)
         return True
 
+    def _find_awaited_call(self, task_id: int) -> SetupCall | None:
+        """Returns the call for a task; abandons it first if its client has left by now."""
+        call = self.calls_by_task_id.get(task_id)
+        if call is None or call.state is SetupState.PLACED:
+            return call
+        if self.ports.is_client_waiting(call.client, task_id):
+            return call
+        self._abandon_call(call)
+        return None
+
     def _refuse_invalid(self, client: ClientPort, task_id: int, reason: str) -> bool:
         self.invalid_setup_count += 1
         self._refuse_setup(client, task_id, m.INVALID_CONTENTS, reason)
@@ -439,10 +456,15 @@
     def _open_call(self, client: ClientPort, setup: SetupRequest, remaining_ms: float) -> None:
         if not self.ports.is_client_waiting(client, setup.task_id):
             return  # cancelled, or the client has left, while the set-up was unread: no answer is due
+        now = self.ports.now()
+        earlier = self.uncertain_calls.find(setup.task_id, now)
+        if earlier is not None and not earlier.may_be_repeated(setup.task_class, now, self.settings.tick_ms):
+            self._refuse_setup(client, setup.task_id, m.FAILED, "it came before, and may have run")
+            return
         client.open_task_ids.add(setup.task_id)
-        self.event_dispatcher.dispatch_event(
-            self._make_placement_request(self._create_call(client, setup), remaining_ms)
-        )
+        call = self._create_call(client, setup)
+        call.first_uncertain_at_ms = earlier.first_uncertain_at_ms if earlier is not None else None
+        self.event_dispatcher.dispatch_event(self._make_placement_request(call, remaining_ms))
 
     def _adopt_task(self, client: ClientPort, setup: SetupRequest) -> None:
         """Adopts a task that already runs; clients name each at every start, so a known one is ignored."""
