After a stall the loop reads what its sockets hold before due timers run

Cause: due timers ran on what the last poll had seen. A poll that is stopped until its time-out is over returns without another look; a stop after the poll, or in an earlier iteration, has the same effect.

Change: a due timer runs only if the descriptors were looked at within 50 ms; otherwise the loop polls again and runs the ready tasks first. It is one mechanism for all timers; the guards at single ones stay.

--- a/glencleat/event_loop/loop.py
+++ b/glencleat/event_loop/loop.py
@@ -19,6 +19,7 @@
 Coroutine = Generator[Arm, Any, Any]
 # Higher than the number of open descriptors, so that one poll reports every ready descriptor.
 MAX_EVENTS_PER_POLL = 4_096
+STALL_MS = 50.0  # since the descriptors were looked at: timers wait for another look
 READ, WRITE = select.EPOLLIN, select.EPOLLOUT
 
 
@@ -156,6 +157,7 @@
         self.is_running = False
         # Polls so far, and when the last one and the one before it found out which descriptors were ready.
         self.poll_count = 0
+        self.poll_began_ms = self.clock.now()
         self.last_poll_unix_ms = self.previous_poll_unix_ms = self.poll_began_unix_ms = self.clock.wall()
         self.poller.on_collected = self._record_poll
         self.current_task: LoopTask | None = None
@@ -268,22 +270,45 @@
     def run_once(self, may_wait: bool = True) -> None:
         """One iteration: polls, then runs urgent tasks, due timers and ready tasks, in this order.
 
-        Tasks run last, so that a loop stopped by one of them doesn't block in the poller once more.
+        Tasks run last, so that a loop stopped by one of them doesn't block in the poller once more. After a
+        stall they run before the timers too: a timer that judges a peer by its silence must not run before
+        what the peer has sent meanwhile is read.
         """
         if self.ready or self.urgent_ready or self.due_timers or not may_wait:
             timeout: float | None = 0.0
         else:
             next_due = self.timers.next_due()
             timeout = None if next_due is None else next_due - self.clock.now()
-        self.poll_began_unix_ms = self.clock.wall()
-        self.poller.poll(timeout)
-        for _ in range(len(self.urgent_ready)):
-            self._step(*self.urgent_ready.popleft())
+        self._poll(timeout)
+        if self._may_have_stalled():
+            self._poll(0.0)
+            self._run_ready_tasks()
         self.due_timers.extend(self.timers.pop_due(self.clock.now()))
         while self.due_timers:
             timer = self.due_timers.popleft()
             if timer.callback is not None:  # a callback before it may have cancelled it
                 timer.callback()
+        self._run_ready_tasks()
+
+    def _poll(self, timeout_ms: float | None) -> None:
+        """Polls and runs the urgent tasks."""
+        self.poll_began_ms, self.poll_began_unix_ms = self.clock.now(), self.clock.wall()
+        self.poller.poll(timeout_ms)
+        for _ in range(len(self.urgent_ready)):
+            self._step(*self.urgent_ready.popleft())
+
+    def _may_have_stalled(self) -> bool:
+        """Whether a timer is due whose time the last look at the descriptors may not have reached.
+
+        A poll looks when it begins. One that waits returns at once when something arrives, unless the process
+        is stopped until its time-out is over.
+        """
+        now_ms, next_due_ms = self.clock.now(), self.timers.next_due()
+        if next_due_ms is None or next_due_ms > now_ms:
+            return False
+        return now_ms - min(self.poll_began_ms, next_due_ms) > STALL_MS
+
+    def _run_ready_tasks(self) -> None:
         for _ in range(len(self.ready)):
             self._step(*self.ready.popleft())
 
