Set-ups that are taken back no longer make a connection carry others' releases

Cause: one set-up that could be used made its connection a carrier of releases for good, also if it was taken back before it was read. On the same path: a task that a client names by `at` made it a preferred carrier, though nothing shows that such a task exists.

Change: set-ups that their client has taken back count for nothing; a handed-over task makes its client trusted once its host has reported the task.

--- a/glencleat/platform_protocol/exchange.py
+++ b/glencleat/platform_protocol/exchange.py
@@ -226,7 +226,6 @@
     def _mark_placed(self, call: SetupCall, host: str) -> None:
         call.state, call.placed_at_ms = SetupState.PLACED, self.ports.now()
         call.client.open_task_ids.discard(call.setup.task_id)
-        self.ports.mark_trusted(call.client)
         placed_calls = self.placed_calls_by_host.setdefault(host, {})
         placed_calls[call.setup.task_id] = call
         if len(placed_calls) == 1:
@@ -356,6 +355,7 @@
         if attempt.timer is not None:
             attempt.timer.cancel()
         self._mark_placed(call, attempt.host)
+        self.ports.mark_trusted(call.client)
         description = {m.DESCRIPTION: message.parameters[m.DESCRIPTION]}
         self.ports.send_to_client(
             call.client, m.encode(m.ANSWER, call.setup.task_id, description), must_deliver=False
@@ -369,7 +369,8 @@
         topic, value = message.get_text(m.TOPIC), m.parse_number(message.get_text(m.VALUE) or "0")
         if attempt is None or attempt.call.state is not SetupState.PLACED:
             return
-        self.unconfirmed_tasks.discard(attempt.call.client, message.task_id)
+        if self.unconfirmed_tasks.discard(attempt.call.client, message.task_id):
+            self.ports.mark_trusted(attempt.call.client)  # its host holds what the client has named
         if topic in OBSERVATION_KINDS:
             self.event_dispatcher.dispatch_event(
                 api.TaskObserved(attempt.call.call_id, attempt.host, OBSERVATION_KINDS[topic], value)
--- a/glencleat/platform_protocol/unconfirmed_tasks.py
+++ b/glencleat/platform_protocol/unconfirmed_tasks.py
@@ -21,8 +21,8 @@
     >>> tasks = UnconfirmedTasks(max_count=2)
     >>> tasks.add("a", 1), tasks.add("b", 2), tasks.add("b", 3)
     (None, None, 2)
-    >>> tasks.discard("b", 3), len(tasks)
-    (None, 1)
+    >>> tasks.discard("b", 3), tasks.discard("b", 3), len(tasks)
+    (True, False, 1)
     """
 
     def __init__(self, max_count: int = MAX_UNCONFIRMED) -> None:
@@ -45,12 +45,13 @@
         self.discard(largest_client, oldest_task_id)
         return oldest_task_id
 
-    def discard(self, client: ClientT, task_id: int) -> None:
-        """Removes a task whose host has reported it, or that is over; ignored if it is not there."""
+    def discard(self, client: ClientT, task_id: int) -> bool:
+        """Removes a task whose host has reported it, or that is over. Returns whether it was there."""
         task_ids = self.task_ids_by_client.get(client)
         if task_ids is None or task_id not in task_ids:
-            return
+            return False
         del task_ids[task_id]
         self.count -= 1
         if not task_ids:
             del self.task_ids_by_client[client]
+        return True
--- a/glencleat/platform_server/client_connections.py
+++ b/glencleat/platform_server/client_connections.py
@@ -60,7 +60,8 @@
         self.has_received_message = False  # a complete one
         # One of its tasks was placed, or it released one that was: neither happens to an invalid client.
         self.is_trusted = False
-        self.has_valid_setup = False  # one of its set-ups could be used, whatever the answer was
+        # Its set-ups that could be used and that it has not taken back, whatever the answer was.
+        self.valid_setup_count = 0
         self.invalid_setup_count = 0
         self.unsent_releases = UnsentReleases()
         # Bytes written so far, and since when that number has not changed while others are unsent.
@@ -73,9 +74,10 @@
         """Whether its client is known to be a valid one: the others may be faulty.
 
         Proven connections carry the releases of others too, as a task belongs to no connection. An invalid
-        client would drop them; so may one that has sent nothing but health checks, or nothing at all.
+        client would drop them; so may one that has sent nothing but health checks and set-ups that it took
+        back, or nothing at all.
         """
-        return self.is_trusted or (self.has_valid_setup and not self.invalid_setup_count)
+        return self.is_trusted or (self.valid_setup_count > 0 and not self.invalid_setup_count)
 
     def eviction_priority(self) -> EvictionPriority:
         """What the descriptor budget evicts this connection by."""
@@ -304,7 +306,11 @@
             is_valid = self.exchange.on_client_setup(
                 client, message, self._socket_wait_ms(arrived_at_unix_ms), is_late
             )
-            client.has_valid_setup |= is_valid
+            # One that was taken back before it was opened counts for nothing.
+            is_awaited = message.task_id in client.open_task_ids or client.inbox.is_client_waiting(
+                message.task_id
+            )
+            client.valid_setup_count += is_valid and is_awaited
             client.invalid_setup_count += not is_valid
             self.releases.update_carrier(client)
             if client.invalid_setup_count > MAX_INVALID_SETUPS:
@@ -313,6 +319,9 @@
                 )
         elif message.kind == m.RELEASE:
             message.cause  # noqa: B018 - raises if it can't be decoded
+            if message.task_id in client.open_task_ids:
+                client.valid_setup_count -= 1
+                self.releases.update_carrier(client)
             self.exchange.on_client_release(client, message)
         elif message.kind == m.PROBE:
             is_accepting = not self.is_draining and self.is_ready()
--- a/tests/platform_server/test_client_releases.py
+++ b/tests/platform_server/test_client_releases.py
@@ -113,6 +113,19 @@
     return sock
 
 
+def taking_back_client(world):
+    """A client that takes back each of its set-ups: in the same write, or once it is open."""
+    sock = health_checking_client(world)
+    sock.send(setup(21) + m.encode_with_cause(m.RELEASE, 21, m.CANCELLED))
+    world.calls += 1
+    world.module.next.append([])
+    sock.send(setup(22))
+    world.until(lambda: 22 in world.exchange.calls_by_task_id)
+    sock.send(m.encode_with_cause(m.RELEASE, 22, m.CANCELLED))
+    world.until(lambda: 22 not in world.exchange.calls_by_task_id)
+    return sock
+
+
 def ending_client(world, task):
     """A client that has sent a health check and ended a placed task, and no set-up."""
     sock = health_checking_client(world)
@@ -147,6 +160,32 @@
     assert world.says(owner) == ENDED_1 and not world.owners.releases.pending
 
 
+def test_a_client_that_takes_back_one_of_its_set_ups_still_carries_releases(world, placed):
+    """Owners give up what they no longer wait for; one that was answered shows that it is no faulty client."""
+    owner = rejected_client(world, 9)
+    world.calls += 1
+    world.module.next.append([])
+    owner.send(setup(22))
+    world.until(lambda: 22 in world.exchange.calls_by_task_id)
+    owner.send(m.encode_with_cause(m.RELEASE, 22, m.CANCELLED))
+    world.until(lambda: 22 not in world.exchange.calls_by_task_id)
+    end_task(world, placed, 1)
+    assert world.says(owner) == ENDED_1
+
+
+@pytest.mark.parametrize("is_reported", [False, True])
+def test_a_handed_over_task_makes_its_client_trusted_once_its_host_reports_it(world, placed, is_reported):
+    """Guards against faulty clients that name any id by `at` and are preferred for the releases of others."""
+    sock = world.client()
+    sock.send(setup(31, extras="cores:1;memory:2;service:web;at:h1"))
+    world.until(lambda: 31 in world.exchange.placed_calls_by_host["h1"])
+    if is_reported:
+        placed.streams[0].send(m.encode(m.OBSERVATION, 31, {m.TOPIC: b"cores", m.VALUE: b"1"}))
+        settled(world)
+    (connection,) = world.owners.connections
+    assert connection.is_trusted is is_reported
+
+
 @pytest.mark.parametrize("task", [77, 8])
 def test_the_release_of_an_unknown_or_open_task_proves_nothing(world, placed, task):
     """Faulty clients release ids that were never placed, and ids of other clients' open set-ups."""
@@ -164,7 +203,8 @@
 
 
 @pytest.mark.parametrize(
-    "connect", [silent_client, health_checking_client, invalid_client, partly_invalid_client]
+    "connect",
+    [silent_client, health_checking_client, invalid_client, partly_invalid_client, taking_back_client],
 )
 def test_a_release_waits_rather_than_go_to_a_client_that_would_drop_it(world, placed, connect):
     other = connect(world)
