--- a/glencleat/platform_protocol/exchange.py
+++ b/glencleat/platform_protocol/exchange.py
@@ -36,6 +36,7 @@
 )
 from glencleat.platform_protocol.ended_tasks import EndedTasks
 from glencleat.platform_protocol.exchange_ports import ExchangePorts
+from glencleat.platform_protocol.load_probes import LoadProbes
 from glencleat.platform_protocol.setup_calls import ClientPort, SetupAttempt, SetupCall, SetupState
 from glencleat.platform_protocol.setup_requests import SetupError, SetupReader, SetupRequest
 from glencleat.platform_protocol.uncertain_calls import UncertainCalls
@@ -53,9 +54,10 @@
     def __init__(
         self, settings: api.Settings, module: DecisionModule, ports: ExchangePorts, probe_timeout_ms: float
     ) -> None:
-        self.ports, self.probe_timeout_ms, self.settings = ports, probe_timeout_ms, settings
+        self.ports, self.settings = ports, settings
         self.contract = ContractChecker(module)
         self.event_dispatcher = EventDispatcher(self.contract, ports.now, self._execute_action)
+        self.load_probes = LoadProbes(ports, self.event_dispatcher, probe_timeout_ms)
         self.setup_reader = SetupReader(settings)
         self.calls_by_id: dict[int, SetupCall] = {}  # by the policy's call id
         self.calls_by_task_id: dict[int, SetupCall] = {}  # by the platform's task id
@@ -65,8 +67,6 @@
         self.ended_tasks = EndedTasks()
         self.uncertain_calls = UncertainCalls()
         self.unconfirmed_tasks: UnconfirmedTasks[ClientPort] = UnconfirmedTasks()
-        self.hosts_by_probe_token: dict[int, str] = {}
-        self.last_probe_token = 0
         self.list_machines: Callable[[], tuple[api.Machine, ...]] = tuple
         # Called when a host's first task is placed and when its last one has ended.
         self.on_placed_changed: Callable[[str], None] = lambda host: None
@@ -120,25 +120,8 @@
             self.ports.send_to_client(call.client, m.encode(m.MIGRATE, call.setup.task_id), must_deliver=True)
             self._stop_task(call)
 
-    def allocate_probe_token(self) -> int:
-        """Returns the id of a new health check; its answer is ignored unless the policy asked for it."""
-        self.last_probe_token += 1
-        return self.last_probe_token
-
     def _start_probe(self, action: api.Probe) -> None:
-        token = self.allocate_probe_token()
-        self.hosts_by_probe_token[token] = action.machine
-        if self.ports.request_load_report(action.machine, token):
-            self.ports.call_in(
-                self.probe_timeout_ms, lambda: self._end_probe(token, api.Outcome.TIMED_OUT, None)
-            )
-        else:
-            self.ports.call_in(0.0, lambda: self._end_probe(token, api.Outcome.UNREACHABLE, None))
-
-    def _end_probe(self, token: int, outcome: api.Outcome, report: api.LoadReport | None) -> None:
-        host = self.hosts_by_probe_token.pop(token, None)
-        if host is not None:
-            self.event_dispatcher.dispatch_event(api.ProbeEnded(host, outcome, report))
+        self.load_probes.start(action)
 
     def _set_timer(self, action: api.SetTimer) -> None:
         self.ports.call_in(
@@ -288,10 +271,7 @@
             ProtocolError: The message is invalid; nothing has been changed.
         """
         if message.kind == m.PROBE_ANSWER:
-            outcome = api.Outcome.COMPLETED if message.cause == 1 else api.Outcome.ERROR
-            report = value_mapping.read_load_report(message)
-            if self.hosts_by_probe_token.get(message.task_id) == host:
-                self._end_probe(message.task_id, outcome, report)
+            self.load_probes.handle_answer(host, message)
             return
         attempt = self._find_attempt(message.task_id, host)
         is_awaited = attempt is not None and attempt.is_in_flight and attempt.connection is connection
--- a/glencleat/platform_server/connection_pool.py
+++ b/glencleat/platform_server/connection_pool.py
@@ -317,7 +317,7 @@
     def on_connected(self, host: Host, connection: HostConnection) -> None:
         """A connection has opened: sends the waiting releases on it."""
         for older in host.restart_detector.record_reconnected(self.loop.now()):
-            older.send_health_check(self.exchange.allocate_probe_token())
+            older.send_health_check(self.exchange.load_probes.allocate_token())
         host.record_connected(self.loop.now())
         self.on_host_heard(host)
         for task in host.unsent_releases:
