The loop looks for a stall by one comparison in each iteration

Need: the check for a stall asked the timer wheel for its next tick in each iteration: 8.5 us an iteration with 500 timers, 6.7 us before there was a check.

Change: it compares the time of the previous poll first, and asks the timers only after 50 ms.

Measured: 7.3 us an iteration. 108 tests of event_loop, releases, watch client and races pass, among them the three places of a stall.

--- a/glencleat/event_loop/loop.py
+++ b/glencleat/event_loop/loop.py
@@ -279,8 +279,9 @@
         else:
             next_due = self.timers.next_due()
             timeout = None if next_due is None else next_due - self.clock.now()
+        previous_poll_began_ms = self.poll_began_ms
         self._poll(timeout)
-        if self._may_have_stalled():
+        if self._may_have_stalled(previous_poll_began_ms):
             self._poll(0.0)
             self._run_ready_tasks()
         self.due_timers.extend(self.timers.pop_due(self.clock.now()))
@@ -297,16 +298,18 @@
         for _ in range(len(self.urgent_ready)):
             self._step(*self.urgent_ready.popleft())
 
-    def _may_have_stalled(self) -> bool:
-        """Whether a timer is due whose time the last look at the descriptors may not have reached.
+    def _may_have_stalled(self, previous_poll_began_ms: float) -> bool:
+        """Whether a timer is due before all is read that came until its time.
 
-        A poll looks when it begins. One that waits returns at once when something arrives, unless the process
+        A stall may have come in this poll, after it, or after the previous one. A poll looks at the
+        descriptors when it begins; one that waits returns at once when something arrives, unless the process
         is stopped until its time-out is over.
         """
-        now_ms, next_due_ms = self.clock.now(), self.timers.next_due()
-        if next_due_ms is None or next_due_ms > now_ms:
+        now_ms = self.clock.now()
+        if now_ms - previous_poll_began_ms <= STALL_MS:
             return False
-        return now_ms - min(self.poll_began_ms, next_due_ms) > STALL_MS
+        next_due_ms = self.timers.next_due()
+        return next_due_ms is not None and next_due_ms <= now_ms
 
     def _run_ready_tasks(self) -> None:
         for _ in range(len(self.ready)):
--- a/tests/platform_server/test_client_releases.py
+++ b/tests/platform_server/test_client_releases.py
@@ -19,7 +19,7 @@
 )
 from glencleat.platform_server.release_delivery import ReleaseDelivery
 from tests.support.exchange_world import read, setup
-from tests.support.socket_world import Peer, settled, stands
+from tests.support.socket_world import Peer, cancel, settled, stands
 
 ENDED_1 = m.encode_with_cause(m.RELEASE, 1, m.ENDED)
 
@@ -113,16 +113,21 @@
     return sock
 
 
+def open_and_take_back(world, sock, task):
+    """The client sends a set-up, which is held, and then takes it back."""
+    world.calls += 1
+    world.module.next.append([])
+    sock.send(setup(task))
+    world.until(lambda: task in world.exchange.calls_by_task_id)
+    sock.send(cancel(task))
+    world.until(lambda: task not in world.exchange.calls_by_task_id)
+
+
 def taking_back_client(world):
     """A client that takes back each of its set-ups: in the same write, or once it is open."""
     sock = health_checking_client(world)
-    sock.send(setup(21) + m.encode_with_cause(m.RELEASE, 21, m.CANCELLED))
-    world.calls += 1
-    world.module.next.append([])
-    sock.send(setup(22))
-    world.until(lambda: 22 in world.exchange.calls_by_task_id)
-    sock.send(m.encode_with_cause(m.RELEASE, 22, m.CANCELLED))
-    world.until(lambda: 22 not in world.exchange.calls_by_task_id)
+    sock.send(setup(21) + cancel(21))
+    open_and_take_back(world, sock, 22)
     return sock
 
 
@@ -163,12 +168,7 @@
 def test_a_client_that_takes_back_one_of_its_set_ups_still_carries_releases(world, placed):
     """Owners give up what they no longer wait for; one that was answered shows that it is no faulty client."""
     owner = rejected_client(world, 9)
-    world.calls += 1
-    world.module.next.append([])
-    owner.send(setup(22))
-    world.until(lambda: 22 in world.exchange.calls_by_task_id)
-    owner.send(m.encode_with_cause(m.RELEASE, 22, m.CANCELLED))
-    world.until(lambda: 22 not in world.exchange.calls_by_task_id)
+    open_and_take_back(world, owner, 22)
     end_task(world, placed, 1)
     assert world.says(owner) == ENDED_1
 
