A set-up that may have run fails, also where it would be refused as late or expired

What callers would see: an unsafe task that comes again during a shutdown, or past its time, after an attempt of it may have run, was refused with 34 or 102. A refusal says that trying again is harmless.

Cause: the check for an earlier call stood in the opening of a call, after these two refusals. Found by reading the change again; no case showed it.

Change: the check comes before every refusal of a valid set-up.

--- a/glencleat/platform_protocol/exchange.py
+++ b/glencleat/platform_protocol/exchange.py
@@ -385,6 +385,9 @@
             self._adopt_task(client, setup)
         elif known is not None:
             return self._refuse_invalid(client, task_id, "another open set-up has the same task id")
+        elif self._may_not_be_repeated(setup):
+            # Also where the set-up would be refused: a refusal says that no attempt has run.
+            self._refuse_setup(client, task_id, m.FAILED, "it came before, and may have run")
         elif is_late:
             self._refuse_setup(client, task_id, m.REJECTED, "received after the shutdown window")
         elif setup.timeout_ms - waited_ms <= 0.0:
@@ -403,6 +406,14 @@
         self._abandon_call(call)
         return None
 
+    def _may_not_be_repeated(self, setup: SetupRequest) -> bool:
+        """Whether an earlier call for the task may have run, and another attempt could take effect again."""
+        now = self.ports.now()
+        earlier = self.uncertain_calls.find(setup.task_id, now)
+        return earlier is not None and not earlier.may_be_repeated(
+            setup.task_class, now, self.settings.tick_ms
+        )
+
     def _refuse_invalid(self, client: ClientPort, task_id: int, reason: str) -> bool:
         self.invalid_setup_count += 1
         self._refuse_setup(client, task_id, m.INVALID_CONTENTS, reason)
@@ -437,11 +448,7 @@
     def _open_call(self, client: ClientPort, setup: SetupRequest, remaining_ms: float) -> None:
         if not self.ports.is_client_waiting(client, setup.task_id):
             return  # cancelled, or the client has left, while the set-up was unread: no answer is due
-        now = self.ports.now()
-        earlier = self.uncertain_calls.find(setup.task_id, now)
-        if earlier is not None and not earlier.may_be_repeated(setup.task_class, now, self.settings.tick_ms):
-            self._refuse_setup(client, setup.task_id, m.FAILED, "it came before, and may have run")
-            return
+        earlier = self.uncertain_calls.find(setup.task_id, self.ports.now())
         client.open_task_ids.add(setup.task_id)
         call = self._create_call(client, setup)
         call.first_uncertain_at_ms = earlier.first_uncertain_at_ms if earlier is not None else None
--- a/tests/platform_protocol/test_repeated_setups.py
+++ b/tests/platform_protocol/test_repeated_setups.py
@@ -9,7 +9,7 @@
 from glencleat.platform_protocol import messages as m
 from glencleat.platform_protocol import uncertain_calls
 from glencleat.platform_protocol.delivery import DeliveryOutcome
-from tests.support.exchange_world import KEYED, SETTINGS, UNSAFE, Owner, World
+from tests.support.exchange_world import KEYED, SETTINGS, UNSAFE, Owner, World, read, setup
 
 TASK = 7
 FAILED = (m.RELEASE, TASK, m.FAILED)
@@ -163,6 +163,17 @@
     assert TASK in world.exchange.placed_calls_by_host["h1"]
 
 
+@pytest.mark.parametrize("when", ["during a shutdown", "after its time"])
+def test_an_unsafe_task_that_may_have_run_is_not_refused_as_harmless(world, when):
+    """Guards against a refusal, which says that no attempt has run, of a set-up that comes again."""
+    send_and_leave(world, "unsafe")
+    client = Owner()
+    (message,) = read(setup(TASK, cls="unsafe"))
+    waited_ms = 9_000.0 if when == "after its time" else 0.0
+    assert world.exchange.on_client_setup(client, message, waited_ms, when == "during a shutdown")
+    assert client.replies() == [FAILED]
+
+
 def test_calls_are_forgotten_when_their_clients_no_longer_wait(world):
     send_and_leave(world, "unsafe")
     world.advance(UNSAFE.deadline_ms + 1.0)
