--- a/tests/support/process_hosts.py
+++ b/tests/support/process_hosts.py
@@ -1,7 +1,8 @@
 """Hosts for tests with allocator processes."""
 
+from glencleat.event_loop import Listener
 from glencleat.platform_protocol import messages as m
-from tests.support.socket_world import Peer
+from tests.support.socket_world import Peer, reset
 
 
 class AcceptingHost(Peer):
@@ -19,3 +20,41 @@
             stream.send(m.encode(m.ANSWER, message.task_id, {m.DESCRIPTION: b"ok"}))
         elif message.kind == m.PROBE:
             stream.send(m.encode_with_cause(m.PROBE_ANSWER, message.task_id, 1))
+
+
+class ReplaceableHost(AcceptingHost):
+    """Accepts every set-up; its process can be replaced by a new one at its address.
+
+    Sends nothing about a task but its answer and its release.
+    """
+
+    def __init__(self, loop):
+        super().__init__(loop)
+        self.former_streams = []  # connections of former processes
+        self.running_tasks = set()  # of the current process
+
+    def replace(self, *, are_connections_silent):
+        """Ends the process and starts a new one. The connections of the former one are reset, or stay open and
+        silent as after the loss of a machine."""
+        self.listener.close()
+        former, self.streams = self.streams, []
+        self.former_streams += former
+        self.running_tasks.clear()
+        for stream in () if are_connections_silent else former:
+            reset(stream)
+        self.listener = Listener(self.loop, self.address, self.accept)
+
+    def handle(self, stream, message):
+        if stream in self.former_streams:
+            return
+        super().handle(stream, message)
+        if message.kind == m.SETUP:
+            self.running_tasks.add(message.task_id)
+        elif message.kind == m.RELEASE:
+            self.running_tasks.discard(message.task_id)
+
+    def end_task(self, task):
+        """Sends the task's release on the oldest open connection."""
+        self.running_tasks.discard(task)
+        stream = next(stream for stream in self.streams if stream.close_reason is None)
+        stream.send(m.encode_with_cause(m.RELEASE, task, m.ENDED))
--- a/tests/support/socket_world.py
+++ b/tests/support/socket_world.py
@@ -54,8 +54,14 @@
         """Closes the listener and resets every connection."""
         self.listener.close()
         for stream in self.streams:
-            stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
-            stream.close()
+            reset(stream)
+
+
+def reset(stream):
+    """Closes a stream so that the peer's connection is reset."""
+    if stream.close_reason is None:
+        stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+        stream.close()
 
 
 class World:
