--- /dev/null
+++ b/tests/platform_server/test_incarnations.py
@@ -0,0 +1,196 @@
+"""Which process a task runs in, by every order of what connections can show. No sockets, no clock."""
+
+from itertools import permutations
+
+import pytest
+
+from glencleat.platform_server.incarnations import (
+    ConnectionEvidence,
+    ConnectionLoss,
+    EventOrder,
+    ProcessChange,
+    TaskVerdict,
+)
+
+RUNS, LOST, UNCERTAIN = TaskVerdict.RUNS, TaskVerdict.LOST, TaskVerdict.UNCERTAIN
+
+
+class Connections:
+    """Connections of a host by name, and the process that each reaches."""
+
+    def __init__(self):
+        self.order = EventOrder()
+        self.evidence_by_name, self.change = {}, None
+
+    def begin(self, name):
+        self.evidence_by_name[name] = ConnectionEvidence(self.order.next_moment())
+
+    def open(self, name):
+        if name not in self.evidence_by_name:
+            self.begin(name)
+        self.evidence_by_name[name].opened_moment = self.order.next_moment()
+
+    def answer(self, name, sent_moment=None):
+        """The host answers on a connection what was just sent, or was sent at a moment."""
+        sent_moment = sent_moment or self.order.next_moment()
+        self.evidence_by_name[name].record_answer(sent_moment, self.evidence_by_name.values())
+        if self.change is not None:
+            self.change.record_answer(name, sent_moment)
+
+    def announce(self, *open_names, first_loss=None, **more):
+        moment = self.order.next_moment()
+        self.change = ProcessChange("taken", "h2", moment, open_names, first_loss, **more)
+
+    def assess(self, name):
+        return self.change.assess(self.evidence_by_name[name])
+
+
+@pytest.fixture
+def connections():
+    return Connections()
+
+
+def test_a_connection_that_answers_after_the_event_reaches_the_new_process(connections):
+    connections.open("first")
+    connections.announce("first")
+    assert connections.assess("first") is LOST
+    connections.answer("first")
+    assert connections.assess("first") is RUNS and not connections.change.unconfirmed
+
+
+def test_an_answer_to_what_was_sent_before_the_event_shows_nothing(connections):
+    """The former process may have sent it just before its end."""
+    connections.open("first")
+    sent_moment = connections.order.next_moment()
+    connections.announce("first")
+    connections.answer("first", sent_moment)
+    assert connections.assess("first") is LOST and list(connections.change.unconfirmed) == ["first"]
+
+
+def test_a_connection_that_began_after_the_event_reaches_the_new_process(connections):
+    connections.announce()
+    connections.open("later")
+    assert connections.assess("later") is RUNS
+
+
+def test_a_connection_that_was_opened_while_an_older_one_answered_reaches_its_process(connections):
+    connections.open("older")
+    connections.open("closed")
+    connections.announce("older")
+    assert connections.assess("closed") is LOST
+    connections.answer("older")
+    assert connections.assess("closed") is RUNS
+
+
+def test_a_connection_that_was_open_beside_a_newer_one_without_an_answer_shows_nothing(connections):
+    """Old connections stay open and silent after the loss of a machine."""
+    connections.open("silent")
+    connections.open("newer")
+    connections.announce("silent", "newer")
+    connections.answer("newer")
+    assert connections.assess("silent") is LOST
+
+
+def test_evidence_is_passed_on_from_connection_to_connection(connections):
+    """Each closed connection answered after the next one had opened, the last one after the event."""
+    names = ["first", "second", "third"]
+    connections.open("first")
+    for name, next_name in zip(names, names[1:], strict=False):
+        connections.open(next_name)
+        connections.answer(name)
+    connections.announce("third")
+    assert [connections.assess(name) for name in names] == [LOST, LOST, LOST]
+    connections.answer("third")
+    assert [connections.assess(name) for name in names] == [RUNS, RUNS, RUNS]
+
+
+def test_every_order_of_two_connections_beside_the_event():
+    """A connection from before counts as the new process's if, and only if, one that opened no later answers."""
+    steps = ("open a", "open b", "answer a", "answer b", "announce")
+    for order in permutations(steps):
+        connections, opened, answered_by = Connections(), [], set()
+        is_valid = all(order.index(f"open {name}") < order.index(f"answer {name}") for name in "ab")
+        if not is_valid:
+            continue
+        for step in order:
+            verb, _, name = step.partition(" ")
+            if verb == "announce":
+                connections.announce(*opened)
+            elif verb == "open":
+                connections.open(name)
+                opened.append(name)
+            else:
+                connections.answer(name)
+                if connections.change is not None:
+                    answered_by.add(name)
+        announced = order.index("announce")
+        for name in "ab":
+            is_new = order.index(f"open {name}") > announced
+            is_linked = any(
+                order.index(f"open {other}") <= order.index(f"open {name}") for other in answered_by
+            )
+            expected = RUNS if is_new or is_linked or _overlaps(order, name, answered_by) else LOST
+            assert connections.assess(name) is expected, (order, name)
+
+
+def _overlaps(order, name, answered_by):
+    """Whether the connection answered after the opening of one that answered after the event."""
+    return any(
+        order.index(f"open {name}") < order.index(f"open {other}") < order.index(f"answer {name}")
+        for other in answered_by
+    )
+
+
+@pytest.mark.parametrize(("is_after_the_loss", "verdict"), [(False, LOST), (True, UNCERTAIN)])
+def test_a_connection_that_ended_is_uncertain_only_after_the_loss_of_all(
+    connections, is_after_the_loss, verdict
+):
+    if not is_after_the_loss:
+        connections.open("ended")
+    loss = ConnectionLoss(connections.order.next_moment(), 0.0)
+    if is_after_the_loss:
+        connections.open("ended")
+    connections.announce(first_loss=loss)
+    assert connections.assess("ended") is verdict
+
+
+@pytest.mark.parametrize(
+    ("end", "first_loss_at_ms", "verdict"),
+    [
+        ("answers", None, RUNS),
+        ("answers", 50.0, RUNS),  # lost before the task was handed over
+        ("answers", 150.0, UNCERTAIN),
+        ("ends", None, UNCERTAIN),
+        ("is silent", None, UNCERTAIN),
+    ],
+)
+def test_tasks_that_were_handed_over(connections, end, first_loss_at_ms, verdict):
+    """The host held the task when a client named it, 100 ms after the start."""
+    loss = ConnectionLoss(connections.order.next_moment(), first_loss_at_ms) if first_loss_at_ms else None
+    connections.open("first")
+    connections.announce("first", first_loss=loss)
+    if end == "answers":
+        connections.answer("first")
+    elif end == "ends":
+        connections.change.record_ended("first", was_open=True)
+    connections.change.conclude()
+    assert connections.change.assess_handed_over(100.0) is verdict
+
+
+@pytest.mark.parametrize(
+    ("end", "loss", "may_precede"),
+    [("answers", None, True), ("answers", ConnectionLoss(1, 0.0), False), ("ends", None, False)],
+)
+def test_an_event_may_precede_the_end_of_the_process_if_nothing_shows_the_end(
+    connections, end, loss, may_precede
+):
+    for name in ("first", "second"):
+        connections.open(name)
+    connections.announce("first", "second", first_loss=loss)
+    connections.answer("first")
+    if end == "answers":
+        connections.answer("second")
+    else:
+        connections.change.record_ended("second", was_open=True)
+    connections.change.conclude()
+    assert connections.change.may_precede_the_end is may_precede
--- a/tests/platform_server/test_process_changes.py
+++ b/tests/platform_server/test_process_changes.py
@@ -14,6 +14,7 @@
 from tests.support.platform_client import PlatformClient
 from tests.support.process_cluster import ProcessCluster
 from tests.support.process_hosts import ReplaceableHost
+from tests.support.socket_world import pass_time
 
 FORMER_TASKS, NEW_TASK = {1, 2, 3}, 10
 LIST_DELAY_MS = 500.0
@@ -32,10 +33,6 @@
         client.stream.send(setup(task))
         self.until(lambda: (m.ANSWER, task) in client.received, 5_000.0)
 
-    def pass_time(self, ms):
-        end_ms = self.loop.now() + ms
-        self.until(lambda: self.loop.now() >= end_ms, ms + 1_000.0)
-
     def publish_start(self, name, started_unix_ms):
         self.service.publish([make_list_entry(name, self.host.port, started_ms=started_unix_ms)])
 
@@ -73,11 +70,11 @@
     cluster.host.replace(are_connections_silent=former_connections == "silent")
     ended_at_ms = cluster.loop.now()
     cluster.place(client, NEW_TASK)
-    cluster.pass_time(max(0.0, ended_at_ms + LIST_DELAY_MS - cluster.loop.now()))
+    pass_time(cluster, max(0.0, ended_at_ms + LIST_DELAY_MS - cluster.loop.now()))
     cluster.publish_start(new_name, started_unix_ms)
     lost = {(m.RELEASE, task) for task in FORMER_TASKS}
     cluster.until(lambda: lost <= set(client.received), ended_at_ms + LOST_DUE_MS - cluster.loop.now())
-    cluster.pass_time(OBSERVED_MS)
+    pass_time(cluster, OBSERVED_MS)
     assert (m.RELEASE, NEW_TASK) not in client.received
     assert cluster.host.running_tasks == {NEW_TASK}
     cluster.host.end_task(NEW_TASK)
--- a/tests/platform_server/test_restarts.py
+++ b/tests/platform_server/test_restarts.py
@@ -7,7 +7,7 @@
 from glencleat import interface as api
 from glencleat.platform_protocol import messages as m
 from tests.support.exchange_world import read
-from tests.support.socket_world import Peer, cut_off, kinds, settled, stands
+from tests.support.socket_world import Peer, cut_off, kinds, pass_time, settled, stands
 
 RELEASE_DUE_MS = 8_000.0  # a release is due so long after the task's end
 NOTE = m.encode(m.OBSERVATION, 1, {m.TOPIC: b"cores", m.VALUE: b"1"})
@@ -61,11 +61,6 @@
     return world, host, client
 
 
-def pass_time(world, ms):
-    end_ms = world.loop.now() + ms
-    world.until(lambda: world.loop.now() >= end_ms, ms + 1_000.0)
-
-
 def vanish_for(world, host, away_ms, older_behaviour):
     """Returns when the machine vanished."""
     vanished_at_ms = world.loop.now()
--- a/tests/support/socket_world.py
+++ b/tests/support/socket_world.py
@@ -182,6 +182,12 @@
         world.loop.run_once()
 
 
+def pass_time(world, ms):
+    """Runs the loop for a time."""
+    end_ms = world.loop.now() + ms
+    world.until(lambda: world.loop.now() >= end_ms, ms + 1_000.0)
+
+
 def linked(world):
     """A host with an open connection on which task 9 was placed, and a client."""
     peer, sock, other = Peer(world.loop, stands), world.client(), world.client()
