One check covers all hosts at an address; closed connections keep what they showed

Three ways, each by its log: - A task was reported on a connection of the other host at its address. Each host had a check of its own, and the answers on the other one's connections counted as sent before the second check began. One check now covers all of them. - A task was reported on a liveness check that had been closed since. An answer on an older connection now shows the process of closed ones too (at most 64). - A connection began just before the loss of the others was noticed, and opened after it: it now counts as opened after the loss. A task of which no connection tells now waits from its host's last report.

Tests: a task that is reported on a connection of the other host, failed before; closed connections in test_incarnations.

--- a/glencleat/platform_protocol/exchange.py
+++ b/glencleat/platform_protocol/exchange.py
@@ -206,6 +206,7 @@
 
     def _mark_placed(self, call: SetupCall, host: str) -> None:
         call.state, call.placed_at_ms = SetupState.PLACED, self.ports.now()
+        call.reported_at_ms = call.placed_at_ms
         call.client.open_task_ids.discard(call.setup.task_id)
         placed_calls = self.placed_calls_by_host.setdefault(host, {})
         placed_calls[call.setup.task_id] = call
@@ -357,7 +358,7 @@
         topic, value = message.get_text(m.TOPIC), m.parse_number(message.get_text(m.VALUE) or "0")
         if attempt is None or attempt.call.state is not SetupState.PLACED:
             return
-        attempt.connection = connection
+        attempt.connection, attempt.call.reported_at_ms = connection, self.ports.now()
         if self.unconfirmed_tasks.discard(attempt.call.client, message.task_id):
             self.ports.mark_trusted(attempt.call.client)  # its host holds what the client has named
         if topic in OBSERVATION_KINDS:
--- a/glencleat/platform_protocol/setup_calls.py
+++ b/glencleat/platform_protocol/setup_calls.py
@@ -42,6 +42,7 @@
     attempt_count: int = 0
     attempt: SetupAttempt | None = None
     placed_at_ms: float = 0.0
+    reported_at_ms: float = 0.0  # of a placed task: when its host last reported on it
     # The earliest time at which an attempt that may have run could have reached its host.
     first_uncertain_at_ms: float | None = None
 
--- a/glencleat/platform_server/host_connection.py
+++ b/glencleat/platform_server/host_connection.py
@@ -319,6 +319,7 @@
         self.pool.connection_limiter.record_connect_end(self.address)
         self.connected_at_ms = self.loop.now()
         self.evidence.opened_moment = self.pool.event_order.next_moment()
+        self.host.connection_history.add(self.evidence)
         stream.close_callbacks.append(lambda _: self.pool.descriptors.remove_holder(self))
         if self.is_closing:
             stream.close("the host's address has changed")
@@ -407,11 +408,12 @@
 
     def _record_answer(self, sent_moment: int) -> None:
         """The host has answered what was sent at `sent_moment`, so its process ran then."""
-        self.evidence.record_answer(sent_moment, [other.evidence for other in self.host.connections])
+        self.host.connection_history.record_answer(self.evidence, sent_moment)
         self.pool.on_answer(self.host, self, sent_moment)
 
     def _leave_host(self) -> None:
         self.host.remove_connection(self)
+        self.host.connection_history.record_closed(self.evidence)
         self.pool.on_connection_ended(self.host, self)
 
     def _handle_connection_lost(self, stream: Stream, reason: str) -> None:
--- a/glencleat/platform_server/incarnations.py
+++ b/glencleat/platform_server/incarnations.py
@@ -9,7 +9,7 @@
     it began after the list's event                                                  runs
     it has answered what was sent on it after the list's event                       runs
     it reaches the same process as a connection that has                             runs
-    it ended before, and began after all connections to the host had been lost       uncertain
+    it ended before, and opened after all connections to the host had been lost      uncertain
     any other                                                                        is lost
 
     observation about a task that a client handed over and the host has not reported on
@@ -31,9 +31,13 @@
 RECENT_LOSS_MS = 10_000.0
 """The machine list tells of a start at most this long after it."""
 
+MAX_CLOSED = 64
+"""Closed connections of a host that are kept until an older one answers."""
+
 NOT_YET = -1
 """The number of a moment that has not come."""
 
+HostT = TypeVar("HostT")
 ConnectionT = TypeVar("ConnectionT")
 
 
@@ -93,24 +97,51 @@
         self.ended_at_ms = 0.0  # when the host ended it, by a reset or a close; 0 if it has not
         self.incarnation = Incarnation()
 
-    def record_answer(self, sent_moment: int, others: Iterable[ConnectionEvidence]) -> None:
-        """The host has answered what was sent on the connection.
-
-        Args:
-            sent_moment: When it was sent.
-            others: The open connections to the host.
-        """
-        previous_moment = self.answered_moment
-        if sent_moment <= previous_moment:
-            return
-        self.answered_moment = sent_moment
+    def record_answer(self, sent_moment: int) -> None:
+        """The host has answered what was sent on the connection at `sent_moment`, so its process ran then."""
+        self.answered_moment = max(self.answered_moment, sent_moment)
         representative = self.incarnation.find_representative()
         representative.answered_moment = max(representative.answered_moment, sent_moment)
-        for other in others:
-            # The other one was accepted while the process of this one ran.
-            is_later = self.opened_moment < other.began_moment
-            if is_later and previous_moment < other.opened_moment < sent_moment:
-                representative.merge(other.incarnation)
+
+    def shows_process_of(self, other: ConnectionEvidence) -> bool:
+        """Whether the other connection was accepted while the process of this one ran."""
+        return self.opened_moment < other.began_moment and other.opened_moment < self.answered_moment
+
+
+class ConnectionHistory:
+    """The connections of a host that an answer on an older one may show to reach the same process.
+
+    These are the open ones, and closed ones of which no answer has shown that yet.
+    """
+
+    def __init__(self) -> None:
+        """Starts without connections."""
+        self.open: dict[ConnectionEvidence, None] = {}
+        self.closed: dict[ConnectionEvidence, None] = {}  # the oldest first
+
+    def add(self, evidence: ConnectionEvidence) -> None:
+        """A connection has opened."""
+        self.open[evidence] = None
+
+    def record_closed(self, evidence: ConnectionEvidence) -> None:
+        """A connection has ended, or could not be opened."""
+        if evidence in self.open:
+            del self.open[evidence]
+            self.closed[evidence] = None
+            if not self.open:
+                self.closed.clear()  # no older one is left that may still answer
+            elif len(self.closed) > MAX_CLOSED:
+                del self.closed[next(iter(self.closed))]
+
+    def record_answer(self, evidence: ConnectionEvidence, sent_moment: int) -> None:
+        """The host has answered on a connection what was sent there at `sent_moment`."""
+        if sent_moment <= evidence.answered_moment:
+            return
+        evidence.record_answer(sent_moment)
+        for other in [*self.open, *self.closed]:
+            if evidence.shows_process_of(other):
+                evidence.incarnation.merge(other.incarnation)
+                self.closed.pop(other, None)
 
 
 class TaskVerdict(Enum):
@@ -158,18 +189,19 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ExpectedLoss:
+class ExpectedLoss(Generic[HostT]):
     """The machine list told of a new process while the former one still answered on all connections.
 
     So all of them are to be lost soon, unless the former process had ended before any of them opened.
     """
 
+    hosts: tuple[HostT, ...]
     successor_name: str
     reason: str
 
 
-class ProcessChange(Generic[ConnectionT]):
-    """A new process at a host's address, of which the machine list has told.
+class ProcessChange(Generic[HostT, ConnectionT]):
+    """A new process at an address, of which the machine list has told. `hosts` were known there before.
 
     `unconfirmed` are the connections from before the event that have not answered since. Nothing but health
     checks is sent on them. Connections are compared by identity.
@@ -180,6 +212,7 @@
         reason: str,
         successor_name: str,
         announced_moment: int,
+        hosts: Iterable[HostT],
         connections: Iterable[ConnectionT],
         first_loss: ConnectionLoss | None,
         *,
@@ -191,7 +224,8 @@
             reason: Why the former process counts as ended, for the log.
             successor_name: The host by whose name the new process is known.
             announced_moment: When the list told of it.
-            connections: Those that are open or being opened.
+            hosts: The hosts whose tasks may have run in the former process.
+            connections: Their connections that are open or being opened.
             first_loss: The first of the losses that this change may explain; None without one.
             is_loss_expected: The list told of the change while the former process may still have answered;
                 this is the check after that.
@@ -199,6 +233,7 @@
         self.reason = reason
         self.successor_name = successor_name
         self.announced_moment = announced_moment
+        self.hosts = tuple(hosts)  # until it is concluded
         self.unconfirmed = dict.fromkeys(connections)  # in the order of their creation
         self.confirmed_count = 0
         self.first_loss = first_loss
@@ -227,6 +262,7 @@
     def conclude(self) -> list[ConnectionT]:
         """Ends the check. Returns the connections that have not answered, which count as lost."""
         self.is_concluded = True
+        self.hosts = ()  # they refer to the change, and no cycle of references is to remain
         self.has_lost_connection = self.has_lost_connection or bool(self.unconfirmed)
         return list(self.unconfirmed)
 
--- a/glencleat/platform_server/pooled_host.py
+++ b/glencleat/platform_server/pooled_host.py
@@ -8,7 +8,12 @@
 
 from glencleat.flow_control.backoff import HOST_BACKOFF, Backoff
 from glencleat.platform_server.failure_detector import FailureDetector
-from glencleat.platform_server.incarnations import ConnectionLosses, ExpectedLoss, ProcessChange
+from glencleat.platform_server.incarnations import (
+    ConnectionHistory,
+    ConnectionLosses,
+    ExpectedLoss,
+    ProcessChange,
+)
 from glencleat.platform_server.restart_detector import RestartDetector
 
 NO_ADDRESS: tuple[str, int] = ("", 0)
@@ -73,9 +78,10 @@
         # Releases that the host has not acknowledged, each with the connection it was written to.
         self.pending_releases: dict[int, ConnectionT | None] = {}
         self.restart_detector: RestartDetector[ConnectionT] = RestartDetector()
+        self.connection_history = ConnectionHistory()
         self.connection_losses = ConnectionLosses()
-        self.process_change: ProcessChange[ConnectionT] | None = None  # the latest
-        self.expected_loss: ExpectedLoss | None = None
+        self.process_change: ProcessChange[PooledHost[ConnectionT], ConnectionT] | None = None  # the latest
+        self.expected_loss: ExpectedLoss[PooledHost[ConnectionT]] | None = None
 
     def remove_connection(self, connection: ConnectionT) -> None:
         """Removes a connection that has ended or is closing."""
--- a/glencleat/platform_server/process_changes.py
+++ b/glencleat/platform_server/process_changes.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Collection, Iterable
-from functools import partial
 from typing import Protocol, TypeAlias
 
 from glencleat.event_loop import Loop
@@ -31,7 +30,8 @@
 EARLY_EVENT_MS = 1_000.0
 """The list may tell of a new process at most this long before the former one has ended."""
 
-HostProcessChange: TypeAlias = "ProcessChange[HostConnection]"
+HostProcessChange: TypeAlias = "ProcessChange[Host, HostConnection]"
+HostExpectedLoss: TypeAlias = "ExpectedLoss[Host]"
 
 
 class ProcessChangePort(Protocol):
@@ -75,8 +75,7 @@
 
     def on_process_changed(self, hosts: Iterable[Host], successor_name: str, reason: str) -> None:
         """A new process runs at the address of the hosts; it is known by the name of `successor_name`."""
-        for host in hosts:
-            self._begin(host, successor_name, reason)
+        self._begin(tuple(hosts), successor_name, reason)
 
     def on_address_left(self, host: Host) -> None:
         """The host is removed or has another address, so its connections reach no other host's process."""
@@ -94,92 +93,114 @@
         change = host.process_change
         if change is not None and connection in change.unconfirmed:
             change.record_answer(connection, sent_moment)
-            self._conclude_if_decided(change, host)
+            self.pool.mark_changed(host)
+            self._conclude_if_decided(change)
 
     def on_connection_ended(self, host: Host, connection: HostConnection) -> None:
         """A connection has ended, or could not be opened."""
         change = host.process_change
         if change is not None and connection in change.unconfirmed:
             change.record_ended(connection, was_open=connection.stream is not None)
-            self._conclude_if_decided(change, host)
+            self.pool.mark_changed(host)
+            self._conclude_if_decided(change)
 
     def on_disconnected(self, host: Host) -> None:
         """The last open connection was lost."""
         loss = ConnectionLoss(self.pool.event_order.next_moment(), self.pool.loop.now())
         host.connection_losses.record(loss)
         if host.expected_loss is not None:
-            self._check_again(host, host.expected_loss)
+            self._check_again(host.expected_loss)
 
     # ---- gathering evidence ----
 
-    def _begin(self, host: Host, successor_name: str, reason: str, *, is_loss_expected: bool = False) -> None:
+    def _begin(
+        self, hosts: Collection[Host], successor_name: str, reason: str, *, is_loss_expected: bool = False
+    ) -> None:
+        """Begins one check of all hosts, since what one connection shows holds for the tasks of each."""
+        if not hosts:
+            return
+        now_ms = self.pool.loop.now()
+        losses = [host.connection_losses.take_first_recent(now_ms) for host in hosts]
         change: HostProcessChange = ProcessChange(
             reason,
             successor_name,
             self.pool.event_order.next_moment(),
-            host.connections,
-            host.connection_losses.take_first_recent(self.pool.loop.now()),
+            hosts,
+            [connection for host in hosts for connection in host.connections],
+            min((loss for loss in losses if loss is not None), key=lambda loss: loss.moment, default=None),
             is_loss_expected=is_loss_expected,
         )
-        host.process_change, host.expected_loss = change, None
-        self.pool.mark_changed(host)
+        for host in hosts:
+            host.process_change, host.expected_loss = change, None
+            self.pool.mark_changed(host)
+            self._record_successor(host, successor_name)
+            self._log_begin(change, host)
+        for connection in list(change.unconfirmed):
+            if connection.is_open:
+                self._send_check(connection)
+        if change.unconfirmed:
+            self.pool.loop.call_in(CHECK_TIMEOUT_MS, lambda: self._conclude(change))
+        else:
+            self._conclude(change)
+
+    def _record_successor(self, host: Host, successor_name: str) -> None:
         if successor_name != host.name:
             self.pool.exchange.record_successor(host.name, successor_name)
         else:
             self.pool.exchange.forget_successor(host.name)
-        placed_count = len(self.pool.exchange.placed_calls_by_host.get(host.name, ()))
-        if placed_count:
+
+    def _log_begin(self, change: HostProcessChange, host: Host) -> None:
+        if placed_calls := self.pool.exchange.placed_calls_by_host.get(host.name):
             self.pool.log(
-                f"host {host.name}: process changed, {reason}; host now {successor_name},"
-                f" {placed_count} tasks placed, {len(change.unconfirmed)} connections to check"
+                f"host {host.name}: process changed, {change.reason}; host now {change.successor_name},"
+                f" {len(placed_calls)} tasks placed, {len(host.connections)} connections to check"
             )
-        for connection in list(host.connections):
-            if connection.is_open:
-                self._send_check(connection)
-        if change.unconfirmed:
-            self.pool.loop.call_in(CHECK_TIMEOUT_MS, lambda: self._conclude(change, host))
-        else:
-            self._conclude(change, host)
 
     def _send_check(self, connection: HostConnection) -> None:
         connection.send_health_check(self.pool.exchange.load_probes.allocate_token())
 
-    def _conclude_if_decided(self, change: HostProcessChange, host: Host) -> None:
-        self.pool.mark_changed(host)
+    def _conclude_if_decided(self, change: HostProcessChange) -> None:
         if not (change.unconfirmed or change.is_concluded):
             # Not at once: the caller may be about to handle what came with the answer.
-            self.pool.loop.call_in(0.0, lambda: self._conclude(change, host))
+            self.pool.loop.call_in(0.0, lambda: self._conclude(change))
 
     # ---- the verdict ----
 
-    def _conclude(self, change: HostProcessChange, host: Host) -> None:
+    def _conclude(self, change: HostProcessChange) -> None:
         """Ends the tasks of the former process; those that the evidence leaves uncertain are observed."""
-        if change.is_concluded or host.process_change is not change:
+        if change.is_concluded:
             return
+        hosts = [host for host in change.hosts if host.process_change is change]
         unanswered_connections = change.conclude()
         if change.may_precede_the_end:
-            self._expect_loss(change, host)
-        calls_by_verdict = self._assess_tasks(change, host)
+            self._expect_loss(change, hosts)
+        calls_by_host = {host: self._assess_tasks(change, host) for host in hosts}
         for connection in unanswered_connections:
-            connection.abort(f"no answer since {change.reason}")
-        self._end_tasks(change, host, calls_by_verdict[TaskVerdict.LOST])
-        for call in calls_by_verdict[TaskVerdict.UNCERTAIN]:
-            self._observe(change, host, call)
-        self._log_rest(change, host, calls_by_verdict)
-        self.pool.mark_changed(host)
-
-    def _expect_loss(self, change: HostProcessChange, host: Host) -> None:
+            if connection.is_unconfirmed:
+                connection.abort(f"no answer since {change.reason}")
+        for host, calls_by_verdict in calls_by_host.items():
+            self._end_tasks(change, host, calls_by_verdict[TaskVerdict.LOST])
+            for call in calls_by_verdict[TaskVerdict.UNCERTAIN]:
+                self._observe(change, host, call)
+            self._log_rest(change, host, calls_by_verdict)
+            self.pool.mark_changed(host)
+
+    def _expect_loss(self, change: HostProcessChange, hosts: Iterable[Host]) -> None:
         """Checks the connections again at their loss, or once the former process has ended for certain."""
-        expected = ExpectedLoss(change.successor_name, change.reason)
-        successor = self.pool.registry.hosts_by_name.get(change.successor_name, host)
-        for concerned in dict.fromkeys([host, successor]):
-            concerned.expected_loss = expected
-            self.pool.loop.call_in(EARLY_EVENT_MS, partial(self._check_again, concerned, expected))
-
-    def _check_again(self, host: Host, expected: ExpectedLoss) -> None:
-        is_known = self.pool.registry.hosts_by_name.get(host.name) is host
-        if is_known and host.expected_loss is expected:
-            self._begin(host, expected.successor_name, expected.reason, is_loss_expected=True)
+        successor = self.pool.registry.hosts_by_name.get(change.successor_name)
+        concerned = dict.fromkeys([*hosts, *([successor] if successor is not None else [])])
+        expected = ExpectedLoss(tuple(concerned), change.successor_name, change.reason)
+        for host in concerned:
+            host.expected_loss = expected
+        self.pool.loop.call_in(EARLY_EVENT_MS, lambda: self._check_again(expected))
+
+    def _check_again(self, expected: HostExpectedLoss) -> None:
+        hosts_by_name = self.pool.registry.hosts_by_name
+        concerned = [host for host in expected.hosts if host.expected_loss is expected]
+        for host in concerned:
+            host.expected_loss = None
+        concerned = [host for host in concerned if hosts_by_name.get(host.name) is host]
+        self._begin(concerned, expected.successor_name, expected.reason, is_loss_expected=True)
 
     def _assess_tasks(self, change: HostProcessChange, host: Host) -> dict[TaskVerdict, list[SetupCall]]:
         calls_by_verdict: dict[TaskVerdict, list[SetupCall]] = {verdict: [] for verdict in TaskVerdict}
@@ -208,7 +229,7 @@
         """Ends a task unless its host reports on it until its release would be due if it had ended."""
         connection = find_connection(call)
         lost_at_ms = connection.evidence.ended_at_ms if connection is not None else 0.0
-        ended_at_ms = max(call.placed_at_ms, lost_at_ms)
+        ended_at_ms = max(call.reported_at_ms, lost_at_ms)
         remaining_ms = max(0.0, ended_at_ms + UNREACHABLE_MS - self.pool.loop.now())
 
         def end_unless_reported() -> None:
--- a/tests/platform_server/test_address_changes.py
+++ b/tests/platform_server/test_address_changes.py
@@ -303,3 +303,18 @@
     assert world.says(client) == release(OLD_TASK, m.FAILED)
     pass_time(world, 5_000.0)
     assert list(world.exchange.placed_calls_by_host["h1"]) == [NEW_TASK]
+
+
+def test_a_task_that_is_reported_on_a_connection_of_the_other_host_stands(world, taken):
+    """Guards against a verdict on the tasks of one host by its own connections alone."""
+    taken.tell_list()
+    assert world.says(taken.client) == release(OLD_TASK, m.FAILED)
+    known = set(taken.process.streams)
+    world.ask(taken.client, 3, host="h2")
+    assert world.says(taken.client)
+    (stream,) = set(taken.process.streams) - known
+    stream.send(m.encode(m.OBSERVATION, NEW_TASK, {m.TOPIC: b"cores", m.VALUE: b"1"}))
+    settled(world)
+    taken.tell_list("h2", taken.started_unix_ms + 1.0)  # another start of the same process
+    pass_time(world, 1_500.0)
+    assert taken.placed_tasks() == {NEW_TASK, 3}
--- a/tests/platform_server/test_incarnations.py
+++ b/tests/platform_server/test_incarnations.py
@@ -5,7 +5,9 @@
 import pytest
 
 from glencleat.platform_server.incarnations import (
+    MAX_CLOSED,
     ConnectionEvidence,
+    ConnectionHistory,
     ConnectionLoss,
     EventOrder,
     ProcessChange,
@@ -21,6 +23,7 @@
     def __init__(self):
         self.order = EventOrder()
         self.evidence_by_name, self.change = {}, None
+        self.history = ConnectionHistory()
 
     def begin(self, name):
         self.evidence_by_name[name] = ConnectionEvidence(self.order.next_moment())
@@ -29,17 +32,21 @@
         if name not in self.evidence_by_name:
             self.begin(name)
         self.evidence_by_name[name].opened_moment = self.order.next_moment()
+        self.history.add(self.evidence_by_name[name])
+
+    def close(self, name):
+        self.history.record_closed(self.evidence_by_name[name])
 
     def answer(self, name, sent_moment=None):
         """The host answers on a connection what was just sent, or was sent at a moment."""
         sent_moment = sent_moment or self.order.next_moment()
-        self.evidence_by_name[name].record_answer(sent_moment, self.evidence_by_name.values())
+        self.history.record_answer(self.evidence_by_name[name], sent_moment)
         if self.change is not None:
             self.change.record_answer(name, sent_moment)
 
     def announce(self, *open_names, first_loss=None, **more):
         moment = self.order.next_moment()
-        self.change = ProcessChange("taken", "h2", moment, open_names, first_loss, **more)
+        self.change = ProcessChange("taken", "h2", moment, ["h1"], open_names, first_loss, **more)
 
     def assess(self, name):
         return self.change.assess(self.evidence_by_name[name])
@@ -74,8 +81,10 @@
 
 
 def test_a_connection_that_was_opened_while_an_older_one_answered_reaches_its_process(connections):
+    """Liveness checks are closed again: a task of which the host reported on one stands all the same."""
     connections.open("older")
     connections.open("closed")
+    connections.close("closed")
     connections.announce("older")
     assert connections.assess("closed") is LOST
     connections.answer("older")
@@ -91,6 +100,33 @@
     assert connections.assess("silent") is LOST
 
 
+def test_closed_connections_are_forgotten(connections):
+    """Once an older one has answered, or none is open, or there are too many."""
+    connections.open("older")
+    for number in range(MAX_CLOSED + 9):
+        connections.open(number)
+        connections.close(number)
+    assert len(connections.history.closed) == MAX_CLOSED
+    connections.answer("older")
+    assert not connections.history.closed
+    connections.open("last")
+    connections.close("last")
+    assert connections.history.closed
+    connections.close("older")
+    assert not connections.history.closed
+
+
+def test_an_answer_that_is_read_late_links_nothing(connections):
+    """What it answers was sent before the other connection opened, so its process may have ended in between."""
+    connections.open("former")
+    sent_moment = connections.order.next_moment()
+    connections.open("newer")
+    connections.answer("former", sent_moment)
+    connections.announce("newer")
+    connections.answer("newer")
+    assert connections.assess("former") is LOST
+
+
 def test_evidence_is_passed_on_from_connection_to_connection(connections):
     """Each closed connection answered after the next one had opened, the last one after the event."""
     names = ["first", "second", "third"]
@@ -98,6 +134,7 @@
     for name, next_name in zip(names, names[1:], strict=False):
         connections.open(next_name)
         connections.answer(name)
+        connections.close(name)
     connections.announce("third")
     assert [connections.assess(name) for name in names] == [LOST, LOST, LOST]
     connections.answer("third")
