--- /dev/null
+++ b/benchmarks/process_soak/__init__.py
@@ -0,0 +1,1 @@
+"""A seeded play of allocator processes among hosts whose processes are replaced; see `__main__.py`."""
--- /dev/null
+++ b/benchmarks/process_soak/__main__.py
@@ -0,0 +1,44 @@
+"""Plays allocator processes among hosts whose processes are replaced, seed by seed, and judges them.
+
+    python -m benchmarks.process_soak --seeds 50 --seconds 25 --folder DIR
+
+Hosts are replaced at their address under another id or the same one, with connections that are reset or stay
+silent, while the machine list tells it late and by a clock that is seconds off. Connections are reset on the
+way. Allocators get SIGHUP, and SIGTERM with SIGKILL as early as the protocol page allows; their owners use open
+connections until then. In every third seed a crowd of idle clients is connected. Exits with 1 if a rule was
+broken. `verdict.py` has the rules.
+"""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from pathlib import Path
+
+from benchmarks.process_soak.play import PlayOptions, play
+
+parser = argparse.ArgumentParser(prog="python -m benchmarks.process_soak", description=__doc__)
+parser.add_argument("--seeds", type=int, default=2, help="how many plays")
+parser.add_argument("--first-seed", type=int, default=1)
+parser.add_argument("--seconds", type=float, default=25.0, help="of set-ups in each play")
+parser.add_argument("--checkout", type=Path, help="a tree of another version to play; by default this one")
+parser.add_argument("--folder", type=Path, required=True, help="for configurations and logs")
+
+
+def main() -> int:
+    """Plays all seeds and prints a line for each; returns the exit code."""
+    arguments = parser.parse_args()
+    broken_count = 0
+    for seed in range(arguments.first_seed, arguments.first_seed + arguments.seeds):
+        folder = arguments.folder / f"seed-{seed}"
+        folder.mkdir(parents=True, exist_ok=True)
+        result = play(PlayOptions(seed, arguments.seconds * 1_000.0, arguments.checkout), folder)
+        broken_count += bool(result.violations)
+        print(f"seed {seed}: {len(result.violations)} violations; {result.summary}", flush=True)
+        for violation in result.violations:
+            print(f"    {violation}", flush=True)
+    return 1 if broken_count else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
