The pool's port and its choice of a connection are modules of their own

ConnectionPoolPort is generic in the connection's type, so that it needs no import of it; list_usable, select_idle, is_fresh and is_healthy are functions with the time as argument. No behaviour changes.

--- a/glencleat/platform_server/connection_pool.py
+++ b/glencleat/platform_server/connection_pool.py
@@ -1,14 +1,12 @@
 """The pool of connections to hosts: selects one for each attempt, opens them, and handles their loss.
 
-The pool reports delivery outcomes to the exchange, which decides the outcomes of calls. A host's process
-counts as ended if connections are refused for some time while none is open; if none can be opened for a
-longer time; if no unsolicited message arrives on an open connection for as long while new ones are refused;
-if a connection is refused once the machine list shows the host as removed; if the list shows a later start of
-its process; or if it shows another host at its address. A connection that breaks proves nothing, and neither
-does a refusal by a draining host, which accepts no new connections while its tasks run on.
-
-`host_registry.py` keeps the hosts, `host_maintenance.py` does the periodic work, and `pending_queue.py` holds
-the attempts that wait for a connection.
+The pool reports delivery outcomes to the exchange, which decides the outcomes of calls. A connection that
+breaks proves nothing, and neither does a refusal by a draining host, which accepts no new connections while
+its tasks run on; `failure_detector.py` has what does.
+
+`host_registry.py` keeps the hosts, `host_maintenance.py` does the periodic work, `process_changes.py` ends the
+tasks of former processes, `connection_selection.py` chooses a connection, and `pending_queue.py` holds the
+attempts that wait for one.
 """
 
 from __future__ import annotations
@@ -25,6 +23,7 @@
 from glencleat.platform_protocol.delivery import DeliveryOutcome
 from glencleat.platform_protocol.exchange import Exchange
 from glencleat.platform_protocol.setup_calls import SetupAttempt
+from glencleat.platform_server import connection_selection
 from glencleat.platform_server.host_connection import Host, HostConnection
 from glencleat.platform_server.host_maintenance import HostMaintenance
 from glencleat.platform_server.host_registry import HostRegistry
@@ -222,26 +221,16 @@
 
     def _select_connection(self, host: Host, task: int, *, may_connect: bool) -> HostConnection | None:
         """Returns an idle connection, else a new one, else the one with fewest attempts, else None."""
-        is_silent = host.is_silent(self.connect_ms)
-        usable = [
-            connection
-            for connection in host.connections
-            if not (connection.is_unresponsive or connection.is_closed_by_host or connection.is_unconfirmed)
-            and task not in connection.cancelled_task_ids
-            and self._is_fresh(connection)
-            # An attempt must not queue behind unsent bytes of others.
-            and not (connection.stream is not None and (is_silent or connection.stream.send_buffer))
-        ]
-        idle = [connection for connection in usable if not connection.open_attempt_count]
-        if idle:
-            return max(
-                idle,
-                key=lambda other: (
-                    other.stream is not None,
-                    not other.is_liveness_check,
-                    other.last_used_at_ms,
-                ),
-            )
+        usable = connection_selection.list_usable(
+            host,
+            task,
+            is_silent=host.is_silent(self.connect_ms),
+            now_ms=self.loop.now(),
+            idle_ms=self.idle_ms,
+        )
+        idle = connection_selection.select_idle(usable)
+        if idle is not None:
+            return idle
         if not usable:
             return (
                 self._open_connection(host) if may_connect and self._ensure_capacity(Demand.ATTEMPT) else None
@@ -253,15 +242,11 @@
         return min(usable, key=lambda connection: connection.open_attempt_count)
 
     def _is_fresh(self, connection: HostConnection) -> bool:
-        """Whether it is not closed, and not idle for so long that the host may close it during a write."""
-        is_recent = self.loop.now() - connection.last_used_at_ms < self.idle_ms
-        return connection.stream is None or (connection.stream.close_reason is None and is_recent)
+        return connection_selection.is_fresh(connection, self.loop.now(), self.idle_ms)
 
     def is_healthy(self, connection: HostConnection) -> bool:
         """Whether it is open and may be used."""
-        if connection.stream is None or connection.is_unresponsive or connection.is_closed_by_host:
-            return False
-        return not connection.is_unconfirmed and self._is_fresh(connection)
+        return connection_selection.is_healthy(connection, self.loop.now(), self.idle_ms)
 
     # ---- opening connections ----
 
@@ -352,7 +337,7 @@
         if host.is_unreachable(self.connect_ms, disconnected=host.is_disconnected):
             host.is_reported_unreachable = True
             self.exchange.on_reachability_changed(host.name, is_reachable=False)
-            if not host.is_refusing and self.has_placed_tasks(host):
+            if not host.is_refusing and host.name in self.exchange.placed_calls_by_host:
                 fresh = [other for other in host.connections if other.is_open and self._is_fresh(other)]
                 host.restart_detector.begin_outage(host.last_heard_at_ms, fresh)
         self.on_capacity_freed()
@@ -410,10 +395,6 @@
         if ended_count:
             self.log(f"host {host.name}: {ended_count} tasks lost, {reason}")
 
-    def has_placed_tasks(self, host: Host) -> bool:
-        """Whether tasks are placed on the host."""
-        return host.name in self.exchange.placed_calls_by_host
-
     def update_eviction_priorities(self, host: Host) -> None:
         """Refiles a host's connections in the descriptor budget by their current eviction priority."""
         for connection in list(host.connections):
--- a/glencleat/platform_server/host_connection.py
+++ b/glencleat/platform_server/host_connection.py
@@ -8,23 +8,19 @@
 from __future__ import annotations
 
 import errno
-from typing import TYPE_CHECKING, Protocol, TypeAlias
+from typing import TypeAlias
 
-from glencleat.descriptor_budget import DescriptorBudget, EvictionPriority, PeerKind
-from glencleat.event_loop import ConnectError, Loop, Stream, StreamClosedError, connect
+from glencleat.descriptor_budget import EvictionPriority, PeerKind
+from glencleat.event_loop import ConnectError, Stream, StreamClosedError, connect
 from glencleat.event_loop.loop import Coroutine
 from glencleat.flow_control.backoff import HOST_BACKOFF
-from glencleat.flow_control.connection_limiter import ConnectionLimiter
 from glencleat.platform_protocol import messages as m
 from glencleat.platform_protocol.delivery import DeliveryOutcome
-from glencleat.platform_protocol.exchange import Exchange
 from glencleat.platform_protocol.setup_calls import SetupAttempt
-from glencleat.platform_server.incarnations import NOT_YET, ConnectionEvidence, EventOrder
+from glencleat.platform_server.connection_pool_port import ConnectionPoolPort
+from glencleat.platform_server.incarnations import NOT_YET, ConnectionEvidence
 from glencleat.platform_server.pooled_host import PooledHost
 
-if TYPE_CHECKING:
-    from glencleat.platform_server.trace import Trace
-
 DESCRIPTOR_RETRY_MS = 800.0
 """The wait before the next connect after one that failed because this process had no free descriptor."""
 
@@ -36,55 +32,11 @@
 CLOSE_TIMEOUT_MS = 500.0
 """How long a host may take to close a connection after this process has closed its own half."""
 
+
 Host: TypeAlias = "PooledHost[HostConnection]"
 """A host of the pool, with its connections."""
 
 
-class ConnectionPoolPort(Protocol):
-    """What a connection requires of the pool that opened it."""
-
-    loop: Loop
-    event_order: EventOrder
-    connection_limiter: ConnectionLimiter
-    descriptors: DescriptorBudget
-    exchange: Exchange
-    connect_ms: float
-    trace: Trace | None
-
-    def report_outcome(self, attempt: SetupAttempt, outcome: DeliveryOutcome) -> None:
-        """Reports a failed attempt to the exchange, after the exchange's current operation."""
-
-    def is_warming_up(self, host: Host) -> bool:
-        """Whether the host is warming up, by the machine list."""
-
-    def on_connected(self, host: Host, connection: HostConnection) -> None:
-        """The connection has opened."""
-
-    def on_answer(self, host: Host, connection: HostConnection, sent_moment: int) -> None:
-        """The host has answered what was sent on the connection at `sent_moment`."""
-
-    def on_connection_ended(self, host: Host, connection: HostConnection) -> None:
-        """A connection has ended for any reason, or could not be opened."""
-
-    def on_host_heard(self, host: Host) -> None:
-        """Data was received from the host, or a connection to it has opened."""
-
-    def on_connect_failed(self, host: Host, *, refused: bool) -> None:
-        """A connect failed for a reason other than a lack of descriptors."""
-
-    def on_connection_lost(self, host: Host, connection: HostConnection, reason: str) -> None:
-        """A connection has ended that neither `close_gracefully` nor `abort` was closing."""
-
-    def record_task_message(self, host: Host, task_id: int) -> None:
-        """The host reports on a task, which may be one that is placed there."""
-
-    def mark_changed(self, host: Host) -> None:
-        """The host may need maintenance earlier than planned."""
-
-    def acknowledge_release(self, connection: HostConnection, task_id: int) -> None:
-        """Acknowledges a release that came on the connection, at once or once a client connection has it."""
-
-
 class HostConnection:
     """One connection to a host, from the start of its connect until it is closed or closing.
 
@@ -93,7 +45,9 @@
 
     peer_kind = PeerKind.HOSTS
 
-    def __init__(self, pool: ConnectionPoolPort, host: Host, *, is_liveness_check: bool) -> None:
+    def __init__(
+        self, pool: ConnectionPoolPort[HostConnection], host: Host, *, is_liveness_check: bool
+    ) -> None:
         """Begins to connect to the host's address.
 
         Args:
