Names of one process are a module of the platform's protocol

No behaviour changes.

Measured: 458 tests of platform_protocol, architecture, docstrings, address changes, connections and ticks pass.

--- a/glencleat/platform_protocol/exchange.py
+++ b/glencleat/platform_protocol/exchange.py
@@ -36,6 +36,7 @@
 from glencleat.platform_protocol.ended_tasks import EndedTasks
 from glencleat.platform_protocol.exchange_ports import ExchangePorts
 from glencleat.platform_protocol.load_probes import LoadProbes
+from glencleat.platform_protocol.process_names import ProcessNames
 from glencleat.platform_protocol.setup_calls import ClientPort, SetupAttempt, SetupCall, SetupState
 from glencleat.platform_protocol.setup_requests import SetupError, SetupReader, SetupRequest
 from glencleat.platform_protocol.uncertain_calls import UncertainCalls
@@ -61,8 +62,7 @@
         self.calls_by_id: dict[int, SetupCall] = {}  # by the policy's call id
         self.calls_by_task_id: dict[int, SetupCall] = {}  # by the platform's task id
         self.placed_calls_by_host: dict[str, dict[int, SetupCall]] = {}  # by host, then by task id
-        # By a host: the one that has its address now, in whose process its remaining tasks run.
-        self.successors_by_host: dict[str, str] = {}
+        self.process_names = ProcessNames()
         self.ended_tasks = EndedTasks()
         self.uncertain_calls = UncertainCalls()
         self.unconfirmed_tasks: UnconfirmedTasks[ClientPort] = UnconfirmedTasks()
@@ -316,22 +316,10 @@
         """Returns our attempt or placed task on that host, None if there is none."""
         call = self.calls_by_task_id.get(task_id)
         attempt = call.attempt if call is not None else None
-        if attempt is None or self._find_process(host) != self._find_process(attempt.host):
+        if attempt is None or not self.process_names.is_same_process(host, attempt.host):
             return None
         return attempt
 
-    def _find_process(self, host: str) -> str:
-        """Returns the name by which the process that a host's connections reach is known now."""
-        return self.successors_by_host.get(host, host)
-
-    def record_successor(self, host: str, successor: str) -> None:
-        """The host's connections reach another one's process, which may report the tasks of either on any."""
-        self.successors_by_host[host] = successor
-
-    def forget_successor(self, host: str) -> None:
-        """The host has no connections any more."""
-        self.successors_by_host.pop(host, None)
-
     def _handle_answer(self, attempt: SetupAttempt, message: m.PlatformMessage) -> None:
         call = attempt.call
         if not self.ports.is_client_waiting(call.client, call.setup.task_id):
--- a/glencleat/platform_server/connection_pool.py
+++ b/glencleat/platform_server/connection_pool.py
@@ -4,9 +4,8 @@
 breaks proves nothing, and neither does a refusal by a draining host, which accepts no new connections while
 its tasks run on; `failure_detector.py` has what does.
 
-`host_registry.py` keeps the hosts, `host_maintenance.py` does the periodic work, `process_changes.py` ends the
-tasks of former processes, `connection_selection.py` chooses a connection, and `pending_queue.py` holds the
-attempts that wait for one.
+`host_registry.py` keeps the hosts, `host_maintenance.py` does the periodic work, `process_changes.py` ends
+tasks of former processes, `connection_selection.py` chooses a connection, `pending_queue.py` holds attempts.
 """
 
 from __future__ import annotations
--- a/glencleat/platform_server/process_changes.py
+++ b/glencleat/platform_server/process_changes.py
@@ -79,7 +79,7 @@
 
     def on_address_left(self, host: Host) -> None:
         """The host is removed or has another address, so its connections reach no other host's process."""
-        self.pool.exchange.forget_successor(host.name)
+        self.pool.exchange.process_names.forget(host.name)
 
     # ---- called by the pool ----
 
@@ -133,7 +133,7 @@
         for host in hosts:
             host.process_change, host.expected_loss = change, None
             self.pool.mark_changed(host)
-            self._record_successor(host, successor_name)
+            self.pool.exchange.process_names.record_successor(host.name, successor_name)
             self._log_begin(change, host)
         for connection in list(change.unconfirmed):
             if connection.is_open:
@@ -143,12 +143,6 @@
         else:
             self._conclude(change)
 
-    def _record_successor(self, host: Host, successor_name: str) -> None:
-        if successor_name != host.name:
-            self.pool.exchange.record_successor(host.name, successor_name)
-        else:
-            self.pool.exchange.forget_successor(host.name)
-
     def _log_begin(self, change: HostProcessChange, host: Host) -> None:
         if placed_calls := self.pool.exchange.placed_calls_by_host.get(host.name):
             self.pool.log(
