--- a/glencleat/platform_server/connection_pool.py
+++ b/glencleat/platform_server/connection_pool.py
@@ -374,7 +374,7 @@
             # round.
             host.next_connect_at_ms = now_ms + host.backoff.next_delay_ms(lifetime_ms)
         if placed_calls := self.exchange.placed_calls_by_host.get(host.name):
-            remaining = f"{len(placed_calls)} tasks placed, {len(host.connections)} connections left"
+            remaining = f"{len(placed_calls)} tasks placed, {host.describe_connections()}"
             self.log(f"host {host.name}: connection lost, {reason}; {remaining}")
             self.reconnect(host)
 
--- a/glencleat/platform_server/pooled_host.py
+++ b/glencleat/platform_server/pooled_host.py
@@ -147,7 +147,17 @@
         """Whether a connection to it is being opened."""
         return any(connection.stream is None for connection in self.connections)
 
+    @property
+    def open_connection_count(self) -> int:
+        """The number of its connections that are open."""
+        return sum(connection.stream is not None for connection in self.connections)
+
+    def describe_connections(self) -> str:
+        """Returns the numbers of its connections for the log."""
+        opening_count = len(self.connections) - self.open_connection_count
+        return f"{self.open_connection_count} connections left, {opening_count} being opened"
+
     @property
     def is_disconnected(self) -> bool:
         """Whether no connection to it is open."""
-        return all(connection.stream is None for connection in self.connections)
+        return not self.open_connection_count
--- a/glencleat/platform_server/process_changes.py
+++ b/glencleat/platform_server/process_changes.py
@@ -85,6 +85,9 @@
 
     def on_connected(self, host: Host, connection: HostConnection) -> None:
         """A connection has opened; it may have begun before the list told of the change."""
+        placed_calls = self.pool.exchange.placed_calls_by_host.get(host.name)
+        if placed_calls and host.open_connection_count == 1:
+            self.pool.log(f"host {host.name}: connected again, {len(placed_calls)} tasks placed")
         if connection.is_unconfirmed:
             self._send_check(connection)
 
