Tasks handed over while their host can't be reached are not taken to run on

A connect that fails while no connection is open counts as a loss of the host's connections. For tasks that were handed over, any loss since the last change counts, not the first one of the last 10 s alone.

Tests: handed over while connections are refused; being opened at the loss; the losses of two hosts.

--- a/glencleat/platform_server/connection_pool.py
+++ b/glencleat/platform_server/connection_pool.py
@@ -325,13 +325,11 @@
         """A connect failed for a reason other than a lack of descriptors."""
         now_ms = self.loop.now()
         if host.failing_since_ms > now_ms:
-            quiet_ms = now_ms - host.last_heard_at_ms
-            failure = "refused" if refused else "timed out"
-            self.log(
-                f"host {host.name}: connection {failure}, {len(host.connections)} others,"
-                f" last data {quiet_ms:.0f} ms ago"
-            )
+            failure = f"connection {'refused' if refused else 'timed out'}, {len(host.connections)} others"
+            self.log(f"host {host.name}: {failure}, last data {now_ms - host.last_heard_at_ms:.0f} ms ago")
         host.record_connect_failure(now_ms, refused=refused, disconnected=host.is_disconnected)
+        if host.is_disconnected:
+            self.process_changes.record_loss(host)
         host.next_connect_at_ms = now_ms + host.backoff.next_delay_ms()
         if host.is_unreachable(self.connect_ms, disconnected=host.is_disconnected):
             host.is_reported_unreachable = True
--- a/glencleat/platform_server/incarnations.py
+++ b/glencleat/platform_server/incarnations.py
@@ -13,7 +13,7 @@
     any other                                                                        is lost
 
     observation about a task that a client handed over and the host has not reported on
-    all connections have answered since, and none was lost after the handing over    runs
+    all connections have answered since, and the host was reached ever since         runs
     any other                                                                        uncertain
 
 An answer to what was sent at some moment shows that the process ran then, so a connection that opened before
@@ -154,38 +154,59 @@
 
 @dataclass(frozen=True, slots=True)
 class ConnectionLoss:
-    """A host's last open connection was lost."""
+    """A host's last open connection was lost, or none could be opened while none was open."""
 
     moment: int
     at_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class LossPeriod:
+    """The losses that a process change may explain; None where there is none."""
+
+    first_recent: ConnectionLoss | None = None  # within RECENT_LOSS_MS before the machine list told of it
+    last: ConnectionLoss | None = None  # since the change before
+
+    def combine(self, other: LossPeriod) -> LossPeriod:
+        """Returns the period of the losses of both: of two hosts at one address."""
+        first = [loss for loss in (self.first_recent, other.first_recent) if loss is not None]
+        last = [loss for loss in (self.last, other.last) if loss is not None]
+        return LossPeriod(
+            min(first, key=lambda loss: loss.moment, default=None),
+            max(last, key=lambda loss: loss.moment, default=None),
+        )
+
+
 class ConnectionLosses:
-    """The moments at which a host's last open connection was lost, since the latest process change.
+    """The losses of a host's connections since the latest process change.
 
     >>> losses = ConnectionLosses()
     >>> losses.record(ConnectionLoss(moment=7, at_ms=0.0))
     >>> losses.record(ConnectionLoss(moment=9, at_ms=RECENT_LOSS_MS))
-    >>> losses.take_first_recent(now_ms=RECENT_LOSS_MS + 1.0)
+    >>> losses.take(now_ms=RECENT_LOSS_MS + 1.0).first_recent
     ConnectionLoss(moment=9, at_ms=10000.0)
-    >>> losses.take_first_recent(now_ms=RECENT_LOSS_MS)
+    >>> losses.take(now_ms=RECENT_LOSS_MS)
+    LossPeriod(first_recent=None, last=None)
     """
 
     def __init__(self) -> None:
         """Starts without a loss."""
-        self.losses: list[ConnectionLoss] = []
+        self.recent: list[ConnectionLoss] = []
+        self.last: ConnectionLoss | None = None
 
     def record(self, loss: ConnectionLoss) -> None:
-        """The last open connection was lost just now."""
-        self.losses = [*self._select_recent(loss.at_ms), loss]
+        """Records a loss of just now."""
+        self.recent = [*self._select_recent(loss.at_ms), loss]
+        self.last = loss
 
-    def take_first_recent(self, now_ms: float) -> ConnectionLoss | None:
-        """Returns the first one that a process change may explain which is told now, and forgets all."""
-        recent, self.losses = self._select_recent(now_ms), []
-        return recent[0] if recent else None
+    def take(self, now_ms: float) -> LossPeriod:
+        """Returns the losses that a process change may explain which is told now, and forgets them."""
+        recent, last = self._select_recent(now_ms), self.last
+        self.recent, self.last = [], None
+        return LossPeriod(recent[0] if recent else None, last)
 
     def _select_recent(self, now_ms: float) -> list[ConnectionLoss]:
-        return [loss for loss in self.losses if now_ms - loss.at_ms <= RECENT_LOSS_MS]
+        return [loss for loss in self.recent if now_ms - loss.at_ms <= RECENT_LOSS_MS]
 
 
 @dataclass(frozen=True, slots=True)
@@ -214,7 +235,7 @@
         announced_moment: int,
         hosts: Iterable[HostT],
         connections: Iterable[ConnectionT],
-        first_loss: ConnectionLoss | None,
+        losses: LossPeriod,
         *,
         is_loss_expected: bool = False,
     ) -> None:
@@ -226,7 +247,7 @@
             announced_moment: When the list told of it.
             hosts: The hosts whose tasks may have run in the former process.
             connections: Their connections that are open or being opened.
-            first_loss: The first of the losses that this change may explain; None without one.
+            losses: Those of the connections to the hosts that this change may explain.
             is_loss_expected: The list told of the change while the former process may still have answered;
                 this is the check after that.
         """
@@ -236,7 +257,7 @@
         self.hosts = tuple(hosts)  # until it is concluded
         self.unconfirmed = dict.fromkeys(connections)  # in the order of their creation
         self.confirmed_count = 0
-        self.first_loss = first_loss
+        self.losses = losses
         self.has_lost_connection = False  # one from before the event has ended since, or does not answer
         self.is_loss_expected = is_loss_expected
         self.is_concluded = False
@@ -244,7 +265,7 @@
     @property
     def may_precede_the_end(self) -> bool:
         """Whether no evidence shows that the former process has ended: the list may have told of it early."""
-        is_end_shown = self.has_lost_connection or self.first_loss is not None
+        is_end_shown = self.has_lost_connection or self.losses.first_recent is not None
         return bool(self.confirmed_count) and not (is_end_shown or self.is_loss_expected)
 
     def record_answer(self, connection: ConnectionT, sent_moment: int) -> None:
@@ -272,7 +293,8 @@
             return TaskVerdict.RUNS
         if evidence.incarnation.find_representative().answered_moment > self.announced_moment:
             return TaskVerdict.RUNS
-        is_after_a_loss = self.first_loss is not None and evidence.began_moment > self.first_loss.moment
+        first_loss = self.losses.first_recent
+        is_after_a_loss = first_loss is not None and evidence.opened_moment > first_loss.moment
         return TaskVerdict.UNCERTAIN if is_after_a_loss or self.is_loss_expected else TaskVerdict.LOST
 
     def assess_handed_over(self, at_ms: float) -> TaskVerdict:
@@ -281,5 +303,6 @@
         The host has not reported on it.
         """
         is_current = bool(self.confirmed_count) and not self.has_lost_connection
-        is_before_a_loss = self.first_loss is not None and self.first_loss.at_ms >= at_ms
+        last_loss = self.losses.last
+        is_before_a_loss = last_loss is not None and last_loss.at_ms >= at_ms
         return TaskVerdict.RUNS if is_current and not is_before_a_loss else TaskVerdict.UNCERTAIN
--- a/glencleat/platform_server/process_changes.py
+++ b/glencleat/platform_server/process_changes.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Collection, Iterable
+from functools import reduce
 from typing import Protocol, TypeAlias
 
 from glencleat.event_loop import Loop
@@ -20,6 +21,7 @@
     ConnectionLoss,
     EventOrder,
     ExpectedLoss,
+    LossPeriod,
     ProcessChange,
     TaskVerdict,
 )
@@ -109,11 +111,15 @@
 
     def on_disconnected(self, host: Host) -> None:
         """The last open connection was lost."""
-        loss = ConnectionLoss(self.pool.event_order.next_moment(), self.pool.loop.now())
-        host.connection_losses.record(loss)
+        self.record_loss(host)
         if host.expected_loss is not None:
             self._check_again(host.expected_loss)
 
+    def record_loss(self, host: Host) -> None:
+        """The last open connection was lost, or none could be opened while none was open."""
+        loss = ConnectionLoss(self.pool.event_order.next_moment(), self.pool.loop.now())
+        host.connection_losses.record(loss)
+
     # ---- gathering evidence ----
 
     def _begin(
@@ -123,14 +129,14 @@
         if not hosts:
             return
         now_ms = self.pool.loop.now()
-        losses = [host.connection_losses.take_first_recent(now_ms) for host in hosts]
+        losses = (host.connection_losses.take(now_ms) for host in hosts)
         change: HostProcessChange = ProcessChange(
             reason,
             successor_name,
             self.pool.event_order.next_moment(),
             hosts,
             [connection for host in hosts for connection in host.connections],
-            min((loss for loss in losses if loss is not None), key=lambda loss: loss.moment, default=None),
+            reduce(LossPeriod.combine, losses, LossPeriod()),
             is_loss_expected=is_loss_expected,
         )
         for host in hosts:
--- a/tests/platform_server/test_address_changes.py
+++ b/tests/platform_server/test_address_changes.py
@@ -5,7 +5,9 @@
 
 import pytest
 
+from glencleat import interface as api
 from glencleat.platform_protocol import messages as m
+from tests.support.exchange_world import setup
 from tests.support.process_hosts import AcceptingHost, ReplaceableHost
 from tests.support.socket_world import Peer, kinds, pass_time, reset, settled, stands
 
@@ -318,3 +320,20 @@
     taken.tell_list("h2", taken.started_unix_ms + 1.0)  # another start of the same process
     pass_time(world, 1_500.0)
     assert taken.placed_tasks() == {NEW_TASK, 3}
+
+
+def test_tasks_that_were_handed_over_while_their_host_refused_connections(virtual_time_world):
+    """Guards against tasks that are taken to run in a new process: it was the first that could be reached."""
+    world = virtual_time_world
+    host, client = ReplaceableHost(world.loop), world.client()
+    world.list(("h1", host.address, 1.0), phase=api.MachinePhase.DRAINING)
+    host.listener.close()
+    client.send(setup(OLD_TASK, extras="cores:1;memory:1;service:s;at:h1", wait=None))
+    world.until(lambda: "h1" in world.exchange.placed_calls_by_host)
+    handed_over_at_ms = world.loop.now()
+    pass_time(world, 1_000.0)
+    host.replace(are_connections_silent=False)
+    world.until(lambda: host.streams)
+    world.list(("h2", host.address, 2.0))
+    assert world.says(client, ms=10_000.0) == release(OLD_TASK, m.FAILED)
+    assert world.loop.now() - handed_over_at_ms <= RELEASE_DUE_MS
--- a/tests/platform_server/test_incarnations.py
+++ b/tests/platform_server/test_incarnations.py
@@ -9,7 +9,9 @@
     ConnectionEvidence,
     ConnectionHistory,
     ConnectionLoss,
+    ConnectionLosses,
     EventOrder,
+    LossPeriod,
     ProcessChange,
     TaskVerdict,
 )
@@ -44,9 +46,9 @@
         if self.change is not None:
             self.change.record_answer(name, sent_moment)
 
-    def announce(self, *open_names, first_loss=None, **more):
-        moment = self.order.next_moment()
-        self.change = ProcessChange("taken", "h2", moment, ["h1"], open_names, first_loss, **more)
+    def announce(self, *open_names, loss=None, **more):
+        moment, losses = self.order.next_moment(), LossPeriod(loss, loss)
+        self.change = ProcessChange("taken", "h2", moment, ["h1"], open_names, losses, **more)
 
     def assess(self, name):
         return self.change.assess(self.evidence_by_name[name])
@@ -178,6 +180,15 @@
     )
 
 
+def test_a_connection_that_was_being_opened_at_the_loss_of_the_others_is_uncertain(connections):
+    """It may have reached the new process: the loss is noticed after the end of the former one."""
+    connections.begin("ended")
+    loss = ConnectionLoss(connections.order.next_moment(), 0.0)
+    connections.open("ended")
+    connections.announce(loss=loss)
+    assert connections.assess("ended") is UNCERTAIN
+
+
 @pytest.mark.parametrize(("is_after_the_loss", "verdict"), [(False, LOST), (True, UNCERTAIN)])
 def test_a_connection_that_ended_is_uncertain_only_after_the_loss_of_all(
     connections, is_after_the_loss, verdict
@@ -187,7 +198,7 @@
     loss = ConnectionLoss(connections.order.next_moment(), 0.0)
     if is_after_the_loss:
         connections.open("ended")
-    connections.announce(first_loss=loss)
+    connections.announce(loss=loss)
     assert connections.assess("ended") is verdict
 
 
@@ -205,7 +216,7 @@
     """The host held the task when a client named it, 100 ms after the start."""
     loss = ConnectionLoss(connections.order.next_moment(), first_loss_at_ms) if first_loss_at_ms else None
     connections.open("first")
-    connections.announce("first", first_loss=loss)
+    connections.announce("first", loss=loss)
     if end == "answers":
         connections.answer("first")
     elif end == "ends":
@@ -223,7 +234,7 @@
 ):
     for name in ("first", "second"):
         connections.open(name)
-    connections.announce("first", "second", first_loss=loss)
+    connections.announce("first", "second", loss=loss)
     connections.answer("first")
     if end == "answers":
         connections.answer("second")
@@ -231,3 +242,19 @@
         connections.change.record_ended("second", was_open=True)
     connections.change.conclude()
     assert connections.change.may_precede_the_end is may_precede
+
+
+def test_the_first_recent_loss_and_the_last_one_of_two_hosts_count():
+    losses, other_losses = ConnectionLosses(), ConnectionLosses()
+    for moment, at_ms in ((1, 0.0), (3, 9_000.0), (5, 11_000.0)):
+        losses.record(ConnectionLoss(moment, at_ms))
+    other_losses.record(ConnectionLoss(2, 8_500.0))
+    period = losses.take(12_000.0).combine(other_losses.take(12_000.0))
+    assert (period.first_recent, period.last) == (ConnectionLoss(2, 8_500.0), ConnectionLoss(5, 11_000.0))
+    assert losses.take(12_000.0) == LossPeriod()
+
+
+def test_a_loss_that_is_not_recent_counts_for_tasks_that_were_handed_over_before():
+    losses = ConnectionLosses()
+    losses.record(ConnectionLoss(1, 0.0))
+    assert losses.take(60_000.0) == LossPeriod(None, ConnectionLoss(1, 0.0))
