A connection that opens after its host has moved leaves no evidence behind

By reading: an aborted connect that came up later was added to the host's history and never taken out.

--- a/glencleat/platform_server/host_connection.py
+++ b/glencleat/platform_server/host_connection.py
@@ -32,7 +32,6 @@
 CLOSE_TIMEOUT_MS = 500.0
 """How long a host may take to close a connection after this process has closed its own half."""
 
-
 Host: TypeAlias = "PooledHost[HostConnection]"
 """A host of the pool, with its connections."""
 
@@ -272,12 +271,12 @@
         stream = self.stream
         self.pool.connection_limiter.record_connect_end(self.address)
         self.connected_at_ms = self.loop.now()
-        self.evidence.opened_moment = self.pool.event_order.next_moment()
-        self.host.connection_history.add(self.evidence)
         stream.close_callbacks.append(lambda _: self.pool.descriptors.remove_holder(self))
         if self.is_closing:
             stream.close("the host's address has changed")
             return
+        self.evidence.opened_moment = self.pool.event_order.next_moment()
+        self.host.connection_history.add(self.evidence)
         self.pool.on_connected(self.host, self)
         self.detect_close_by_host()  # the host may accept and close it at once
         waiting_attempts = self.waiting_attempts
--- a/tests/platform_server/test_address_changes.py
+++ b/tests/platform_server/test_address_changes.py
@@ -337,3 +337,15 @@
     world.list(("h2", host.address, 2.0))
     assert world.says(client, ms=10_000.0) == release(OLD_TASK, m.FAILED)
     assert world.loop.now() - handed_over_at_ms <= RELEASE_DUE_MS
+
+
+def test_a_connection_that_opens_after_its_host_has_moved_leaves_nothing(world):
+    """Guards against evidence that is kept for ever of connections that were aborted while being opened."""
+    host, client = AcceptingHost(world.loop), world.client()
+    world.list(("h1", host.address))
+    world.ask(client, OLD_TASK)
+    (connection,) = world.hosts.hosts_by_name["h1"].connections
+    assert connection.stream is None
+    world.list(("h1", AcceptingHost(world.loop).address))
+    world.until(lambda: connection.stream is not None)
+    assert connection.evidence not in world.hosts.hosts_by_name["h1"].connection_history.open
