A connection that is lost is replaced also where the backoff defers the next connect

The lost connection had lasted less than a second, so the next connect was deferred; another one stayed open on which the host went on reporting, so nothing called for a connect afterwards.

The pool now remembers that a connection is owed until one opens that began after the loss, and the maintenance opens it once the backoff permits.

The repeating host is shared by two test files.

--- a/glencleat/platform_server/connection_pool.py
+++ b/glencleat/platform_server/connection_pool.py
@@ -305,6 +305,7 @@
         """A connection has opened: sends the waiting releases on it."""
         for older in host.restart_detector.record_reconnected(self.loop.now()):
             older.send_health_check(self.exchange.load_probes.allocate_token())
+        host.settle_reconnect(connection.evidence.began_moment)
         self.process_changes.on_connected(host, connection)
         host.record_connected(self.loop.now())
         self.on_host_heard(host)
@@ -354,7 +355,7 @@
     def on_connection_lost(self, host: Host, connection: HostConnection, reason: str) -> None:
         """A connection that the pool was not closing has ended.
 
-        A release in transit is sent again on the next connection, so one is opened at once.
+        A release in transit is sent again on the next connection, so one is opened as soon as it may be.
         """
         now_ms = self.loop.now()
         has_process_ended = host.record_connection_lost(
@@ -374,6 +375,7 @@
         if placed_calls := self.exchange.placed_calls_by_host.get(host.name):
             remaining = f"{len(placed_calls)} tasks placed, {host.describe_connections()}"
             self.log(f"host {host.name}: connection lost, {reason}; {remaining}")
+            host.reconnect_owed_since = self.event_order.next_moment()
             self.reconnect(host)
 
     def mark_changed(self, host: Host) -> None:
--- a/glencleat/platform_server/host_maintenance.py
+++ b/glencleat/platform_server/host_maintenance.py
@@ -152,6 +152,8 @@
                 quiet_limit_ms=quiet_limit_ms(self.pool.allocator_count),
             )
             due_ms = min(due_ms, host.restart_detector.verdict_due_ms)
+            if host.reconnect_owed_since is not None:
+                due_ms = -NEVER
         elif host.unsent_releases and host.has_address and not host.is_connecting:
             due_ms = host.next_connect_at_ms
         if host.is_removed and not has_placed_tasks and not host.has_open_attempts:
@@ -215,7 +217,7 @@
             return
         if assessment.action is DetectorAction.CONNECT_NOW:
             host.next_connect_at_ms = now_ms
-        if assessment.action is not DetectorAction.NOTHING:
+        if assessment.action is not DetectorAction.NOTHING or host.reconnect_owed_since is not None:
             self.pool.reconnect(host)
 
     def _close_unneeded(self, host: Host, now_ms: float) -> None:
--- a/glencleat/platform_server/pooled_host.py
+++ b/glencleat/platform_server/pooled_host.py
@@ -75,6 +75,8 @@
         self.process_started_unix_ms: float | None = None  # by the last machine list
         self.connections: dict[ConnectionT, None] = {}  # in the order of their creation
         self.next_connect_at_ms = 0.0
+        # When a connection was lost, until one opens that began later: the host sends on it what was cut off.
+        self.reconnect_owed_since: int | None = None
         # Releases that the host has not acknowledged, each with the connection it was written to.
         self.pending_releases: dict[int, ConnectionT | None] = {}
         self.restart_detector: RestartDetector[ConnectionT] = RestartDetector()
@@ -90,6 +92,11 @@
             del self.connections[connection]
             self.on_change(self)
 
+    def settle_reconnect(self, began_moment: int) -> None:
+        """A connection has opened that began at `began_moment`."""
+        if self.reconnect_owed_since is not None and began_moment > self.reconnect_owed_since:
+            self.reconnect_owed_since = None
+
     def abort_connections(self, reason: str) -> None:
         """Closes all connections at once: the host was removed, or its address has changed."""
         for connection in list(self.connections):
--- a/tests/platform_server/test_host_failures.py
+++ b/tests/platform_server/test_host_failures.py
@@ -10,7 +10,8 @@
     host_maintenance,
 )
 from tests.support.exchange_world import setup
-from tests.support.socket_world import Peer, cut_off, kinds, settled, standing, stands
+from tests.support.process_hosts import RepeatingHost
+from tests.support.socket_world import Peer, cut_off, kinds, reset, settled, standing, stands
 
 
 @pytest.fixture
@@ -213,3 +214,26 @@
     settled(world)
     with pytest.raises(BlockingIOError):
         client.recv(100)
+
+
+def test_a_release_that_a_reset_cut_off_comes_though_the_next_connect_has_to_wait(virtual_time_world):
+    """Guards against an end that is never told: the connection had lasted less than the backoff's second, and
+    another one stayed open on which the host went on reporting."""
+    world = virtual_time_world
+    host, client = RepeatingHost(world.loop), world.client()
+    world.list(("h1", host.address))
+    world.module.next += [[api.Bind(1, "h1", 2_000.0)], [api.Bind(2, "h1", 2_000.0)]]
+    client.send(setup(1) + setup(2))
+    world.until(lambda: len(world.exchange.placed_calls_by_host.get("h1", ())) == 2)
+    settled(world)
+    assert len(host.streams) == 2
+    client.recv(65_536)
+
+    def report():
+        host.streams[1].try_send(m.encode(m.OBSERVATION, 2, {m.TOPIC: b"cores", m.VALUE: b"1"}))
+        world.loop.call_in(300.0, report)
+
+    report()
+    host.unacknowledged.add(1)
+    reset(host.streams[0])
+    assert world.says(client, ms=8_000.0) == m.encode_with_cause(m.RELEASE, 1, m.ENDED)
--- a/tests/platform_server/test_release_restarts.py
+++ b/tests/platform_server/test_release_restarts.py
@@ -11,38 +11,12 @@
 from tests.support.exchange_world import setup
 from tests.support.platform_client import PlatformClient
 from tests.support.process_cluster import ProcessCluster
-from tests.support.process_hosts import AcceptingHost
+from tests.support.process_hosts import RepeatingHost
 
 TASK = 1
 RELEASE_DUE_MS = 1_000.0  # from the host's release, by the protocol page
 
 
-class RepeatingHost(AcceptingHost):
-    """Accepts every set-up; sends an unacknowledged release on each connection that is opened."""
-
-    def __init__(self, loop):
-        super().__init__(loop)
-        self.unacknowledged = set()
-
-    def accept(self, stream):
-        super().accept(stream)
-        self.send_releases(stream)
-
-    def handle(self, stream, message):
-        super().handle(stream, message)
-        if message.kind == m.RELEASE_COMPLETE:
-            self.unacknowledged.discard(message.task_id)
-
-    def send_releases(self, stream):
-        for task in self.unacknowledged:
-            stream.send(m.encode_with_cause(m.RELEASE, task, m.ENDED))
-
-    def end_task(self, task):
-        self.unacknowledged.add(task)
-        for stream in [stream for stream in self.streams if stream.close_reason is None][:1]:
-            self.send_releases(stream)
-
-
 class Cluster(ProcessCluster):
     def connect(self):
         client = PlatformClient(self.loop, self.allocators.listen_address(0))
--- a/tests/support/process_hosts.py
+++ b/tests/support/process_hosts.py
@@ -22,6 +22,32 @@
             stream.send(m.encode_with_cause(m.PROBE_ANSWER, message.task_id, 1))
 
 
+class RepeatingHost(AcceptingHost):
+    """Accepts every set-up; sends an unacknowledged release on each connection that is opened."""
+
+    def __init__(self, loop):
+        super().__init__(loop)
+        self.unacknowledged = set()
+
+    def accept(self, stream):
+        super().accept(stream)
+        self.send_releases(stream)
+
+    def handle(self, stream, message):
+        super().handle(stream, message)
+        if message.kind == m.RELEASE_COMPLETE:
+            self.unacknowledged.discard(message.task_id)
+
+    def send_releases(self, stream):
+        for task in self.unacknowledged:
+            stream.send(m.encode_with_cause(m.RELEASE, task, m.ENDED))
+
+    def end_task(self, task):
+        self.unacknowledged.add(task)
+        for stream in [stream for stream in self.streams if stream.close_reason is None][:1]:
+            self.send_releases(stream)
+
+
 class ReplaceableHost(AcceptingHost):
     """Accepts every set-up; its process can be replaced by a new one at its address.
 
