Connections that were opened at the same time can be shown to reach one process

Their connection was reset on the way 0.1 s before the list told of the process; the others had begun before it had opened, so that no answer on one could show the process of the other.

Two connections that have both answered what was sent after both had opened reach one process. A connection that ended while one was open that answers the check is uncertain, not lost, so that the host's next report keeps its tasks.

Tests: two cases in test_incarnations.

--- a/glencleat/platform_server/host_connection.py
+++ b/glencleat/platform_server/host_connection.py
@@ -374,6 +374,7 @@
         if self.half_closed_moment != NOT_YET and self.is_closed_by_host:
             self._record_answer(self.half_closed_moment)
         elif not self.is_closing:
+            self.evidence.ended_moment = self.pool.event_order.next_moment()
             self.evidence.ended_at_ms = self.loop.now()
         stream.close(reason)
         self._leave_host()
--- a/glencleat/platform_server/incarnations.py
+++ b/glencleat/platform_server/incarnations.py
@@ -10,6 +10,7 @@
     it has answered what was sent on it after the list's event                       runs
     it reaches the same process as a connection that has                             runs
     it ended before, and opened after all connections to the host had been lost      uncertain
+    it ended while a connection was open that has answered since                     uncertain
     any other                                                                        is lost
 
     observation about a task that a client handed over and the host has not reported on
@@ -87,14 +88,22 @@
 class ConnectionEvidence:
     """What a connection shows about the process that it reaches."""
 
-    __slots__ = ("answered_moment", "began_moment", "ended_at_ms", "incarnation", "opened_moment")
+    __slots__ = (
+        "answered_moment",
+        "began_moment",
+        "ended_at_ms",
+        "ended_moment",
+        "incarnation",
+        "opened_moment",
+    )
 
     def __init__(self, began_moment: int) -> None:
         """Starts with a connect that began at `began_moment`."""
         self.began_moment = began_moment
         self.opened_moment = NOT_YET
         self.answered_moment = NOT_YET  # the latest at which something was sent on it that was answered
-        self.ended_at_ms = 0.0  # when the host ended it, by a reset or a close; 0 if it has not
+        self.ended_moment = NOT_YET  # the host ended it, by a reset or a close
+        self.ended_at_ms = 0.0
         self.incarnation = Incarnation()
 
     def record_answer(self, sent_moment: int) -> None:
@@ -103,9 +112,15 @@
         representative = self.incarnation.find_representative()
         representative.answered_moment = max(representative.answered_moment, sent_moment)
 
-    def shows_process_of(self, other: ConnectionEvidence) -> bool:
-        """Whether the other connection was accepted while the process of this one ran."""
-        return self.opened_moment < other.began_moment and other.opened_moment < self.answered_moment
+    def reaches_process_of(self, other: ConnectionEvidence) -> bool:
+        """Whether both reach the same process, by an answer on this one.
+
+        Either the other connection was accepted while the process of this one ran, or the processes of both
+        ran at the moment at which the second of the two had opened.
+        """
+        if self.opened_moment < other.began_moment and other.opened_moment < self.answered_moment:
+            return True
+        return max(self.opened_moment, other.opened_moment) < min(self.answered_moment, other.answered_moment)
 
 
 class ConnectionHistory:
@@ -139,7 +154,7 @@
             return
         evidence.record_answer(sent_moment)
         for other in [*self.open, *self.closed]:
-            if evidence.shows_process_of(other):
+            if other is not evidence and evidence.reaches_process_of(other):
                 evidence.incarnation.merge(other.incarnation)
                 self.closed.pop(other, None)
 
@@ -257,6 +272,7 @@
         self.hosts = tuple(hosts)  # until it is concluded
         self.unconfirmed = dict.fromkeys(connections)  # in the order of their creation
         self.confirmed_count = 0
+        self.first_opened_moment: int | None = None  # of the confirmed ones
         self.losses = losses
         self.has_lost_connection = False  # one from before the event has ended since, or does not answer
         self.is_loss_expected = is_loss_expected
@@ -268,11 +284,13 @@
         is_end_shown = self.has_lost_connection or self.losses.first_recent is not None
         return bool(self.confirmed_count) and not (is_end_shown or self.is_loss_expected)
 
-    def record_answer(self, connection: ConnectionT, sent_moment: int) -> None:
+    def record_answer(self, connection: ConnectionT, evidence: ConnectionEvidence, sent_moment: int) -> None:
         """The host has answered what was sent on the connection."""
         if sent_moment > self.announced_moment and connection in self.unconfirmed:
             del self.unconfirmed[connection]
             self.confirmed_count += 1
+            earlier_moment = self.first_opened_moment or evidence.opened_moment
+            self.first_opened_moment = min(earlier_moment, evidence.opened_moment)
 
     def record_ended(self, connection: ConnectionT, *, was_open: bool) -> None:
         """The connection has ended, or could not be opened."""
@@ -295,7 +313,10 @@
             return TaskVerdict.RUNS
         first_loss = self.losses.first_recent
         is_after_a_loss = first_loss is not None and evidence.opened_moment > first_loss.moment
-        return TaskVerdict.UNCERTAIN if is_after_a_loss or self.is_loss_expected else TaskVerdict.LOST
+        first_opened = self.first_opened_moment
+        is_after_a_new_one = first_opened is not None and evidence.ended_moment > first_opened
+        is_uncertain = is_after_a_loss or is_after_a_new_one or self.is_loss_expected
+        return TaskVerdict.UNCERTAIN if is_uncertain else TaskVerdict.LOST
 
     def assess_handed_over(self, at_ms: float) -> TaskVerdict:
         """Assesses a task that a client handed over at `at_ms`, as one that the host held then.
--- a/glencleat/platform_server/process_changes.py
+++ b/glencleat/platform_server/process_changes.py
@@ -97,7 +97,7 @@
         """The host has answered what was sent on the connection at `sent_moment`."""
         change = host.process_change
         if change is not None and connection in change.unconfirmed:
-            change.record_answer(connection, sent_moment)
+            change.record_answer(connection, connection.evidence, sent_moment)
             self.pool.mark_changed(host)
             self._conclude_if_decided(change)
 
--- a/tests/platform_server/test_incarnations.py
+++ b/tests/platform_server/test_incarnations.py
@@ -37,6 +37,7 @@
         self.history.add(self.evidence_by_name[name])
 
     def close(self, name):
+        self.evidence_by_name[name].ended_moment = self.order.next_moment()
         self.history.record_closed(self.evidence_by_name[name])
 
     def answer(self, name, sent_moment=None):
@@ -44,7 +45,7 @@
         sent_moment = sent_moment or self.order.next_moment()
         self.history.record_answer(self.evidence_by_name[name], sent_moment)
         if self.change is not None:
-            self.change.record_answer(name, sent_moment)
+            self.change.record_answer(name, self.evidence_by_name[name], sent_moment)
 
     def announce(self, *open_names, loss=None, **more):
         moment, losses = self.order.next_moment(), LossPeriod(loss, loss)
@@ -102,6 +103,31 @@
     assert connections.assess("silent") is LOST
 
 
+def test_two_connections_that_were_opened_at_the_same_time_reach_one_process_if_both_answered(connections):
+    for name in ("reset", "open"):
+        connections.begin(name)
+    for name in ("reset", "open"):
+        connections.open(name)
+    connections.answer("reset")
+    connections.close("reset")
+    connections.announce("open")
+    assert connections.assess("reset") is LOST
+    connections.answer("open")
+    assert connections.assess("reset") is RUNS
+
+
+def test_a_connection_that_ended_while_one_to_the_new_process_was_open_is_uncertain(connections):
+    """It has not answered since the other one opened: it may have been reset by the end of its process."""
+    for name in ("reset", "open"):
+        connections.begin(name)
+    for name in ("reset", "open"):
+        connections.open(name)
+    connections.close("reset")
+    connections.announce("open")
+    connections.answer("open")
+    assert connections.assess("reset") is UNCERTAIN
+
+
 def test_closed_connections_are_forgotten(connections):
     """Once an older one has answered, or none is open, or there are too many."""
     connections.open("older")
