--- a/glencleat/platform_server/host_connection.py
+++ b/glencleat/platform_server/host_connection.py
@@ -333,6 +333,8 @@
             host.record_unsolicited_message(self.loop.now())
         elif message.task_id == self.health_check_token:
             self._record_answer(self.health_check_moment)
+        if message.kind == m.OBSERVATION:
+            host.observed_at_ms = self.loop.now()
         if message.kind in (m.OBSERVATION, m.RELEASE):
             self.pool.record_task_message(host, message.task_id)
         if message.kind in (m.RELEASE, m.RELEASE_COMPLETE) and message.task_id in host.pending_releases:
--- a/glencleat/platform_server/incarnations.py
+++ b/glencleat/platform_server/incarnations.py
@@ -14,9 +14,12 @@
     any other                                                                        is lost
 
     observation about a task that a client handed over and the host has not reported on
-    all connections have answered since, and the host was reached ever since         runs
+    all connections have answered since, and the host was reached ever since         unreported
     any other                                                                        uncertain
 
+An unreported task runs, unless the host reports on others and not on it: the former process may have ended
+between the handing over and the first connection.
+
 An answer to what was sent at some moment shows that the process ran then, so a connection that opened before
 and answered after the opening of another one reaches the same process. Moments are numbered in the order in
 which this process observes them (`EventOrder`): no clock can put them in the wrong order.
@@ -165,6 +168,7 @@
     RUNS = "it runs in the new process"
     LOST = "it ran in the former process"
     UNCERTAIN = "no connection shows which process it ran in"
+    UNREPORTED = "its client has named it, and the host may report on it"
 
 
 @dataclass(frozen=True, slots=True)
@@ -326,4 +330,4 @@
         is_current = bool(self.confirmed_count) and not self.has_lost_connection
         last_loss = self.losses.last
         is_before_a_loss = last_loss is not None and last_loss.at_ms >= at_ms
-        return TaskVerdict.RUNS if is_current and not is_before_a_loss else TaskVerdict.UNCERTAIN
+        return TaskVerdict.UNREPORTED if is_current and not is_before_a_loss else TaskVerdict.UNCERTAIN
--- a/glencleat/platform_server/pooled_host.py
+++ b/glencleat/platform_server/pooled_host.py
@@ -83,6 +83,7 @@
         self.connection_history = ConnectionHistory()
         self.connection_losses = ConnectionLosses()
         self.process_change: ProcessChange[PooledHost[ConnectionT], ConnectionT] | None = None  # the latest
+        self.observed_at_ms = 0.0  # when it last sent an observation of any task
         self.expected_loss: ExpectedLoss[PooledHost[ConnectionT]] | None = None
 
     def remove_connection(self, connection: ConnectionT) -> None:
--- a/glencleat/platform_server/process_changes.py
+++ b/glencleat/platform_server/process_changes.py
@@ -183,7 +183,7 @@
                 connection.abort(f"no answer since {change.reason}")
         for host, calls_by_verdict in calls_by_host.items():
             self._end_tasks(change, host, calls_by_verdict[TaskVerdict.LOST])
-            for call in calls_by_verdict[TaskVerdict.UNCERTAIN]:
+            for call in calls_by_verdict[TaskVerdict.UNCERTAIN] + calls_by_verdict[TaskVerdict.UNREPORTED]:
                 self._observe(change, host, call)
             self._log_rest(change, host, calls_by_verdict)
             self.pool.mark_changed(host)
@@ -218,7 +218,7 @@
     def _log_rest(
         self, change: HostProcessChange, host: Host, calls_by_verdict: dict[TaskVerdict, list[SetupCall]]
     ) -> None:
-        if running := calls_by_verdict[TaskVerdict.RUNS]:
+        if running := calls_by_verdict[TaskVerdict.RUNS] + calls_by_verdict[TaskVerdict.UNREPORTED]:
             self.pool.log(
                 f"host {host.name}: {len(running)} tasks stand,"
                 f" {change.confirmed_count} connections have answered since"
@@ -236,14 +236,21 @@
         remaining_ms = max(0.0, ended_at_ms + UNREACHABLE_MS - self.pool.loop.now())
 
         def end_unless_reported() -> None:
-            is_placed = call.state is SetupState.PLACED
-            if is_placed and assess_task(change, call) is not TaskVerdict.RUNS:
+            if call.state is SetupState.PLACED and not self._may_run(change, host, call):
                 self._end_tasks(change, host, [call])
                 # It may run after all, and its client may ask for it again.
                 self.pool.release_task(change.successor_name, call.setup.task_id)
 
         self.pool.loop.call_in(remaining_ms, end_unless_reported)
 
+    def _may_run(self, change: HostProcessChange, host: Host, call: SetupCall) -> bool:
+        """Whether a task counts as running once its host has had the time to report on it."""
+        verdict = assess_task(change, call)
+        if verdict is not TaskVerdict.UNREPORTED:
+            return verdict is TaskVerdict.RUNS
+        successor = self.pool.registry.hosts_by_name.get(change.successor_name, host)
+        return max(host.observed_at_ms, successor.observed_at_ms) <= call.placed_at_ms
+
 
 def find_connection(call: SetupCall) -> HostConnection | None:
     """Returns the connection on which the host last reported on a placed task.
--- a/tests/platform_server/test_address_changes.py
+++ b/tests/platform_server/test_address_changes.py
@@ -349,3 +349,32 @@
     world.list(("h1", AcceptingHost(world.loop).address))
     world.until(lambda: connection.stream is not None)
     assert connection.evidence not in world.hosts.hosts_by_name["h1"].connection_history.open
+
+
+@pytest.mark.parametrize("reports_on_others", [True, False])
+def test_tasks_that_were_handed_over_before_the_first_connection(virtual_time_world, reports_on_others):
+    """Guards against tasks whose process ended between the handing over and the first connection. Without
+    observations of any task nothing tells that apart from tasks that run."""
+    world = virtual_time_world
+    host, client = ReplaceableHost(world.loop), world.client()
+    world.list(("h1", host.address, 1.0))
+    client.send(setup(OLD_TASK, extras="cores:1;memory:1;service:s;at:h1", wait=None))
+    world.until(lambda: "h1" in world.exchange.placed_calls_by_host)
+    handed_over_at_ms = world.loop.now()
+    host.replace(are_connections_silent=False)
+    world.calls += 1
+    world.ask(client, NEW_TASK)
+    assert world.says(client) == m.encode(m.ANSWER, NEW_TASK, {m.DESCRIPTION: b"ok"})
+    world.list(("h1", host.address, 2.0))
+
+    def report():
+        host.streams[0].try_send(m.encode(m.OBSERVATION, NEW_TASK, {m.TOPIC: b"cores", m.VALUE: b"1"}))
+        world.loop.call_in(400.0, report)
+
+    if reports_on_others:
+        report()
+        assert world.says(client, ms=10_000.0) == release(OLD_TASK, m.FAILED)
+        assert world.loop.now() - handed_over_at_ms <= RELEASE_DUE_MS
+    pass_time(world, 20_000.0)
+    placed = world.exchange.placed_calls_by_host["h1"]
+    assert set(placed) == ({NEW_TASK} if reports_on_others else {OLD_TASK, NEW_TASK})
