A task stands at a replaced host while the host that took the address drains

By reading: the former name counts as removed, so the first refused connect ended its tasks, also if the new host refuses connections since it drains and its tasks run on. A refusal at a replaced host is now judged like one at a draining host.

Test: failed before, passes now; 102 tests of address changes, ticks, failure detector and host failures pass.

--- a/glencleat/platform_server/failure_detector.py
+++ b/glencleat/platform_server/failure_detector.py
@@ -9,8 +9,8 @@
     observation                                        verdict                             may be wrong about
     no machine list names the host                     dead after UNLISTED_MS              a delayed list
     connections refused, none open                     dead after REFUSAL_PROOF_MS         a live host
-    the same, while draining or after an eviction      dead after                          tasks still running
-                                                       DRAINING_REFUSAL_PROOF_MS
+    the same, while draining or replaced, or after     dead after                          tasks still running
+    an eviction                                        DRAINING_REFUSAL_PROOF_MS
     refused since the list removed the host            dead                                an erroneous list
     refused, no unsolicited message on a connection    dead after UNREACHABLE_MS           tasks still running
     connects time out, no unsolicited message          dead after UNREACHABLE_MS and       a longer partition
@@ -95,6 +95,7 @@
         self.created_at_ms = now_ms
         # From the machine list.
         self.is_removed = False
+        self.is_replaced = False  # by the host that has its address now, in whose process its tasks run
         self.is_draining = False
         self.removed_at_ms = NEVER
         # From received data: bytes of any kind, and messages other than answers to health checks.
@@ -118,9 +119,18 @@
             self.is_draining = False
             self.removed_at_ms = now_ms
 
+    def record_replaced(self, now_ms: float) -> None:
+        """The machine list names another host at its address.
+
+        So the host counts as removed, but a refusal is that of the other one, which may be draining.
+        """
+        self.record_removed(now_ms)
+        self.is_replaced = True
+        self.removed_at_ms = NEVER
+
     def record_listed(self, *, draining: bool) -> None:
         """The machine list names the host as serving or as draining."""
-        self.is_removed = False
+        self.is_removed = self.is_replaced = False
         self.removed_at_ms = NEVER
         self.is_draining = draining
 
@@ -199,11 +209,12 @@
 
     def refusal_proof_ms(self) -> float:
         """How long connects must be refused, with no connection open, until the process counts as ended."""
-        if self.is_removed:
+        if self.is_removed and not self.is_replaced:
             return 0.0
         # A host that began to drain after its connection was evicted refuses as well, and the machine list
         # may not show the drain yet.
-        if self.is_connection_evicted or (self.is_draining and not self.has_process_ended):
+        may_be_draining = self.is_draining or self.is_replaced
+        if self.is_connection_evicted or (may_be_draining and not self.has_process_ended):
             return DRAINING_REFUSAL_PROOF_MS
         return REFUSAL_PROOF_MS
 
--- a/glencleat/platform_server/host_registry.py
+++ b/glencleat/platform_server/host_registry.py
@@ -140,7 +140,7 @@
         if in_use:
             self.replaced_hosts_by_address[entry.address] = list(in_use)
         for host in replaced:
-            host.record_removed(self.loop.now())
+            host.record_replaced(self.loop.now())
             if host not in in_use:
                 host.abort_connections(ADDRESS_TAKEN)
                 host.address = NO_ADDRESS
--- a/tests/platform_server/test_address_changes.py
+++ b/tests/platform_server/test_address_changes.py
@@ -378,3 +378,18 @@
     pass_time(world, 20_000.0)
     placed = world.exchange.placed_calls_by_host["h1"]
     assert set(placed) == ({NEW_TASK} if reports_on_others else {OLD_TASK, NEW_TASK})
+
+
+def test_such_a_task_stands_while_the_host_that_took_the_address_drains(virtual_time_world):
+    """Guards against a verdict by the former name, which the list has removed: a host that drains refuses
+    connections while its tasks run on."""
+    world = virtual_time_world
+    taken = TakenAddress(world)
+    taken.tell_list()
+    assert world.says(taken.client) == release(OLD_TASK, m.FAILED)
+    world.list(("h2", taken.address, taken.started_unix_ms), phase=api.MachinePhase.DRAINING)
+    taken.process.listener.close()
+    pass_time(world, 5_000.0)
+    assert taken.placed_tasks() == {NEW_TASK}
+    taken.process.streams[0].send(release(NEW_TASK, m.ENDED))
+    assert world.says(taken.client) == release(NEW_TASK, m.ENDED)
