--- a/benchmarks/process_soak/hosts.py
+++ b/benchmarks/process_soak/hosts.py
@@ -47,6 +47,7 @@
         self.loop, self.random, self.tasks = loop, random, tasks
         self.process = HostProcess(name)
         self.is_draining = False
+        self.told_at_ms = 0.0  # when the list tells of its latest process
         self.listener = Listener(loop, ("127.0.0.1", 0), self._accept)
         self.port = int(self.listener.address[1])
         loop.call_in(NOTE_INTERVAL_MS, self._send_notes)
