--- a/tests/platform_server/test_incarnations.py
+++ b/tests/platform_server/test_incarnations.py
@@ -37,6 +37,13 @@
         self.evidence_by_name[name].opened_moment = self.order.next_moment()
         self.history.add(self.evidence_by_name[name])
 
+    def open_side_by_side(self, *names):
+        """Each connect begins before any has opened."""
+        for name in names:
+            self.begin(name)
+        for name in names:
+            self.open(name)
+
     def close(self, name):
         self.evidence_by_name[name].ended_moment = self.order.next_moment()
         self.history.record_closed(self.evidence_by_name[name])
@@ -105,10 +112,7 @@
 
 
 def test_two_connections_that_were_opened_at_the_same_time_reach_one_process_if_both_answered(connections):
-    for name in ("reset", "open"):
-        connections.begin(name)
-    for name in ("reset", "open"):
-        connections.open(name)
+    connections.open_side_by_side("reset", "open")
     connections.answer("reset")
     connections.close("reset")
     connections.announce("open")
@@ -119,10 +123,7 @@
 
 def test_a_connection_that_ended_while_one_to_the_new_process_was_open_is_uncertain(connections):
     """It has not answered since the other one opened: it may have been reset by the end of its process."""
-    for name in ("reset", "open"):
-        connections.begin(name)
-    for name in ("reset", "open"):
-        connections.open(name)
+    connections.open_side_by_side("reset", "open")
     connections.close("reset")
     connections.announce("open")
     connections.answer("open")
