A connection that this process closed shows no end of its host's process

Such a task is uncertain, and waits for its host's report, unless a connection that reached the same process was lost.

Test: one of two cases failed before.

--- a/glencleat/platform_server/host_connection.py
+++ b/glencleat/platform_server/host_connection.py
@@ -368,6 +368,7 @@
 
     def _leave_host(self) -> None:
         self.host.remove_connection(self)
+        self.evidence.is_closed_here = self.is_closing
         self.host.connection_history.record_closed(self.evidence)
         self.pool.on_connection_ended(self.host, self)
 
@@ -376,8 +377,7 @@
         if self.half_closed_moment != NOT_YET and self.is_closed_by_host:
             self._record_answer(self.half_closed_moment)
         elif not self.is_closing:
-            self.evidence.ended_moment = self.pool.event_order.next_moment()
-            self.evidence.ended_at_ms = self.loop.now()
+            self.evidence.record_ended(self.pool.event_order.next_moment(), self.loop.now())
         stream.close(reason)
         self._leave_host()
         self._unassign_releases()
--- a/glencleat/platform_server/incarnations.py
+++ b/glencleat/platform_server/incarnations.py
@@ -11,6 +11,7 @@
     it reaches the same process as a connection that has                             runs
     it ended before, and opened after all connections to the host had been lost      uncertain
     it ended while a connection was open that has answered since                     uncertain
+    this process closed it, and no connection to the same process was lost           uncertain
     any other                                                                        is lost
 
     observation about a task that a client handed over and the host has not reported on
@@ -66,11 +67,12 @@
 class Incarnation:
     """One process at an address, as far as connections show that they reach the same one."""
 
-    __slots__ = ("answered_moment", "merged_into")
+    __slots__ = ("answered_moment", "has_lost_connection", "merged_into")
 
     def __init__(self) -> None:
         """Starts as that of one connection, with no answer."""
         self.answered_moment = NOT_YET  # the latest moment at which it is known to have run
+        self.has_lost_connection = False  # the host has ended one, as it does when its process ends
         self.merged_into: Incarnation | None = None
 
     def find_representative(self) -> Incarnation:
@@ -86,6 +88,7 @@
         if kept is not merged:
             merged.merged_into = kept
             kept.answered_moment = max(kept.answered_moment, merged.answered_moment)
+            kept.has_lost_connection = kept.has_lost_connection or merged.has_lost_connection
 
 
 class ConnectionEvidence:
@@ -97,6 +100,7 @@
         "ended_at_ms",
         "ended_moment",
         "incarnation",
+        "is_closed_here",
         "opened_moment",
     )
 
@@ -107,6 +111,7 @@
         self.answered_moment = NOT_YET  # the latest at which something was sent on it that was answered
         self.ended_moment = NOT_YET  # the host ended it, by a reset or a close
         self.ended_at_ms = 0.0
+        self.is_closed_here = False  # by this process, which shows nothing about the host's
         self.incarnation = Incarnation()
 
     def record_answer(self, sent_moment: int) -> None:
@@ -115,6 +120,11 @@
         representative = self.incarnation.find_representative()
         representative.answered_moment = max(representative.answered_moment, sent_moment)
 
+    def record_ended(self, moment: int, now_ms: float) -> None:
+        """The host has ended the connection."""
+        self.ended_moment, self.ended_at_ms = moment, now_ms
+        self.incarnation.find_representative().has_lost_connection = True
+
     def reaches_process_of(self, other: ConnectionEvidence) -> bool:
         """Whether both reach the same process, by an answer on this one.
 
@@ -319,7 +329,9 @@
         is_after_a_loss = first_loss is not None and evidence.opened_moment > first_loss.moment
         first_opened = self.first_opened_moment
         is_after_a_new_one = first_opened is not None and evidence.ended_moment > first_opened
-        is_uncertain = is_after_a_loss or is_after_a_new_one or self.is_loss_expected
+        has_lost_connection = evidence.incarnation.find_representative().has_lost_connection
+        is_end_unknown = self.is_loss_expected or (evidence.is_closed_here and not has_lost_connection)
+        is_uncertain = is_after_a_loss or is_after_a_new_one or is_end_unknown
         return TaskVerdict.UNCERTAIN if is_uncertain else TaskVerdict.LOST
 
     def assess_handed_over(self, at_ms: float) -> TaskVerdict:
--- a/tests/platform_server/test_incarnations.py
+++ b/tests/platform_server/test_incarnations.py
@@ -44,8 +44,12 @@
         for name in names:
             self.open(name)
 
-    def close(self, name):
-        self.evidence_by_name[name].ended_moment = self.order.next_moment()
+    def close(self, name, *, by_host=True):
+        evidence = self.evidence_by_name[name]
+        if by_host:
+            evidence.record_ended(self.order.next_moment(), 0.0)
+        else:
+            evidence.is_closed_here = True
         self.history.record_closed(self.evidence_by_name[name])
 
     def answer(self, name, sent_moment=None):
@@ -130,6 +134,21 @@
     assert connections.assess("reset") is UNCERTAIN
 
 
+@pytest.mark.parametrize(("has_lost_another", "verdict"), [(False, UNCERTAIN), (True, LOST)])
+def test_a_connection_that_this_process_closed_shows_no_end_by_itself(connections, has_lost_another, verdict):
+    """Guards against tasks that are lost with a connection of another host's name, which was not needed any more."""
+    connections.open("closed here")
+    connections.open("other")
+    connections.answer("closed here")
+    connections.close("closed here", by_host=False)
+    if has_lost_another:
+        connections.close("other")
+    connections.open("newer")
+    connections.announce("newer")
+    connections.answer("newer")
+    assert connections.assess("closed here") is verdict
+
+
 def test_closed_connections_are_forgotten(connections):
     """Once an older one has answered, or none is open, or there are too many."""
     connections.open("older")
