The list's longest delay is one constant, and a verdict looks up its process once

On reading the change again: RECENT_LOSS_MS repeated MAX_LIST_DELAY_MS of the command channel, so a change of one would have left the other behind; and assess followed the merged incarnations twice. No behaviour changes.

--- a/glencleat/platform_server/incarnations.py
+++ b/glencleat/platform_server/incarnations.py
@@ -33,8 +33,10 @@
 from enum import Enum
 from typing import Generic, TypeVar
 
-RECENT_LOSS_MS = 10_000.0
-"""The machine list tells of a start at most this long after it."""
+from glencleat.platform_protocol.command_channel import MAX_LIST_DELAY_MS
+
+RECENT_LOSS_MS = MAX_LIST_DELAY_MS
+"""An older loss is not explained by a process change that the machine list tells now."""
 
 MAX_CLOSED = 64
 """Closed connections of a host that are kept until an older one answers."""
@@ -323,14 +325,15 @@
         """Assesses a task by the connection on which the host last reported on it."""
         if evidence.began_moment > self.announced_moment:
             return TaskVerdict.RUNS
-        if evidence.incarnation.find_representative().answered_moment > self.announced_moment:
+        incarnation = evidence.incarnation.find_representative()
+        if incarnation.answered_moment > self.announced_moment:
             return TaskVerdict.RUNS
         first_loss = self.losses.first_recent
         is_after_a_loss = first_loss is not None and evidence.opened_moment > first_loss.moment
         first_opened = self.first_opened_moment
         is_after_a_new_one = first_opened is not None and evidence.ended_moment > first_opened
-        has_lost_connection = evidence.incarnation.find_representative().has_lost_connection
-        is_end_unknown = self.is_loss_expected or (evidence.is_closed_here and not has_lost_connection)
+        is_closed_without_loss = evidence.is_closed_here and not incarnation.has_lost_connection
+        is_end_unknown = self.is_loss_expected or is_closed_without_loss
         is_uncertain = is_after_a_loss or is_after_a_new_one or is_end_unknown
         return TaskVerdict.UNCERTAIN if is_uncertain else TaskVerdict.LOST
 
