--- a/tests/support/process_hosts.py
+++ b/tests/support/process_hosts.py
@@ -58,6 +58,7 @@
         super().__init__(loop)
         self.former_streams = []  # connections of former processes
         self.running_tasks = set()  # of the current process
+        self.resets_former_streams = False  # when something comes on them, as a machine that is back does
 
     def replace(self, *, are_connections_silent):
         """Ends the process and starts a new one. The connections of the former one are reset, or stay open and
@@ -72,6 +73,8 @@
 
     def handle(self, stream, message):
         if stream in self.former_streams:
+            if self.resets_former_streams:
+                reset(stream)
             return
         super().handle(stream, message)
         if message.kind == m.SETUP:
