Every placed task has evidence of its process or a due time, decided in one place

Callers saw tasks that were never released: named by `at` around the end of their process, or placed in a process that was replaced while the list was cut off, where the new process reports nothing. Cause: who may stand until when was decided in seven places, and a task that fell between them had no due time left (unreported tasks counted as running where the host had reported nothing at all).

task_leases.py decides it now. On expiry the task is released to its client and at its host. With a silent list, connections that do not answer beside a newer one that does are closed. The log names the tasks and has a line on leases beside each status line.

One test asserted that a task of an ended process stands where its host reports on nothing: it asserts the release now. The tests' worlds have a list that is confirmed at every moment. The maintenance's self-check, in every tick of every test, holds that each lease is reviewed in time.

--- a/glencleat/platform_protocol/command_channel.py
+++ b/glencleat/platform_protocol/command_channel.py
@@ -22,6 +22,7 @@
 # Heartbeats in a row, a second apart, whose cursor is below ours. A single one may have been in flight.
 MAX_STALE_CURSORS = 3
 MAX_LIST_DELAY_MS = 10_000.0  # the list reports a start at most so late
+LIST_SETTLE_MS = 3_000.0  # a channel that is up has mostly told of a start by then: sites name 2.5 s
 MAX_LEAVING_MACHINES = 10_000  # draining and removed machines that are remembered
 
 
@@ -87,6 +88,7 @@
     def __init__(self, clock_offset_ms: float) -> None:
         self.clock_offset_ms = clock_offset_ms
         self.cursor = 0
+        self.confirmed_at_ms = -math.inf  # the latest time at which the service's last event was ours
         self.hosts_by_name: dict[str, HostEntry] = {}  # without removed ones
         self.buffer = bytearray()
         self.decoder = msgspec.json.Decoder(ChannelEvent | int, strict=False)
@@ -120,6 +122,7 @@
             raise ProtocolError(f"known: {error}") from None
         changes = [self._apply_event(event, event.nodes, now) for event in events if event.nodes is not None]
         self.cursor = max(self.cursor, int(initial_list.get("cursor") or 0))
+        self.confirmed_at_ms = now
         return changes
 
     def feed(self, data: bytes, now: float) -> Iterable[ListChange]:
@@ -144,6 +147,8 @@
             raise ProtocolError(f"invalid event: {error}") from None
         if isinstance(event, int) or event.nodes is None:
             self._process_heartbeat(event if isinstance(event, int) else event.cursor)
+            if not self.is_resyncing:
+                self.confirmed_at_ms = now
             return
         if self.is_resyncing:
             if event.nodes.reset:
@@ -155,6 +160,7 @@
         if event.cursor > self.cursor + 1 and not event.nodes.reset:
             self._request_missing_events(event.cursor)
         yield self._apply_event(event, event.nodes, now)
+        self.confirmed_at_ms = now  # after the change was handled, which may ask what was confirmed before it
 
     def _process_heartbeat(self, last_cursor: int) -> None:
         """Compares the cursor of the service's last event with ours.
--- a/glencleat/platform_protocol/exchange.py
+++ b/glencleat/platform_protocol/exchange.py
@@ -69,6 +69,8 @@
         self.list_machines: Callable[[], tuple[api.Machine, ...]] = tuple
         # Called when a host's first task is placed and when its last one has ended.
         self.on_placed_changed: Callable[[str], None] = lambda host: None
+        # Called with the host of a task that a client has handed over.
+        self.on_task_handed_over: Callable[[str], None] = lambda host: None
         self.invalid_setup_count = self.call_count = self.late_answer_count = 0
         self.failed_attempts_by_outcome: dict[api.Outcome, int] = {}
 
@@ -248,10 +250,10 @@
         )
         return check_send(evidence)
 
-    def declare_tasks_lost(self, host: str, task_ids: Collection[int] | None = None) -> int:
+    def declare_tasks_lost(self, host: str, task_ids: Collection[int] | None = None) -> list[int]:
         """Ends the tasks placed on a host, or those of them that are named: their process has ended.
 
-        Returns how many there were.
+        Returns their ids.
         """
         placed_calls = self.placed_calls_by_host.get(host, {})
         concerned = placed_calls if task_ids is None else task_ids
@@ -259,7 +261,7 @@
         for call in lost_calls:
             if call.attempt is not None:
                 self._end_attempt(call.attempt, api.Outcome.LOST)
-        return len(lost_calls)
+        return [call.setup.task_id for call in lost_calls]
 
     # ---- hosts ----
 
@@ -470,6 +472,7 @@
         call = self._create_call(client, setup)
         call.attempt_count, call.attempt = 1, SetupAttempt(call, 0, setup.machine, now, now)
         self._mark_placed(call, setup.machine)
+        self.on_task_handed_over(setup.machine)
         self.event_dispatcher.dispatch_event(self._make_placement_request(call, 0.0))
         self._bound_unconfirmed(client, setup.task_id)
 
--- a/glencleat/platform_protocol/process_names.py
+++ b/glencleat/platform_protocol/process_names.py
@@ -30,7 +30,10 @@
         """The host is gone or has an address of its own again."""
         self.successors_by_host.pop(host, None)
 
+    def find_current_name(self, host: str) -> str:
+        """Returns the name by which the list knows the process that the host's connections reach."""
+        return self.successors_by_host.get(host, host)
+
     def is_same_process(self, host: str, other_host: str) -> bool:
         """Whether the connections of both reach one process."""
-        successors = self.successors_by_host
-        return successors.get(host, host) == successors.get(other_host, other_host)
+        return self.find_current_name(host) == self.find_current_name(other_host)
--- a/glencleat/platform_server/connection_pool.py
+++ b/glencleat/platform_server/connection_pool.py
@@ -29,7 +29,9 @@
 from glencleat.platform_server.incarnations import EventOrder
 from glencleat.platform_server.pending_queue import PendingQueue
 from glencleat.platform_server.process_changes import ProcessChanges, find_connection_opened_ms
+from glencleat.platform_server.rate_limited_log import describe_task_ids
 from glencleat.platform_server.release_acknowledger import ReleaseAcknowledger
+from glencleat.platform_server.task_leases import TaskLeases
 
 if TYPE_CHECKING:
     from glencleat.platform_protocol.command_channel import CommandChannel, ListChange
@@ -82,6 +84,7 @@
         self.warm_up_ms = 0.0  # how long a host is warming up after its start
         self.trace: Trace | None = None
         self.event_order = EventOrder()
+        self.task_leases = TaskLeases(self)
         self.process_changes = ProcessChanges(self)
         self.registry = HostRegistry(loop, random, observer=self.process_changes)
         self.pending_queue = PendingQueue(loop, sender=self)
@@ -102,6 +105,7 @@
     def exchange(self, exchange: Exchange) -> None:
         self._exchange = exchange
         exchange.on_placed_changed = self.maintenance.on_placed_tasks_changed
+        exchange.on_task_handed_over = self.task_leases.on_task_handed_over
 
     @property
     def hosts_by_name(self) -> dict[str, Host]:
@@ -390,9 +394,11 @@
 
     def declare_tasks_lost(self, host: Host, reason: str, task_ids: Collection[int] | None = None) -> None:
         """Reports as lost the tasks that are placed on the host, or those of them that are named."""
-        ended_count = self.exchange.declare_tasks_lost(host.name, task_ids)
-        if ended_count:
-            self.log(f"host {host.name}: {ended_count} tasks lost, {reason}")
+        ended_ids = self.exchange.declare_tasks_lost(host.name, task_ids)
+        if ended_ids:
+            self.log(
+                f"host {host.name}: {len(ended_ids)} tasks lost, {reason}: {describe_task_ids(ended_ids)}"
+            )
 
     def update_eviction_priorities(self, host: Host) -> None:
         """Refiles a host's connections in the descriptor budget by their current eviction priority."""
--- a/glencleat/platform_server/host_connection.py
+++ b/glencleat/platform_server/host_connection.py
@@ -217,6 +217,7 @@
             self.pool.report_outcome(attempt, outcome)
             return
         attempt.sent_moment = self.pool.event_order.next_moment()
+        self.evidence.is_answer_awaited = True
         data = attempt.encode_setup(self.loop.now())
         self.sent_attempts[attempt] = stream.queued_bytes + len(data)
         stream.try_send(data)
@@ -234,6 +235,7 @@
         self.last_used_at_ms = self.loop.now()
         self.health_check_token = token
         self.health_check_moment = self.pool.event_order.next_moment()
+        self.evidence.is_answer_awaited = True
         self.write(m.encode_with_cause(m.PROBE, token, 0))
 
     def cancel_attempt(self, attempt: SetupAttempt) -> DeliveryOutcome:
@@ -275,7 +277,7 @@
         if self.is_closing:
             stream.close("the host's address has changed")
             return
-        self.evidence.opened_moment = self.pool.event_order.next_moment()
+        self.evidence.record_opened(self.pool.event_order.next_moment(), self.connected_at_ms)
         self.host.process_record.history.add(self.evidence)
         self.pool.on_connected(self.host, self)
         self.detect_close_by_host()  # the host may accept and close it at once
@@ -314,6 +316,7 @@
                 raise StreamClosedError("the host closed the connection")
             self.last_used_at_ms = self.loop.now()
             self.host.record_bytes(self.last_used_at_ms)
+            self.evidence.record_heard(self.last_used_at_ms)
             self.host.restart_detector.record_received(self)
             self.host.backoff.reset()
             self.pool.on_host_heard(self.host)
@@ -333,8 +336,6 @@
             host.record_unsolicited_message(self.loop.now())
         elif message.task_id == self.health_check_token:
             self._record_answer(self.health_check_moment)
-        if message.kind == m.OBSERVATION:
-            host.process_record.observed_at_ms = self.loop.now()
         if message.kind in (m.OBSERVATION, m.RELEASE):
             self.pool.record_task_message(host, message.task_id)
         if message.kind in (m.RELEASE, m.RELEASE_COMPLETE) and message.task_id in host.pending_releases:
--- a/glencleat/platform_server/host_maintenance.py
+++ b/glencleat/platform_server/host_maintenance.py
@@ -20,6 +20,7 @@
 from glencleat.platform_server.host_connection import Host, HostConnection
 from glencleat.platform_server.host_registry import HostRegistry
 from glencleat.platform_server.process_changes import find_connection_opened_ms
+from glencleat.platform_server.task_leases import TaskLeases
 
 TICK_MS = 200.0
 """The interval of ticks."""
@@ -39,6 +40,7 @@
     descriptors: DescriptorBudget
     idle_ms: float
     allocator_count: int
+    task_leases: TaskLeases
     connected_hosts: set[Host]
     releasing_hosts: set[Host]
 
@@ -190,6 +192,9 @@
                 for connection in host.connections:
                     priority = priorities.get(connection)
                     assert priority in (None, connection.eviction_priority()), (host.name, vars(connection))
+            change = host.process_record.change
+            is_checked = change is not None and not change.is_concluded
+            assert is_checked or self.pool.task_leases.is_review_due_in_time(host), host.name
             assert host in self.pool.connected_hosts or not host.connections
             assert host in self.pool.releasing_hosts or not host.pending_releases
 
--- a/glencleat/platform_server/host_registry.py
+++ b/glencleat/platform_server/host_registry.py
@@ -13,7 +13,7 @@
 from glencleat.event_loop import Loop
 from glencleat.platform_protocol.command_channel import HostEntry, ListChange
 from glencleat.platform_server.host_connection import Host
-from glencleat.platform_server.pooled_host import NO_ADDRESS, PooledHost
+from glencleat.platform_server.pooled_host import NO_ADDRESS, PROCESS_DOUBT_MS, PooledHost
 
 ADDRESS_TAKEN = "another host has taken its address"
 STARTED_AGAIN = "the machine list shows another start of its process"
@@ -31,6 +31,9 @@
     def on_process_changed(self, hosts: Iterable[Host], successor_name: str, reason: str) -> None:
         """A new process runs at the address of the hosts; it is known by the name of `successor_name`."""
 
+    def on_removed(self, host: Host) -> None:
+        """The machine list no longer names the host."""
+
     def on_address_left(self, host: Host) -> None:
         """The host is removed or has another address, so its connections reach no other host's process."""
 
@@ -86,15 +89,25 @@
         names = {entry.machine.name for entry in change.hosts}
         for name, host in self.hosts_by_name.items() if change.is_snapshot else ():
             if name not in names:
-                host.record_removed(self.loop.now())
+                self._remove(host)
         for entry in change.hosts:
-            self._apply_entry(entry)
+            self._apply_entry(entry, is_snapshot=change.is_snapshot)
+
+    def _remove(self, host: Host) -> None:
+        host.record_removed(self.loop.now())
+        self.observer.on_removed(host)
 
-    def _apply_entry(self, entry: HostEntry) -> None:
+    def _apply_entry(self, entry: HostEntry, *, is_snapshot: bool) -> None:
         name = entry.machine.name
-        host = self.hosts_by_name.get(name) or self.add_host(name)
+        host = self.hosts_by_name.get(name)
+        if host is None:
+            host = self.add_host(name)
+            ready_at_ms = entry.machine.ready_at_ms
+            if is_snapshot and ready_at_ms is not None:
+                # The host's former process may have had the same id.
+                host.process_record.doubted_until_ms = ready_at_ms + PROCESS_DOUBT_MS
         if entry.machine.phase is api.MachinePhase.REMOVED:
-            host.record_removed(self.loop.now())
+            self._remove(host)
             return
         host.record_listed(draining=entry.machine.phase is api.MachinePhase.DRAINING)
         if entry.address != host.address:
@@ -141,6 +154,7 @@
             self.replaced_hosts_by_address[entry.address] = list(in_use)
         for host in replaced:
             host.record_replaced(self.loop.now())
+            self.observer.on_removed(host)
             if host not in in_use:
                 host.abort_connections(ADDRESS_TAKEN)
                 host.address = NO_ADDRESS
--- a/glencleat/platform_server/incarnations.py
+++ b/glencleat/platform_server/incarnations.py
@@ -12,14 +12,11 @@
     it ended before, and opened after all connections to the host had been lost      uncertain
     it ended while a connection was open that has answered since                     uncertain
     this process closed it, and no connection to the same process was lost           uncertain
+    the process it reaches was first reached when the list might not yet tell of it  uncertain
+    there is none: a client handed the task over, and the host has not reported it   uncertain
     any other                                                                        is lost
 
-    observation about a task that a client handed over and the host has not reported on
-    all connections have answered since, and the host was reached ever since         unreported
-    any other                                                                        uncertain
-
-An unreported task runs, unless the host reports on others and not on it: the former process may have ended
-between the handing over and the first connection.
+`task_leases.py` decides until when an uncertain task stands.
 
 An answer to what was sent at some moment shows that the process ran then, so a connection that opened before
 and answered after the opening of another one reaches the same process. Moments are numbered in the order in
@@ -44,6 +41,9 @@
 NOT_YET = -1
 """The number of a moment that has not come."""
 
+NEVER = float("inf")
+"""A time that is never reached; `-NEVER` is one that has always passed."""
+
 HostT = TypeVar("HostT")
 ConnectionT = TypeVar("ConnectionT")
 
@@ -69,12 +69,26 @@
 class Incarnation:
     """One process at an address, as far as connections show that they reach the same one."""
 
-    __slots__ = ("answered_moment", "has_lost_connection", "merged_into")
+    __slots__ = (
+        "answered_moment",
+        "first_opened_at_ms",
+        "has_lost_connection",
+        "is_end_suspected",
+        "last_sign_at_ms",
+        "lost_at_ms",
+        "merged_into",
+        "open_count",
+    )
 
     def __init__(self) -> None:
         """Starts as that of one connection, with no answer."""
         self.answered_moment = NOT_YET  # the latest moment at which it is known to have run
         self.has_lost_connection = False  # the host has ended one, as it does when its process ends
+        self.open_count = 0  # connections to it that are open
+        self.is_end_suspected = False  # its last connection was not closed by this process
+        self.first_opened_at_ms = NEVER  # when the first of its connections opened
+        self.last_sign_at_ms = -NEVER  # when it was last known to run
+        self.lost_at_ms = -NEVER  # when the end of a connection was last noticed
         self.merged_into: Incarnation | None = None
 
     def find_representative(self) -> Incarnation:
@@ -91,6 +105,12 @@
             merged.merged_into = kept
             kept.answered_moment = max(kept.answered_moment, merged.answered_moment)
             kept.has_lost_connection = kept.has_lost_connection or merged.has_lost_connection
+            if merged.lost_at_ms > kept.lost_at_ms:
+                kept.is_end_suspected = merged.is_end_suspected
+            kept.open_count += merged.open_count
+            kept.first_opened_at_ms = min(kept.first_opened_at_ms, merged.first_opened_at_ms)
+            kept.last_sign_at_ms = max(kept.last_sign_at_ms, merged.last_sign_at_ms)
+            kept.lost_at_ms = max(kept.lost_at_ms, merged.lost_at_ms)
 
 
 class ConnectionEvidence:
@@ -99,10 +119,12 @@
     __slots__ = (
         "answered_moment",
         "began_moment",
-        "ended_at_ms",
         "ended_moment",
         "incarnation",
+        "is_answer_awaited",
         "is_closed_here",
+        "is_unanswered",
+        "opened_at_ms",
         "opened_moment",
     )
 
@@ -110,12 +132,28 @@
         """Starts with a connect that began at `began_moment`."""
         self.began_moment = began_moment
         self.opened_moment = NOT_YET
+        self.opened_at_ms = NEVER
         self.answered_moment = NOT_YET  # the latest at which something was sent on it that was answered
         self.ended_moment = NOT_YET  # the host ended it, by a reset or a close
-        self.ended_at_ms = 0.0
+        self.is_answer_awaited = (
+            False  # something was sent on it that wants an answer, and nothing came since
+        )
         self.is_closed_here = False  # by this process, which shows nothing about the host's
+        self.is_unanswered = False  # the host does not answer on it, and does on a newer one
         self.incarnation = Incarnation()
 
+    def record_opened(self, moment: int, now_ms: float) -> None:
+        """The connection has opened."""
+        self.opened_moment, self.opened_at_ms = moment, now_ms
+        incarnation = self.incarnation.find_representative()
+        incarnation.first_opened_at_ms = min(incarnation.first_opened_at_ms, now_ms)
+        incarnation.last_sign_at_ms = now_ms
+
+    def record_heard(self, now_ms: float) -> None:
+        """Bytes were received on the connection."""
+        self.is_answer_awaited = False
+        self.incarnation.find_representative().last_sign_at_ms = now_ms
+
     def record_answer(self, sent_moment: int) -> None:
         """The host has answered what was sent on the connection at `sent_moment`, so its process ran then."""
         self.answered_moment = max(self.answered_moment, sent_moment)
@@ -123,9 +161,22 @@
         representative.answered_moment = max(representative.answered_moment, sent_moment)
 
     def record_ended(self, moment: int, now_ms: float) -> None:
-        """The host has ended the connection."""
-        self.ended_moment, self.ended_at_ms = moment, now_ms
-        self.incarnation.find_representative().has_lost_connection = True
+        """The host has ended the connection.
+
+        If that follows something that was sent, its process may have ended long before: a machine that is
+        back resets connections of former processes when it receives something on them.
+        """
+        self.ended_moment = moment
+        incarnation = self.incarnation.find_representative()
+        incarnation.has_lost_connection, incarnation.lost_at_ms = True, now_ms
+        if not self.is_answer_awaited:
+            incarnation.last_sign_at_ms = now_ms
+
+    def record_unanswered(self) -> None:
+        """The host does not answer on the connection, and does on a newer one: its process has ended."""
+        self.is_unanswered = True
+        incarnation = self.incarnation.find_representative()
+        incarnation.lost_at_ms = max(incarnation.lost_at_ms, incarnation.last_sign_at_ms)
 
     def reaches_process_of(self, other: ConnectionEvidence) -> bool:
         """Whether both reach the same process, by an answer on this one.
@@ -152,10 +203,14 @@
     def add(self, evidence: ConnectionEvidence) -> None:
         """A connection has opened."""
         self.open[evidence] = None
+        evidence.incarnation.find_representative().open_count += 1
 
     def record_closed(self, evidence: ConnectionEvidence) -> None:
         """A connection has ended, or could not be opened."""
         if evidence in self.open:
+            incarnation = evidence.incarnation.find_representative()
+            incarnation.open_count -= 1
+            incarnation.is_end_suspected = evidence.is_unanswered or not evidence.is_closed_here
             del self.open[evidence]
             self.closed[evidence] = None
             if not self.open:
@@ -180,7 +235,6 @@
     RUNS = "it runs in the new process"
     LOST = "it ran in the former process"
     UNCERTAIN = "no connection shows which process it ran in"
-    UNREPORTED = "its client has named it, and the host may report on it"
 
 
 @dataclass(frozen=True, slots=True)
@@ -191,50 +245,31 @@
     at_ms: float
 
 
-@dataclass(frozen=True, slots=True)
-class LossPeriod:
-    """The losses that a process change may explain; None where there is none."""
-
-    first_recent: ConnectionLoss | None = None  # within RECENT_LOSS_MS before the machine list told of it
-    last: ConnectionLoss | None = None  # since the change before
-
-    def combine(self, other: LossPeriod) -> LossPeriod:
-        """Returns the period of the losses of both: of two hosts at one address."""
-        first = [loss for loss in (self.first_recent, other.first_recent) if loss is not None]
-        last = [loss for loss in (self.last, other.last) if loss is not None]
-        return LossPeriod(
-            min(first, key=lambda loss: loss.moment, default=None),
-            max(last, key=lambda loss: loss.moment, default=None),
-        )
-
-
 class ConnectionLosses:
     """The losses of a host's connections since the latest process change.
 
     >>> losses = ConnectionLosses()
     >>> losses.record(ConnectionLoss(moment=7, at_ms=0.0))
     >>> losses.record(ConnectionLoss(moment=9, at_ms=RECENT_LOSS_MS))
-    >>> losses.take(now_ms=RECENT_LOSS_MS + 1.0).first_recent
+    >>> losses.take_first(now_ms=RECENT_LOSS_MS + 1.0)
     ConnectionLoss(moment=9, at_ms=10000.0)
-    >>> losses.take(now_ms=RECENT_LOSS_MS)
-    LossPeriod(first_recent=None, last=None)
+    >>> losses.take_first(now_ms=RECENT_LOSS_MS) is None
+    True
     """
 
     def __init__(self) -> None:
         """Starts without a loss."""
         self.recent: list[ConnectionLoss] = []
-        self.last: ConnectionLoss | None = None
 
     def record(self, loss: ConnectionLoss) -> None:
         """Records a loss of just now."""
         self.recent = [*self._select_recent(loss.at_ms), loss]
-        self.last = loss
 
-    def take(self, now_ms: float) -> LossPeriod:
-        """Returns the losses that a process change may explain which is told now, and forgets them."""
-        recent, last = self._select_recent(now_ms), self.last
-        self.recent, self.last = [], None
-        return LossPeriod(recent[0] if recent else None, last)
+    def take_first(self, now_ms: float) -> ConnectionLoss | None:
+        """Returns the first loss that a process change may explain which is told now, and forgets all."""
+        recent = self._select_recent(now_ms)
+        self.recent = []
+        return recent[0] if recent else None
 
     def _select_recent(self, now_ms: float) -> list[ConnectionLoss]:
         return [loss for loss in self.recent if now_ms - loss.at_ms <= RECENT_LOSS_MS]
@@ -266,9 +301,10 @@
         announced_moment: int,
         hosts: Iterable[HostT],
         connections: Iterable[ConnectionT],
-        losses: LossPeriod,
+        first_loss: ConnectionLoss | None,
         *,
         is_loss_expected: bool = False,
+        settled_until_ms: float = NEVER,
     ) -> None:
         """Starts with no connection confirmed.
 
@@ -278,9 +314,11 @@
             announced_moment: When the list told of it.
             hosts: The hosts whose tasks may have run in the former process.
             connections: Their connections that are open or being opened.
-            losses: Those of the connections to the hosts that this change may explain.
+            first_loss: The first loss of all connections to a host that this change may explain.
             is_loss_expected: The list told of the change while the former process may still have answered;
                 this is the check after that.
+            settled_until_ms: A process that was first reached later may be the one that the list tells of
+                now.
         """
         self.reason = reason
         self.successor_name = successor_name
@@ -289,15 +327,16 @@
         self.unconfirmed = dict.fromkeys(connections)  # in the order of their creation
         self.confirmed_count = 0
         self.first_opened_moment: int | None = None  # of the confirmed ones
-        self.losses = losses
+        self.first_loss = first_loss
         self.has_lost_connection = False  # one from before the event has ended since, or does not answer
         self.is_loss_expected = is_loss_expected
+        self.settled_until_ms = settled_until_ms
         self.is_concluded = False
 
     @property
     def may_precede_the_end(self) -> bool:
         """Whether no evidence shows that the former process has ended: the list may have told of it early."""
-        is_end_shown = self.has_lost_connection or self.losses.first_recent is not None
+        is_end_shown = self.has_lost_connection or self.first_loss is not None
         return bool(self.confirmed_count) and not (is_end_shown or self.is_loss_expected)
 
     def record_answer(self, connection: ConnectionT, evidence: ConnectionEvidence, sent_moment: int) -> None:
@@ -321,28 +360,21 @@
         self.has_lost_connection = self.has_lost_connection or bool(self.unconfirmed)
         return list(self.unconfirmed)
 
-    def assess(self, evidence: ConnectionEvidence) -> TaskVerdict:
+    def assess(self, evidence: ConnectionEvidence | None) -> TaskVerdict:
         """Assesses a task by the connection on which the host last reported on it."""
+        if evidence is None:
+            return TaskVerdict.UNCERTAIN
         if evidence.began_moment > self.announced_moment:
             return TaskVerdict.RUNS
         incarnation = evidence.incarnation.find_representative()
         if incarnation.answered_moment > self.announced_moment:
             return TaskVerdict.RUNS
-        first_loss = self.losses.first_recent
+        first_loss = self.first_loss
         is_after_a_loss = first_loss is not None and evidence.opened_moment > first_loss.moment
         first_opened = self.first_opened_moment
         is_after_a_new_one = first_opened is not None and evidence.ended_moment > first_opened
         is_closed_without_loss = evidence.is_closed_here and not incarnation.has_lost_connection
         is_end_unknown = self.is_loss_expected or is_closed_without_loss
-        is_uncertain = is_after_a_loss or is_after_a_new_one or is_end_unknown
+        is_unsettled = incarnation.first_opened_at_ms > self.settled_until_ms
+        is_uncertain = is_after_a_loss or is_after_a_new_one or is_end_unknown or is_unsettled
         return TaskVerdict.UNCERTAIN if is_uncertain else TaskVerdict.LOST
-
-    def assess_handed_over(self, at_ms: float) -> TaskVerdict:
-        """Assesses a task that a client handed over at `at_ms`, as one that the host held then.
-
-        The host has not reported on it.
-        """
-        is_current = bool(self.confirmed_count) and not self.has_lost_connection
-        last_loss = self.losses.last
-        is_before_a_loss = last_loss is not None and last_loss.at_ms >= at_ms
-        return TaskVerdict.UNREPORTED if is_current and not is_before_a_loss else TaskVerdict.UNCERTAIN
--- a/glencleat/platform_server/pooled_host.py
+++ b/glencleat/platform_server/pooled_host.py
@@ -7,7 +7,7 @@
 from typing import Generic, Protocol, TypeVar
 
 from glencleat.flow_control.backoff import HOST_BACKOFF, Backoff
-from glencleat.platform_server.failure_detector import FailureDetector
+from glencleat.platform_server.failure_detector import NEVER, FailureDetector
 from glencleat.platform_server.incarnations import (
     ConnectionHistory,
     ConnectionLosses,
@@ -20,6 +20,12 @@
 """The address of a host for which no machine list gives one."""
 
 
+PROCESS_DOUBT_MS = 15_000.0
+"""A task that is handed over so soon after the start of a process at its host may have run in the former one.
+
+The process that it ran in may have ended 8 s, and a restart of its allocator, before."""
+
+
 class PooledConnection(Protocol):
     """The interface of a connection that its host uses."""
 
@@ -45,7 +51,7 @@
 class ProcessRecord(Generic[ConnectionT]):
     """What is known of the processes of a host that connections have reached."""
 
-    __slots__ = ("change", "expected_loss", "history", "losses", "observed_at_ms")
+    __slots__ = ("change", "doubted_until_ms", "expected_loss", "history", "losses")
 
     def __init__(self) -> None:
         """Starts without a connection."""
@@ -53,7 +59,8 @@
         self.losses = ConnectionLosses()
         self.change: ProcessChange[PooledHost[ConnectionT], ConnectionT] | None = None  # the latest
         self.expected_loss: ExpectedLoss[PooledHost[ConnectionT]] | None = None
-        self.observed_at_ms = 0.0  # when it last sent an observation of any task
+        # A task that is handed over before may be one of a former process.
+        self.doubted_until_ms = -NEVER
 
 
 class PooledHost(FailureDetector, Generic[ConnectionT]):
--- a/glencleat/platform_server/process.py
+++ b/glencleat/platform_server/process.py
@@ -291,6 +291,7 @@
             f" releases waiting {len(self.client_connections.releases.pending)}"
             f" dropped {self.client_connections.releases.pending.dropped_count}"
         )
+        self.log(self.connection_pool.task_leases.describe())
         self.max_round_ms = 0.0
 
     def run(self) -> None:
--- a/glencleat/platform_server/process_changes.py
+++ b/glencleat/platform_server/process_changes.py
@@ -1,30 +1,32 @@
 """Ends the tasks of a host's former process once the machine list tells of a new one at its address.
 
 `incarnations.py` decides which tasks those are, by what became of the connections. This module gathers the
-evidence: it sends a health check on each connection, waits for the answers, and for reports on tasks of which
-no connection tells in which process they ran.
+evidence: it sends a health check on each connection and waits for the answers. Tasks of which no connection
+tells in which process they ran have a lease (`task_leases.py`).
 """
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection, Iterable
-from functools import reduce
+from collections.abc import Callable, Collection, Iterable, Mapping
 from typing import Protocol, TypeAlias
 
 from glencleat.event_loop import Loop
+from glencleat.platform_protocol.command_channel import LIST_SETTLE_MS, CommandChannel
 from glencleat.platform_protocol.exchange import Exchange
-from glencleat.platform_protocol.setup_calls import SetupCall, SetupState
-from glencleat.platform_server.failure_detector import UNREACHABLE_MS
+from glencleat.platform_protocol.setup_calls import SetupCall
 from glencleat.platform_server.host_connection import Host, HostConnection
 from glencleat.platform_server.host_registry import HostRegistry
 from glencleat.platform_server.incarnations import (
     ConnectionLoss,
     EventOrder,
     ExpectedLoss,
-    LossPeriod,
     ProcessChange,
     TaskVerdict,
 )
+from glencleat.platform_server.pooled_host import PROCESS_DOUBT_MS
+from glencleat.platform_server.rate_limited_log import describe_task_ids
+from glencleat.platform_server.task_leases import TaskLeases, find_evidence
+from glencleat.platform_server.watch_client import SILENCE_TIMEOUT_MS
 
 CHECK_TIMEOUT_MS = 1_000.0
 """How long a connection may take to answer the health check that shows which process it reaches."""
@@ -40,6 +42,8 @@
     """What is needed of the connection pool."""
 
     loop: Loop
+    channel: CommandChannel
+    task_leases: TaskLeases
     event_order: EventOrder
     log: Callable[[str], None]
     registry: HostRegistry
@@ -54,9 +58,6 @@
     def declare_tasks_lost(self, host: Host, reason: str, task_ids: Collection[int] | None = None) -> None:
         """The tasks that are placed on the host, or those of them that are named, have ended."""
 
-    def release_task(self, name: str, task: int) -> None:
-        """Releases a task at its host, at once or as soon as the host can be reached."""
-
 
 class ProcessChanges:
     """Handles the process changes of all hosts of a pool. Each host keeps its latest one."""
@@ -79,6 +80,10 @@
         """A new process runs at the address of the hosts; it is known by the name of `successor_name`."""
         self._begin(tuple(hosts), successor_name, reason)
 
+    def on_removed(self, host: Host) -> None:
+        """The machine list no longer names the host, so it renews no lease of its tasks."""
+        self.pool.task_leases.on_connection_ended(host)
+
     def on_address_left(self, host: Host) -> None:
         """The host is removed or has another address, so its connections reach no other host's process."""
         self.pool.exchange.process_names.forget(host.name)
@@ -92,6 +97,8 @@
             self.pool.log(f"host {host.name}: connected again, {len(placed_calls)} tasks placed")
         if connection.is_unconfirmed:
             self._send_check(connection)
+        elif placed_calls and host.open_connection_count > 1 and self._is_list_silent():
+            self._check_older_connections(host, connection)
 
     def on_answer(self, host: Host, connection: HostConnection, sent_moment: int) -> None:
         """The host has answered what was sent on the connection at `sent_moment`."""
@@ -103,6 +110,7 @@
 
     def on_connection_ended(self, host: Host, connection: HostConnection) -> None:
         """A connection has ended, or could not be opened."""
+        self.pool.task_leases.on_connection_ended(host)
         change = host.process_record.change
         if change is not None and connection in change.unconfirmed:
             change.record_ended(connection, was_open=connection.stream is not None)
@@ -129,18 +137,20 @@
         if not hosts:
             return
         now_ms = self.pool.loop.now()
-        losses = (host.process_record.losses.take(now_ms) for host in hosts)
+        losses = [host.process_record.losses.take_first(now_ms) for host in hosts]
         change: HostProcessChange = ProcessChange(
             reason,
             successor_name,
             self.pool.event_order.next_moment(),
             hosts,
             [connection for host in hosts for connection in host.connections],
-            reduce(LossPeriod.combine, losses, LossPeriod()),
+            min((loss for loss in losses if loss), key=lambda loss: loss.moment, default=None),
             is_loss_expected=is_loss_expected,
+            settled_until_ms=self.pool.channel.confirmed_at_ms - LIST_SETTLE_MS,
         )
         for host in hosts:
             host.process_record.change, host.process_record.expected_loss = change, None
+            host.process_record.doubted_until_ms = now_ms + PROCESS_DOUBT_MS
             self.pool.mark_changed(host)
             self.pool.exchange.process_names.record_successor(host.name, successor_name)
             self._log_begin(change, host)
@@ -167,10 +177,37 @@
             # Not at once: the caller may be about to handle what came with the answer.
             self.pool.loop.call_in(0.0, lambda: self._conclude(change))
 
+    # ---- without the machine list ----
+
+    def _is_list_silent(self) -> bool:
+        return self.pool.loop.now() - self.pool.channel.confirmed_at_ms > SILENCE_TIMEOUT_MS
+
+    def _check_older_connections(self, host: Host, newest: HostConnection) -> None:
+        """Sends a health check on all connections, as the list can't tell of a new process now."""
+        checked = [connection for connection in host.connections if connection.is_open]
+        for connection in checked:
+            self._send_check(connection)
+        moments_by_connection = {connection: connection.health_check_moment for connection in checked}
+        self.pool.loop.call_in(
+            CHECK_TIMEOUT_MS, lambda: self._abort_unanswered(newest, moments_by_connection)
+        )
+
+    def _abort_unanswered(
+        self, newest: HostConnection, moments_by_connection: Mapping[HostConnection, int]
+    ) -> None:
+        """Closes the connections that have not answered, if the newest one has."""
+        if newest.evidence.answered_moment < moments_by_connection[newest]:
+            return
+        for connection, moment in moments_by_connection.items():
+            is_last_check = connection.health_check_moment == moment
+            if connection.is_open and is_last_check and connection.evidence.answered_moment < moment:
+                connection.evidence.record_unanswered()
+                connection.abort("no answer, while a newer connection answers")
+
     # ---- the verdict ----
 
     def _conclude(self, change: HostProcessChange) -> None:
-        """Ends the tasks of the former process; those that the evidence leaves uncertain are observed."""
+        """Ends the tasks of the former process; those that the evidence leaves uncertain have a lease."""
         if change.is_concluded:
             return
         hosts = [host for host in change.hosts if host.process_record.change is change]
@@ -183,9 +220,8 @@
                 connection.abort(f"no answer since {change.reason}")
         for host, calls_by_verdict in calls_by_host.items():
             self._end_tasks(change, host, calls_by_verdict[TaskVerdict.LOST])
-            for call in calls_by_verdict[TaskVerdict.UNCERTAIN] + calls_by_verdict[TaskVerdict.UNREPORTED]:
-                self._observe(change, host, call)
             self._log_rest(change, host, calls_by_verdict)
+            self.pool.task_leases.review(host.name)
             self.pool.mark_changed(host)
 
     def _expect_loss(self, change: HostProcessChange, hosts: Iterable[Host]) -> None:
@@ -208,7 +244,7 @@
     def _assess_tasks(self, change: HostProcessChange, host: Host) -> dict[TaskVerdict, list[SetupCall]]:
         calls_by_verdict: dict[TaskVerdict, list[SetupCall]] = {verdict: [] for verdict in TaskVerdict}
         for call in self.pool.exchange.placed_calls_by_host.get(host.name, {}).values():
-            calls_by_verdict[assess_task(change, call)].append(call)
+            calls_by_verdict[change.assess(find_evidence(call))].append(call)
         return calls_by_verdict
 
     def _end_tasks(self, change: HostProcessChange, host: Host, calls: list[SetupCall]) -> None:
@@ -218,60 +254,19 @@
     def _log_rest(
         self, change: HostProcessChange, host: Host, calls_by_verdict: dict[TaskVerdict, list[SetupCall]]
     ) -> None:
-        if running := calls_by_verdict[TaskVerdict.RUNS] + calls_by_verdict[TaskVerdict.UNREPORTED]:
+        if running := calls_by_verdict[TaskVerdict.RUNS]:
             self.pool.log(
                 f"host {host.name}: {len(running)} tasks stand,"
                 f" {change.confirmed_count} connections have answered since"
             )
         if uncertain := calls_by_verdict[TaskVerdict.UNCERTAIN]:
             self.pool.log(
-                f"host {host.name}: {len(uncertain)} tasks uncertain, lost unless the host reports on them"
+                f"host {host.name}: {len(uncertain)} tasks uncertain, lost unless the host reports on them:"
+                f" {describe_task_ids(call.setup.task_id for call in uncertain)}"
             )
 
-    def _observe(self, change: HostProcessChange, host: Host, call: SetupCall) -> None:
-        """Ends a task unless its host reports on it until its release would be due if it had ended."""
-        connection = find_connection(call)
-        lost_at_ms = connection.evidence.ended_at_ms if connection is not None else 0.0
-        ended_at_ms = max(call.reported_at_ms, lost_at_ms)
-        remaining_ms = max(0.0, ended_at_ms + UNREACHABLE_MS - self.pool.loop.now())
-
-        def end_unless_reported() -> None:
-            if call.state is SetupState.PLACED and not self._may_run(change, host, call):
-                self._end_tasks(change, host, [call])
-                # It may run after all, and its client may ask for it again.
-                self.pool.release_task(change.successor_name, call.setup.task_id)
-
-        self.pool.loop.call_in(remaining_ms, end_unless_reported)
-
-    def _may_run(self, change: HostProcessChange, host: Host, call: SetupCall) -> bool:
-        """Whether a task counts as running once its host has had the time to report on it."""
-        verdict = assess_task(change, call)
-        if verdict is not TaskVerdict.UNREPORTED:
-            return verdict is TaskVerdict.RUNS
-        successor = self.pool.registry.hosts_by_name.get(change.successor_name, host)
-        return (
-            max(host.process_record.observed_at_ms, successor.process_record.observed_at_ms)
-            <= call.placed_at_ms
-        )
-
-
-def find_connection(call: SetupCall) -> HostConnection | None:
-    """Returns the connection on which the host last reported on a placed task.
-
-    None if the task was handed over, and the host has not reported on it.
-    """
-    return call.attempt.connection if call.attempt is not None else None
-
 
 def find_connection_opened_ms(call: SetupCall) -> float:
-    """Returns when that connection opened; without one, when the task was handed over."""
-    connection = find_connection(call)
-    return connection.connected_at_ms if connection is not None else call.placed_at_ms
-
-
-def assess_task(change: HostProcessChange, call: SetupCall) -> TaskVerdict:
-    """Returns what the connections show of a placed task."""
-    connection = find_connection(call)
-    if connection is None:
-        return change.assess_handed_over(call.placed_at_ms)
-    return change.assess(connection.evidence)
+    """Returns when the connection opened that reaches a task's process; if none is known, its placement."""
+    evidence = find_evidence(call)
+    return evidence.opened_at_ms if evidence is not None else call.placed_at_ms
--- a/glencleat/platform_server/rate_limited_log.py
+++ b/glencleat/platform_server/rate_limited_log.py
@@ -9,10 +9,25 @@
 import os
 import select
 import time
+from collections.abc import Iterable
 
 MAX_LINES_PER_S, MAX_LINE_LENGTH = 20, 400
 """Maximum lines per second (further lines are dropped and counted), and maximum characters of a line."""
 
+MAX_LOGGED_TASKS = 8
+"""Task ids in one line."""
+
+
+def describe_task_ids(task_ids: Iterable[int]) -> str:
+    """Returns the first ids and how many there are besides.
+
+    >>> describe_task_ids(range(10, 20))
+    'tasks a, b, c, d, e, f, 10, 11 and 2 others'
+    """
+    shown = [f"{task_id:x}" for task_id in task_ids]
+    rest = f" and {len(shown) - MAX_LOGGED_TASKS} others" if len(shown) > MAX_LOGGED_TASKS else ""
+    return f"tasks {', '.join(shown[:MAX_LOGGED_TASKS])}{rest}"
+
 
 class RateLimitedLog:
     """A callable that writes a line of text with the time and the process's name.
--- a/tests/platform_protocol/test_exchange.py
+++ b/tests/platform_protocol/test_exchange.py
@@ -298,9 +298,9 @@
     place_task(world, 7, 1)
     world.advance(1000.0)
     place_task(world, 8, 2)
-    assert world.exchange.declare_tasks_lost("h1", [7, 9]) == 1
+    assert world.exchange.declare_tasks_lost("h1", [7, 9]) == [7]
     assert [event.call_id for event in world.events_of(api.AttemptEnded)] == [1]
-    assert world.exchange.declare_tasks_lost("h1") == 1 and world.outcomes() == [api.Outcome.LOST] * 2
+    assert world.exchange.declare_tasks_lost("h1") == [8] and world.outcomes() == [api.Outcome.LOST] * 2
     assert world.owner.replies()[2:] == [(m.RELEASE, 7, 41), (m.RELEASE, 8, 41)] and has_no_state(world)
 
 
--- a/tests/platform_server/test_address_changes.py
+++ b/tests/platform_server/test_address_changes.py
@@ -353,8 +353,8 @@
 
 @pytest.mark.parametrize("reports_on_others", [True, False])
 def test_tasks_that_were_handed_over_before_the_first_connection(virtual_time_world, reports_on_others):
-    """Guards against tasks whose process ended between the handing over and the first connection. Without
-    observations of any task nothing tells that apart from tasks that run."""
+    """Guards against tasks whose process ended between the handing over and the first connection, also where
+    the host reports on no task at all."""
     world = virtual_time_world
     host, client = ReplaceableHost(world.loop), world.client()
     world.list(("h1", host.address, 1.0))
@@ -373,11 +373,10 @@
 
     if reports_on_others:
         report()
-        assert world.says(client, ms=10_000.0) == release(OLD_TASK, m.FAILED)
-        assert world.loop.now() - handed_over_at_ms <= RELEASE_DUE_MS
+    assert world.says(client, ms=10_000.0) == release(OLD_TASK, m.FAILED)
+    assert world.loop.now() - handed_over_at_ms <= RELEASE_DUE_MS
     pass_time(world, 20_000.0)
-    placed = world.exchange.placed_calls_by_host["h1"]
-    assert set(placed) == ({NEW_TASK} if reports_on_others else {OLD_TASK, NEW_TASK})
+    assert set(world.exchange.placed_calls_by_host["h1"]) == {NEW_TASK}
 
 
 def test_such_a_task_stands_while_the_host_that_took_the_address_drains(virtual_time_world):
--- a/tests/platform_server/test_incarnations.py
+++ b/tests/platform_server/test_incarnations.py
@@ -11,13 +11,11 @@
     ConnectionLoss,
     ConnectionLosses,
     EventOrder,
-    LossPeriod,
     ProcessChange,
     TaskVerdict,
 )
 
 RUNS, LOST, UNCERTAIN = TaskVerdict.RUNS, TaskVerdict.LOST, TaskVerdict.UNCERTAIN
-UNREPORTED = TaskVerdict.UNREPORTED
 
 
 class Connections:
@@ -31,10 +29,10 @@
     def begin(self, name):
         self.evidence_by_name[name] = ConnectionEvidence(self.order.next_moment())
 
-    def open(self, name):
+    def open(self, name, at_ms=0.0):
         if name not in self.evidence_by_name:
             self.begin(name)
-        self.evidence_by_name[name].opened_moment = self.order.next_moment()
+        self.evidence_by_name[name].record_opened(self.order.next_moment(), at_ms)
         self.history.add(self.evidence_by_name[name])
 
     def open_side_by_side(self, *names):
@@ -60,8 +58,8 @@
             self.change.record_answer(name, self.evidence_by_name[name], sent_moment)
 
     def announce(self, *open_names, loss=None, **more):
-        moment, losses = self.order.next_moment(), LossPeriod(loss, loss)
-        self.change = ProcessChange("taken", "h2", moment, ["h1"], open_names, losses, **more)
+        moment = self.order.next_moment()
+        self.change = ProcessChange("taken", "h2", moment, ["h1"], open_names, loss, **more)
 
     def assess(self, name):
         return self.change.assess(self.evidence_by_name[name])
@@ -249,27 +247,38 @@
     assert connections.assess("ended") is verdict
 
 
-@pytest.mark.parametrize(
-    ("end", "first_loss_at_ms", "verdict"),
-    [
-        ("answers", None, UNREPORTED),
-        ("answers", 50.0, UNREPORTED),  # lost before the task was handed over
-        ("answers", 150.0, UNCERTAIN),
-        ("ends", None, UNCERTAIN),
-        ("is silent", None, UNCERTAIN),
-    ],
-)
-def test_tasks_that_were_handed_over(connections, end, first_loss_at_ms, verdict):
-    """The host held the task when a client named it, 100 ms after the start."""
-    loss = ConnectionLoss(connections.order.next_moment(), first_loss_at_ms) if first_loss_at_ms else None
+@pytest.mark.parametrize("end", ["answers", "ends", "is silent"])
+def test_a_task_that_was_handed_over_and_not_reported_is_uncertain(connections, end):
+    """No connection shows the process: it may have ended before the first one opened."""
     connections.open("first")
-    connections.announce("first", loss=loss)
+    connections.announce("first")
     if end == "answers":
         connections.answer("first")
     elif end == "ends":
         connections.change.record_ended("first", was_open=True)
     connections.change.conclude()
-    assert connections.change.assess_handed_over(100.0) is verdict
+    assert connections.change.assess(None) is UNCERTAIN
+
+
+@pytest.mark.parametrize(("opened_at_ms", "verdict"), [(100.0, LOST), (100.1, UNCERTAIN)])
+def test_a_process_that_was_first_reached_shortly_before_the_event_may_be_the_new_one(
+    connections, opened_at_ms, verdict
+):
+    """Guards against tasks that are released while they run: their connection was reset on the way."""
+    connections.open("ended", at_ms=opened_at_ms)
+    connections.close("ended")
+    connections.announce(settled_until_ms=100.0)
+    assert connections.assess("ended") is verdict
+
+
+def test_a_connection_to_a_process_that_was_reached_long_before_is_the_former_ones(connections):
+    connections.open("older", at_ms=0.0)
+    connections.open("ended", at_ms=200.0)
+    connections.answer("older")  # so both reach one process
+    connections.close("ended")
+    connections.close("older")
+    connections.announce(settled_until_ms=100.0)
+    assert connections.assess("ended") is LOST
 
 
 @pytest.mark.parametrize(
@@ -291,17 +300,9 @@
     assert connections.change.may_precede_the_end is may_precede
 
 
-def test_the_first_recent_loss_and_the_last_one_of_two_hosts_count():
-    losses, other_losses = ConnectionLosses(), ConnectionLosses()
+def test_the_first_recent_loss_counts_once():
+    losses = ConnectionLosses()
     for moment, at_ms in ((1, 0.0), (3, 9_000.0), (5, 11_000.0)):
         losses.record(ConnectionLoss(moment, at_ms))
-    other_losses.record(ConnectionLoss(2, 8_500.0))
-    period = losses.take(12_000.0).combine(other_losses.take(12_000.0))
-    assert (period.first_recent, period.last) == (ConnectionLoss(2, 8_500.0), ConnectionLoss(5, 11_000.0))
-    assert losses.take(12_000.0) == LossPeriod()
-
-
-def test_a_loss_that_is_not_recent_counts_for_tasks_that_were_handed_over_before():
-    losses = ConnectionLosses()
-    losses.record(ConnectionLoss(1, 0.0))
-    assert losses.take(60_000.0) == LossPeriod(None, ConnectionLoss(1, 0.0))
+    assert losses.take_first(12_000.0) == ConnectionLoss(3, 9_000.0)
+    assert losses.take_first(12_000.0) is None
--- a/tests/platform_server/test_unreported_tasks.py
+++ b/tests/platform_server/test_unreported_tasks.py
@@ -120,3 +120,19 @@
     assert cluster.host.running_tasks == {NEW_TASK}
     cluster.host.end_task(NEW_TASK)
     cluster.until(lambda: (m.RELEASE, NEW_TASK) in client.received, RELEASE_DUE_MS)
+
+
+@pytest.mark.parametrize("list_delay_ms", [1_500.0, 4_000.0])
+def test_tasks_whose_connections_are_reset_by_a_check_are_released_in_time(cluster, list_delay_ms):
+    """Guards against a wait that is reckoned from the moment at which the loss was noticed."""
+    cluster.start()
+    client = cluster.connect()
+    for task in TASKS:
+        cluster.place(client, task)
+    cluster.host.resets_former_streams = True
+    cluster.host.replace(are_connections_silent=True)
+    ended_at_ms = cluster.loop.now()
+    cluster.until(lambda: cluster.host.streams, list_delay_ms)  # a liveness check reaches the new process
+    pass_time(cluster, ended_at_ms + list_delay_ms - cluster.loop.now())
+    cluster.publish_start("h1")
+    cluster.await_releases(client, TASKS, ended_at_ms + LOST_DUE_MS)
--- a/tests/support/pool_world.py
+++ b/tests/support/pool_world.py
@@ -10,11 +10,12 @@
 from glencleat.descriptor_budget import RESERVED_DESCRIPTORS, DescriptorBudget
 from glencleat.event_loop import ConnectError, Loop, StreamClosedError
 from glencleat.platform_protocol import messages as m
-from glencleat.platform_protocol.command_channel import CommandChannel, HostEntry, ListChange
+from glencleat.platform_protocol.command_channel import HostEntry, ListChange
 from glencleat.platform_protocol.exchange import Exchange
 from glencleat.platform_server import host_connection
 from glencleat.platform_server.connection_pool import ConnectionPool
 from tests.support.exchange_world import SETTINGS, Owner, read, setup
+from tests.support.socket_world import PromptChannel
 
 
 class Clock:
@@ -209,7 +210,7 @@
         self.loop = Loop(self.clock, Poller(self.clock))
         self.descriptors = DescriptorBudget(capacity + RESERVED_DESCRIPTORS)
         self.descriptors.capacity = capacity
-        self.channel = CommandChannel(1.7e12)
+        self.channel = PromptChannel(self.loop)
         self.hosts = ConnectionPool(
             loop=self.loop,
             channel=self.channel,
--- a/tests/support/socket_world.py
+++ b/tests/support/socket_world.py
@@ -8,7 +8,7 @@
 from glencleat.descriptor_budget import RESERVED_DESCRIPTORS, DescriptorBudget
 from glencleat.event_loop import ConnectError, Listener, Loop, StreamClosedError
 from glencleat.platform_protocol import messages as m
-from glencleat.platform_protocol.command_channel import CommandChannel, HostEntry, ListChange
+from glencleat.platform_protocol.command_channel import LIST_SETTLE_MS, CommandChannel, HostEntry, ListChange
 from glencleat.platform_protocol.exchange import Exchange
 from glencleat.platform_server import client_connections, connection_pool, host_connection
 from tests.support.exchange_world import SETTINGS, Script, setup
@@ -64,14 +64,30 @@
         stream.close()
 
 
+class PromptChannel(CommandChannel):
+    """A command channel that is confirmed at every moment and tells of starts without delay."""
+
+    def __init__(self, loop):
+        self.loop = loop
+        super().__init__(loop.clock.wall() - loop.now())
+
+    @property
+    def confirmed_at_ms(self):
+        return self.loop.now() + LIST_SETTLE_MS
+
+    @confirmed_at_ms.setter
+    def confirmed_at_ms(self, at_ms):
+        pass
+
+
 class World:
     """Exchange, pool and clients assembled as in the process, with a scripted policy."""
 
-    def __init__(self, room=40, loop=None):
+    def __init__(self, room=40, loop=None, channel=None):
         self.loop = loop or Loop()
         self.module = Script()
         self.logs = []
-        self.channel = CommandChannel(self.loop.clock.wall() - self.loop.now())
+        self.channel = channel or PromptChannel(self.loop)
         self.descriptors = DescriptorBudget(room + RESERVED_DESCRIPTORS)
         self.hosts = connection_pool.ConnectionPool(
             loop=self.loop,
