With a silent list, older connections are checked beside any newer one

Cause: the check ran only at the moment a connection opened. It runs now while the list has not vouched for the newest connection, and sends nothing while the list is up: health checks have a price. A surplus connection is closed only once the list vouches for the one that remains: something on the way may answer the close, and its tasks would be taken for those of a new process.

--- a/glencleat/platform_server/host_maintenance.py
+++ b/glencleat/platform_server/host_maintenance.py
@@ -14,6 +14,7 @@
 from glencleat.flow_control.connection_limiter import quiet_limit_ms
 from glencleat.index.dirty_set import DirtySet
 from glencleat.index.due_queue import DueQueue
+from glencleat.platform_protocol.command_channel import LIST_SETTLE_MS, CommandChannel
 from glencleat.platform_protocol.exchange import Exchange
 from glencleat.platform_server import host_connection
 from glencleat.platform_server.failure_detector import NEVER, DetectorAction
@@ -36,6 +37,7 @@
     """What the maintenance requires of the connection pool."""
 
     loop: Loop
+    channel: CommandChannel
     registry: HostRegistry
     descriptors: DescriptorBudget
     idle_ms: float
@@ -246,7 +248,7 @@
         self, host: Host, connection: HostConnection, now_ms: float, has_placed_tasks: bool
     ) -> None:
         idle_ms = 0.0 if connection.is_liveness_check else now_ms - connection.last_used_at_ms
-        if idle_ms > SURPLUS_IDLE_MS and self._has_other_healthy(host, connection):
+        if idle_ms > SURPLUS_IDLE_MS and self._has_other_healthy(host, connection, has_placed_tasks):
             connection.close_gracefully("another connection is open")
             if has_placed_tasks:
                 # Now, since a host that begins to drain accepts no connection on which to send its releases.
@@ -259,5 +261,18 @@
             # Opens the next one first: the host may close this one while a release is in transit.
             self.pool.reconnect(host)
 
-    def _has_other_healthy(self, host: Host, connection: HostConnection) -> bool:
-        return any(other is not connection and self.pool.is_healthy(other) for other in host.connections)
+    def _has_other_healthy(
+        self, host: Host, connection: HostConnection, must_reach_listed_process: bool
+    ) -> bool:
+        """Whether another connection can replace this one.
+
+        One that has just opened may reach a new process of which the list has not told yet. The tasks of this
+        connection would be taken for that one's, as the host's close of its half counts as an answer.
+        """
+        settled_until_ms = self.pool.channel.confirmed_at_ms - LIST_SETTLE_MS
+        return any(
+            other is not connection
+            and self.pool.is_healthy(other)
+            and not (must_reach_listed_process and other.connected_at_ms > settled_until_ms)
+            for other in host.connections
+        )
--- a/glencleat/platform_server/process_changes.py
+++ b/glencleat/platform_server/process_changes.py
@@ -31,6 +31,9 @@
 CHECK_TIMEOUT_MS = 1_000.0
 """How long a connection may take to answer the health check that shows which process it reaches."""
 
+LIST_WATCH_INTERVAL_MS = 1_000.0
+"""The machine list sends a line every second."""
+
 EARLY_EVENT_MS = 1_000.0
 """The list may tell of a new process at most this long before the former one has ended."""
 
@@ -97,8 +100,8 @@
             self.pool.log(f"host {host.name}: connected again, {len(placed_calls)} tasks placed")
         if connection.is_unconfirmed:
             self._send_check(connection)
-        elif placed_calls and host.open_connection_count > 1 and self._is_list_silent():
-            self._check_older_connections(host, connection)
+        elif placed_calls and host.open_connection_count > 1:
+            self._watch_list(host, connection)
 
     def on_answer(self, host: Host, connection: HostConnection, sent_moment: int) -> None:
         """The host has answered what was sent on the connection at `sent_moment`."""
@@ -179,12 +182,32 @@
 
     # ---- without the machine list ----
 
-    def _is_list_silent(self) -> bool:
-        return self.pool.loop.now() - self.pool.channel.confirmed_at_ms > SILENCE_TIMEOUT_MS
+    def _watch_list(self, host: Host, newest: HostConnection) -> None:
+        """Checks the older connections if the list falls silent before it vouches for the newest one.
+
+        Health checks have a price, so none is sent while the list does.
+        """
+        confirmed_at_ms = self.pool.channel.confirmed_at_ms
+        if not newest.is_open or confirmed_at_ms >= newest.connected_at_ms + LIST_SETTLE_MS:
+            return
+        if self.pool.loop.now() - confirmed_at_ms > SILENCE_TIMEOUT_MS:
+            self._check_older_connections(host, newest)
+        else:
+            self.pool.loop.call_in(LIST_WATCH_INTERVAL_MS, lambda: self._watch_list(host, newest))
 
     def _check_older_connections(self, host: Host, newest: HostConnection) -> None:
-        """Sends a health check on all connections, as the list can't tell of a new process now."""
-        checked = [connection for connection in host.connections if connection.is_open]
+        """Sends a health check on the newest connection, and on those without an answer since it opened."""
+        opened_moment = newest.evidence.opened_moment
+        older = [
+            connection
+            for connection in host.connections
+            if connection is not newest
+            and connection.is_open
+            and connection.evidence.answered_moment < opened_moment
+        ]
+        if not older:
+            return
+        checked = [*older, newest]
         for connection in checked:
             self._send_check(connection)
         moments_by_connection = {connection: connection.health_check_moment for connection in checked}
--- /dev/null
+++ b/tests/platform_server/test_task_leases.py
@@ -0,0 +1,176 @@
+"""Until when a task stands without evidence that its process runs, by what the list and the host tell."""
+
+import pytest
+
+from glencleat.platform_protocol import messages as m
+from glencleat.platform_protocol.command_channel import CommandChannel
+from glencleat.platform_server.task_leases import LEASE_MS
+from tests.support.exchange_world import setup
+from tests.support.process_hosts import ReplaceableHost
+from tests.support.socket_world import World, kinds, pass_time, reset, settled
+from tests.support.virtual_time import leaping_loop
+
+TASK, OTHER_TASK, NEW_TASK = 1, 2, 3
+HEARTBEAT_MS = 1_000.0
+RELEASE_DUE_MS = 1_050.0  # after the host's release
+LOST_DUE_MS = 8_050.0  # after the end of a task whose host could send no release
+LONG_MS = 40_000.0
+
+
+class LeaseWorld(World):
+    """A host with a command channel that sends a line every second while `is_list_up`."""
+
+    def __init__(self):
+        loop = leaping_loop()
+        super().__init__(loop=loop, channel=CommandChannel(loop.clock.wall() - loop.now()))
+        self.host, self.owner, self.is_list_up = ReplaceableHost(loop), self.client(), True
+        self._beat()
+        self.list(("h1", self.host.address, 1.0))
+
+    def _beat(self):
+        if self.is_list_up:
+            self.channel.confirmed_at_ms = self.loop.now()
+        self.loop.call_in(HEARTBEAT_MS, self._beat)
+
+    def place(self, task):
+        self.ask(self.owner, task)
+        assert self.says(self.owner) == m.encode(m.ANSWER, task, {m.DESCRIPTION: b"ok"})
+
+    def hand_over(self, task):
+        self.owner.send(setup(task, extras="cores:1;memory:1;service:s;at:h1", wait=None))
+        self.until(lambda: task in self.placed_tasks())
+        self.calls += 1
+
+    def placed_tasks(self):
+        return {task for tasks in self.exchange.placed_calls_by_host.values() for task in tasks}
+
+    def open_streams(self):
+        return [stream for stream in self.host.streams if stream.close_reason is None]
+
+    def report(self, task):
+        note = m.encode(m.OBSERVATION, task, {m.TOPIC: b"cores", m.VALUE: b"1"})
+        self.open_streams()[-1].send(note)
+        settled(self)
+
+    def reset_all(self):
+        for stream in self.open_streams():
+            reset(stream)
+        self.until(self.open_streams)
+
+    def await_release(self, task, due_ms):
+        assert self.says(self.owner, ms=due_ms) == m.encode_with_cause(m.RELEASE, task, m.FAILED)
+
+    def releases_at_host(self):
+        return [message.task_id for _, message in self.host.got if message.kind == m.RELEASE]
+
+
+@pytest.fixture
+def world():
+    world = LeaseWorld()
+    yield world
+    for sock in world.clients:
+        sock.close()
+
+
+def test_a_quiet_task_that_was_handed_over_stands_while_the_list_vouches_for_its_process(world):
+    world.hand_over(TASK)
+    pass_time(world, LONG_MS)
+    world.is_list_up = False  # by now a connection is known to reach its process
+    pass_time(world, LONG_MS)
+    assert world.placed_tasks() == {TASK}
+
+
+def test_a_quiet_task_that_was_handed_over_without_a_list_is_released_and_cut(world):
+    """Its process may have ended before, and nothing will ever tell."""
+    world.is_list_up = False
+    pass_time(world, 5_000.0)
+    world.owner = world.client()  # the first one has been closed, as it said nothing
+    world.hand_over(TASK)
+    handed_over_at_ms = world.loop.now()
+    world.await_release(TASK, LOST_DUE_MS)
+    assert world.loop.now() - handed_over_at_ms >= LEASE_MS - 1.0
+    settled(world)
+    assert world.releases_at_host() == [TASK]
+
+
+@pytest.mark.parametrize("is_list_up", [True, False])
+def test_a_quiet_task_whose_connections_are_reset_stands_if_the_list_tells_of_no_other_process(
+    world, is_list_up
+):
+    world.place(TASK)
+    pass_time(world, 5_000.0)
+    world.is_list_up = is_list_up
+    pass_time(world, 500.0)
+    world.reset_all()
+    lost_at_ms = world.loop.now()
+    if is_list_up:
+        pass_time(world, LONG_MS)
+        assert world.placed_tasks() == {TASK}
+    else:
+        world.await_release(TASK, LOST_DUE_MS)
+        assert world.loop.now() - lost_at_ms >= LEASE_MS - 10.0
+        settled(world)
+        assert world.releases_at_host() == [TASK]
+
+
+@pytest.mark.parametrize(("reported", "stands"), [(TASK, True), (OTHER_TASK, False)])
+def test_only_a_report_on_the_task_itself_renews_its_lease(world, reported, stands):
+    """A report on another task may come from a new process at the address."""
+    world.place(TASK)
+    world.place(OTHER_TASK)
+    world.is_list_up = False
+    pass_time(world, 5_000.0)
+    world.reset_all()
+    pass_time(world, 1_000.0)
+    world.report(reported)
+    pass_time(world, LONG_MS)
+    assert (TASK in world.placed_tasks()) == stands
+
+
+def test_a_connection_that_is_opened_while_the_list_is_up_renews_nothing_once_it_is_silent(world):
+    """The list had no time to tell whom the connection reaches."""
+    world.place(TASK)
+    pass_time(world, 5_000.0)
+    world.host.replace(are_connections_silent=False)
+    ended_at_ms = world.loop.now()
+    world.place(NEW_TASK)
+    pass_time(world, 1_000.0)
+    world.is_list_up = False
+    world.await_release(TASK, ended_at_ms + LOST_DUE_MS - world.loop.now())
+    pass_time(world, LONG_MS)
+    assert world.placed_tasks() == {NEW_TASK}
+
+
+@pytest.mark.parametrize("silent_after_ms", [0.0, 1_000.0, 2_500.0])
+def test_connections_that_stay_silent_beside_a_newer_one_end_with_a_silent_list(world, silent_after_ms):
+    """The newer one may have opened before the list fell silent."""
+    world.place(TASK)
+    pass_time(world, 5_000.0)
+    world.host.replace(are_connections_silent=True)
+    ended_at_ms = world.loop.now()
+    world.until(world.open_streams, 2_500.0)  # a liveness check
+    pass_time(world, silent_after_ms)
+    world.is_list_up = False
+    world.await_release(TASK, ended_at_ms + LOST_DUE_MS - world.loop.now())
+
+
+def test_no_health_check_is_sent_while_the_list_is_up(world):
+    """Each has a price."""
+    world.place(TASK)
+    pass_time(world, LONG_MS)
+    assert m.PROBE not in kinds(world.host)
+
+
+def test_a_connection_is_not_given_up_for_one_that_may_reach_a_new_process(world):
+    """Guards against tasks that are taken to run in the new process, since something on the way answers the
+    close of their connection."""
+    world.place(TASK)
+    pass_time(world, 3_500.0)
+    task_stream = world.open_streams()[0]
+    world.host.replace(are_connections_silent=True)
+    world.is_list_up = False
+    ended_at_ms = world.loop.now()
+    world.until(world.open_streams, 2_500.0)
+    pass_time(world, 1_000.0)
+    assert task_stream.close_reason is None
+    world.await_release(TASK, ended_at_ms + LOST_DUE_MS - world.loop.now())
