--- a/glencleat/platform_server/failure_detector.py
+++ b/glencleat/platform_server/failure_detector.py
@@ -9,6 +9,7 @@
     observation                                        verdict                             may be wrong about
     no machine list names the host                     dead after UNLISTED_MS              a delayed list
     connections refused, none open                     dead after REFUSAL_PROOF_MS         a live host
+    the same, and none ever was                        dead after UNREACHABLE_MS           tasks still running
     the same, while draining or replaced, or after     dead after                          tasks still running
     an eviction                                        DRAINING_REFUSAL_PROOF_MS
     refused since the list removed the host            dead                                an erroneous list
@@ -106,6 +107,7 @@
         self.failing_since_ms = NEVER
         self.last_failure_at_ms = -NEVER
         self.is_refusing = False  # the last connect was refused, so the machine is reachable
+        self.has_connected = False  # a connection was open at some time
         # From connections that ended.
         self.recent_losses_ms: list[float] = []
         self.has_process_ended = False  # the last connection broke as it does when a process ends
@@ -141,6 +143,7 @@
         self.refused_since_ms = NEVER
         self.failing_since_ms = NEVER
         self.is_refusing = False
+        self.has_connected = True
         self.has_process_ended = False
         self.is_connection_evicted = False
 
@@ -178,6 +181,7 @@
             idle: It was unused for so long that the host may have closed it as idle.
             disconnected: No other connection to the host is up.
         """
+        self.has_connected = True
         recent_losses_ms = [at_ms for at_ms in self.recent_losses_ms if now_ms - at_ms < SIMULTANEOUS_LOSS_MS]
         recent_losses_ms.append(now_ms)
         self.recent_losses_ms = recent_losses_ms
@@ -211,6 +215,8 @@
         """How long connects must be refused, with no connection open, until the process counts as ended."""
         if self.is_removed and not self.is_replaced:
             return 0.0
+        if not self.has_connected:
+            return UNREACHABLE_MS
         # A host that began to drain after its connection was evicted refuses as well, and the machine list
         # may not show the drain yet.
         may_be_draining = self.is_draining or self.is_replaced
--- a/tests/platform_server/test_task_leases.py
+++ b/tests/platform_server/test_task_leases.py
@@ -4,6 +4,7 @@
 
 from glencleat.platform_protocol import messages as m
 from glencleat.platform_protocol.command_channel import CommandChannel
+from glencleat.platform_server.failure_detector import UNREACHABLE_MS
 from glencleat.platform_server.task_leases import LEASE_MS
 from tests.support.exchange_world import setup
 from tests.support.process_hosts import ReplaceableHost
@@ -174,3 +175,13 @@
     pass_time(world, 1_000.0)
     assert task_stream.close_reason is None
     world.await_release(TASK, ended_at_ms + LOST_DUE_MS - world.loop.now())
+
+
+def test_tasks_at_a_host_that_has_refused_all_connections_are_not_released_at_once(world):
+    """Guards against a release of tasks that run: the host drains, and the list has not told of it yet."""
+    world.host.listener.close()
+    world.hand_over(TASK)
+    handed_over_at_ms = world.loop.now()
+    pass_time(world, UNREACHABLE_MS - 1_000.0)
+    assert world.placed_tasks() == {TASK}
+    world.await_release(TASK, handed_over_at_ms + LOST_DUE_MS - world.loop.now())
