Reports on a task that was named at an unlisted process count by any name

A client names a task at a host of which the list has not told yet, as an owner that changes its allocator does. While the named host has no known address, a report on the task itself counts on any connection, also one that came before the hand-over. A task of which a process has reported is not lost since no list names its host. The end of a connection concerns the tasks of all names at its address.

--- a/glencleat/platform_protocol/ended_tasks.py
+++ b/glencleat/platform_protocol/ended_tasks.py
@@ -37,6 +37,7 @@
 
     def __init__(self) -> None:
         self.ends_by_task_and_host: dict[tuple[int, str], ReportedEnd] = {}  # the oldest first
+        self.hosts_by_task: dict[int, list[str]] = {}
 
     def record_end(self, task_id: int, host: str, cause: int, is_reported: bool, now: float) -> None:
         """Records that a host reported a task's end.
@@ -57,10 +58,22 @@
         if previous is not None and previous.is_retained(now):
             end = ReportedEnd(cause, is_reported or previous.is_reported, previous.reported_at_ms)
         else:
-            ends.pop((task_id, host), None)  # so that it is the newest
+            self._remove(task_id, host)  # so that it is the newest
+        if (task_id, host) not in ends:
+            self.hosts_by_task.setdefault(task_id, []).append(host)
         ends[task_id, host] = end
         while len(ends) > MAX_ENDED_TASKS or not next(iter(ends.values())).is_retained(now):
-            del ends[next(iter(ends))]
+            self._remove(*next(iter(ends)))
+
+    def _remove(self, task_id: int, host: str) -> None:
+        if self.ends_by_task_and_host.pop((task_id, host), None) is not None:
+            self.hosts_by_task[task_id].remove(host)
+            if not self.hosts_by_task[task_id]:
+                del self.hosts_by_task[task_id]
+
+    def list_hosts(self, task_id: int) -> list[str]:
+        """Returns the hosts that have reported the task's end."""
+        return list(self.hosts_by_task.get(task_id, ()))
 
     def is_unclaimed(self, task_id: int, host: str, now: float) -> bool:
         """Whether an end was reported within the retention time of which no client was notified."""
--- a/glencleat/platform_protocol/exchange.py
+++ b/glencleat/platform_protocol/exchange.py
@@ -69,6 +69,8 @@
         self.list_machines: Callable[[], tuple[api.Machine, ...]] = tuple
         # Called when a host's first task is placed and when its last one has ended.
         self.on_placed_changed: Callable[[str], None] = lambda host: None
+        # Whether the process of a host is known, so that messages of others do not concern its tasks.
+        self.is_process_known: Callable[[str], bool] = lambda host: True
         # Called with the host of a task that a client has handed over.
         self.on_task_handed_over: Callable[[str], None] = lambda host: None
         self.invalid_setup_count = self.call_count = self.late_answer_count = 0
@@ -315,12 +317,22 @@
         )
 
     def _find_attempt(self, task_id: int, host: str) -> SetupAttempt | None:
-        """Returns our attempt or placed task on that host, None if there is none."""
+        """Returns our attempt or placed task on that host, None if there is none.
+
+        A task that was handed over may have been placed in a process of which the list has not told yet, so
+        that a connection by a former host's name reaches it.
+        """
         call = self.calls_by_task_id.get(task_id)
         attempt = call.attempt if call is not None else None
-        if attempt is None or not self.process_names.is_same_process(host, attempt.host):
+        if call is None or attempt is None:
             return None
-        return attempt
+        is_placed = call.state is SetupState.PLACED
+        is_same = self.process_names.is_same_process(host, attempt.host)
+        return attempt if is_same or (is_placed and self._may_be_same_process(host, attempt.host)) else None
+
+    def _may_be_same_process(self, host: str, named_host: str) -> bool:
+        is_same = self.process_names.is_same_process(host, named_host)
+        return is_same or not self.is_process_known(named_host)
 
     def _handle_answer(self, attempt: SetupAttempt, message: m.PlatformMessage) -> None:
         call = attempt.call
@@ -461,7 +473,7 @@
         if self.ports.is_release_undelivered(setup.task_id):
             return  # the task has ended; its release goes out by this connection too, if by no other
         now = self.ports.now()
-        ended = self.ended_tasks.claim(setup.task_id, setup.machine, now)
+        ended = self._claim_end(setup.task_id, setup.machine)
         if ended is not None:
             if not ended[1]:
                 cause = m.ENDED if ended[0] == m.ENDED else m.FAILED
@@ -476,6 +488,15 @@
         self.event_dispatcher.dispatch_event(self._make_placement_request(call, 0.0))
         self._bound_unconfirmed(client, setup.task_id)
 
+    def _claim_end(self, task_id: int, machine: str) -> tuple[int, bool] | None:
+        """Claims the end of a task that the process of a host has reported, by whichever name it is known."""
+        for host in self.ended_tasks.list_hosts(task_id):
+            if self._may_be_same_process(host, machine):
+                ended = self.ended_tasks.claim(task_id, host, self.ports.now())
+                if ended is not None:
+                    return ended
+        return None
+
     def _bound_unconfirmed(self, client: ClientPort, task_id: int) -> None:
         """Records a task that its host has not reported yet; forgets another if there are too many."""
         forgotten_task_id = self.unconfirmed_tasks.add(client, task_id)
--- a/glencleat/platform_server/connection_pool.py
+++ b/glencleat/platform_server/connection_pool.py
@@ -106,6 +106,7 @@
         self._exchange = exchange
         exchange.on_placed_changed = self.maintenance.on_placed_tasks_changed
         exchange.on_task_handed_over = self.task_leases.on_task_handed_over
+        exchange.is_process_known = self.registry.has_address
 
     @property
     def hosts_by_name(self) -> dict[str, Host]:
--- a/glencleat/platform_server/host_registry.py
+++ b/glencleat/platform_server/host_registry.py
@@ -84,6 +84,17 @@
         if self.host_names_by_address.get(host.address) == host.name:
             del self.host_names_by_address[host.address]
 
+    def has_address(self, name: str) -> bool:
+        """Whether an address is known for the host."""
+        host = self.hosts_by_name.get(name)
+        return host is not None and host.has_address
+
+    def list_names_at(self, address: tuple[str, int]) -> list[str]:
+        """Returns the hosts whose connections reach the process at an address, the one in the list first."""
+        current_name = self.host_names_by_address.get(address)
+        former = [host.name for host in self.replaced_hosts_by_address.get(address, ())]
+        return former if current_name is None else [current_name, *former]
+
     def apply_list_change(self, change: ListChange) -> None:
         """Applies a snapshot or a delta of the machine list."""
         names = {entry.machine.name for entry in change.hosts}
--- a/glencleat/platform_server/task_leases.py
+++ b/glencleat/platform_server/task_leases.py
@@ -42,6 +42,10 @@
 """The shortest time between two reviews of a host, so that leases that expire one by one share them."""
 
 
+UNLISTED_REVIEW_MS = 500.0
+"""The time between two reviews of a host whose address is not known."""
+
+
 class TaskLeasePort(Protocol):
     """What is needed of the connection pool."""
 
@@ -80,12 +84,15 @@
 
     def on_task_handed_over(self, host_name: str) -> None:
         """A client has named a task that runs on the host; the host may not be known yet."""
-        self._schedule(host_name, self.pool.loop.now() + LEASE_MS)
+        is_listed = self.pool.registry.has_address(host_name)
+        self._schedule(host_name, self.pool.loop.now() + (LEASE_MS if is_listed else UNLISTED_REVIEW_MS))
 
     def on_connection_ended(self, host: Host) -> None:
         """A connection has ended: reviews the host once the caller is done."""
-        if host.name in self.pool.exchange.placed_calls_by_host:
-            self._schedule(host.name, self.pool.loop.now())
+        # The host may report on the tasks of any name on the connections of each.
+        for name in {host.name, *self.pool.registry.list_names_at(host.address)}:
+            if name in self.pool.exchange.placed_calls_by_host:
+                self._schedule(name, self.pool.loop.now())
 
     def review(self, host_name: str) -> None:
         """Ends the tasks whose lease has expired, and schedules the next review of the host."""
@@ -96,17 +103,20 @@
             return
         self._settle_tasks(host)
         now_ms = self.pool.loop.now()
-        expired_ids: list[int] = []
+        expired: list[SetupCall] = []
         next_due_ms = NEVER
         for call, due_ms in self.iterate_leases(host):
             if due_ms <= now_ms:
-                expired_ids.append(call.setup.task_id)
+                expired.append(call)
             else:
                 next_due_ms = min(next_due_ms, due_ms)
+        if not host.has_address and host_name in self.pool.exchange.placed_calls_by_host:
+            # The ends of connections that were opened by other names concern its tasks.
+            next_due_ms = min(next_due_ms, now_ms + UNLISTED_REVIEW_MS)
         if next_due_ms < NEVER:
             self._schedule(host_name, max(next_due_ms, now_ms + REVIEW_INTERVAL_MS))
-        if expired_ids:
-            self._expire(host, expired_ids)
+        if expired:
+            self._expire(host, expired)
 
     def describe(self) -> str:
         """Returns the state of the leases for the log."""
@@ -209,15 +219,21 @@
             del self.review_times_by_host[host_name]
             self.review(host_name)
 
-    def _expire(self, host: Host, task_ids: list[int]) -> None:
-        self.expired_count += len(task_ids)
+    def _expire(self, host: Host, calls: list[SetupCall]) -> None:
+        self.expired_count += len(calls)
         list_age_ms = self.pool.loop.now() - self.pool.channel.confirmed_at_ms
         self.pool.log(
-            f"host {host.name}: {len(task_ids)} leases expired;"
+            f"host {host.name}: {len(calls)} leases expired;"
             f" {host.describe_connections()}, list confirmed {list_age_ms:.0f} ms ago"
         )
-        self.pool.declare_tasks_lost(host, "their leases have expired", task_ids)
-        process_name = self.pool.exchange.process_names.find_current_name(host.name)
-        for task_id in task_ids:
+        names_by_task_id = {call.setup.task_id: self._find_process_name(host, call) for call in calls}
+        self.pool.declare_tasks_lost(host, "their leases have expired", list(names_by_task_id))
+        for task_id, name in names_by_task_id.items():
             # It may run after all, and its client may ask for it again.
-            self.pool.release_task(process_name, task_id)
+            self.pool.release_task(name, task_id)
+
+    def _find_process_name(self, host: Host, call: SetupCall) -> str:
+        """Returns the host by whose name the process can be reached that may run the task."""
+        connection: HostConnection | None = call.attempt.connection if call.attempt is not None else None
+        reached_host = connection.host if connection is not None else host
+        return self.pool.exchange.process_names.find_current_name(reached_host.name)
--- a/tests/platform_server/test_task_leases.py
+++ b/tests/platform_server/test_task_leases.py
@@ -185,3 +185,73 @@
     pass_time(world, UNREACHABLE_MS - 1_000.0)
     assert world.placed_tasks() == {TASK}
     world.await_release(TASK, handed_over_at_ms + LOST_DUE_MS - world.loop.now())
+
+
+class UnlistedProcess:
+    """A process that took h1's address as h2, while the list is silent; a client names its task by that id."""
+
+    def __init__(self, world):
+        self.world = world
+        world.place(OTHER_TASK)
+        world.is_list_up = False
+        world.host.replace(are_connections_silent=False)
+        world.until(world.open_streams)
+        settled(world)
+
+    def hand_over(self):
+        self.world.owner.send(setup(TASK, extras="cores:1;memory:1;service:s;at:h2", wait=None))
+        settled(self.world)
+
+    def release(self):
+        self.world.open_streams()[0].send(m.encode_with_cause(m.RELEASE, TASK, m.ENDED))
+        settled(self.world)
+
+
+@pytest.fixture
+def unlisted(world):
+    return UnlistedProcess(world)
+
+
+@pytest.mark.parametrize("is_named_first", [True, False])
+def test_the_end_of_a_task_of_an_unlisted_process_is_heard_by_the_former_name(
+    world, unlisted, is_named_first
+):
+    """Guards against a release that is acknowledged and lost: it names a host that no list has told of."""
+    steps = [unlisted.hand_over, unlisted.release]
+    for step in steps if is_named_first else reversed(steps):
+        step()
+    assert world.says(world.owner) == m.encode_with_cause(m.RELEASE, TASK, m.ENDED)
+
+
+def test_a_task_of_an_unlisted_process_stands_while_its_connection_is_open(world, unlisted):
+    world.place(NEW_TASK)
+    unlisted.hand_over()
+    world.report(TASK)
+    world.await_release(OTHER_TASK, LOST_DUE_MS)  # of the former process
+    pass_time(world, LONG_MS)
+    assert world.placed_tasks() == {NEW_TASK, TASK}
+    unlisted.release()
+    assert world.says(world.owner) == m.encode_with_cause(m.RELEASE, TASK, m.ENDED)
+
+
+def test_a_task_of_an_unlisted_process_is_released_after_the_end_of_its_process(world, unlisted):
+    world.place(NEW_TASK)
+    unlisted.hand_over()
+    world.report(TASK)
+    world.await_release(OTHER_TASK, LOST_DUE_MS)
+    ended_at_ms = world.loop.now()
+    world.host.replace(are_connections_silent=False)
+    world.until(lambda: not world.placed_tasks(), LOST_DUE_MS)
+    assert world.loop.now() - ended_at_ms >= LEASE_MS - 10.0
+
+
+def test_a_release_of_another_host_does_not_end_a_task_whose_host_is_listed(world):
+    """It may be late, of an attempt that was taken back there."""
+    other = ReplaceableHost(world.loop)
+    world.list(("h2", other.address, 1.0))
+    world.place(OTHER_TASK)
+    world.owner.send(setup(TASK, extras="cores:1;memory:1;service:s;at:h2", wait=None))
+    settled(world)
+    world.open_streams()[0].send(m.encode_with_cause(m.RELEASE, TASK, m.ENDED))
+    settled(world)
+    assert TASK in world.placed_tasks()
