The soak's owners know nothing of hosts, and go to other allocators

The soak was green for what it could not see: its owners asked the hosts which tasks still ran before they named them, and its verdict passed over the others. Its one allocator never saw a task move, the list was never silent, every task was reported each 0.4 s, and the rule of 1 s after a host's release was not judged.

Owners now name every task of which they know no end, to the same allocator or to one of two others; allocators are killed without notice too; command channels are cut off for up to 12 s; three in ten tasks are never reported. A task may be ended by its allocator only where it ends it at its host too, within 1 s, and where its host has not reported on it for 5 s.

--- a/benchmarks/process_soak/__main__.py
+++ b/benchmarks/process_soak/__main__.py
@@ -3,9 +3,11 @@
     python -m benchmarks.process_soak --seeds 50 --seconds 25 --folder DIR
 
 Hosts are replaced at their address under another id or the same one, with connections that are reset or stay
-silent, while the machine list tells it late and by a clock that is seconds off. Connections are reset on the
-way. Allocators get SIGHUP, and SIGTERM with SIGKILL as early as the protocol page allows; their owners use open
-connections until then. In every third seed a crowd of idle clients is connected. Exits with 1 if a rule was
+silent, while the machine list tells it late and by a clock that is seconds off, or is cut off from an allocator.
+Connections are reset on the way. Allocators get SIGHUP, SIGSTOP, and SIGKILL, with SIGTERM before it or without,
+as early as the protocol page allows; their owners use open connections until then, and afterwards name all
+tasks of which they know no end to the same allocator or to another one. On three in ten tasks no host reports
+anything but the end. In every third seed a crowd of idle clients is connected. Exits with 1 if a rule was
 broken. `verdict.py` has the rules.
 """
 
--- a/benchmarks/process_soak/hosts.py
+++ b/benchmarks/process_soak/hosts.py
@@ -1,8 +1,14 @@
-"""Hosts of the soak: an address each, at which one process follows another."""
+"""Hosts of the soak: an address each, at which one process follows another.
+
+A host has a port for each allocator, and sends what concerns a task to the allocator that holds it.
+"""
 
 from __future__ import annotations
 
+import socket
+from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from random import Random
 
 from glencleat.emulators.proxy import reset_stream
@@ -14,6 +20,8 @@
 ANSWER_DELAYS_MS = (2.0, 30.0)
 LIVES_MS = (800.0, 9_000.0)
 REFUSED_SHARE = 0.05
+QUIET_SHARE = 0.3  # of the tasks on which no host reports anything but their end
+DELIVERY_MS = 200.0  # a connection that stays open for so long after a message has delivered it
 
 
 @dataclass(slots=True, eq=False)
@@ -23,6 +31,10 @@
     task_id: int
     host_name: str
     accepted_at_ms: float
+    is_quiet: bool = False
+    # By allocator: when its host last sent it a note on the task, and when it first delivered the release.
+    noted_at_ms: dict[int, float] = field(default_factory=dict)
+    delivered_at_ms: dict[int, list[float]] = field(default_factory=dict)
     ended_at_ms: float | None = None
     is_cut: bool = False  # ended by an allocator's release, so no release is owed to its client
     has_process_ended: bool = False
@@ -33,29 +45,66 @@
     """One process, by the name under which the machine list knows it in time."""
 
     name: str
-    streams: set[Stream] = field(default_factory=set)
+    allocators_by_stream: dict[Stream, int] = field(default_factory=dict)
     tasks_by_id: dict[int, RunningTask] = field(default_factory=dict)
-    unacknowledged_ids: set[int] = field(default_factory=set)
+    streams_by_task_id: dict[int, Stream] = field(default_factory=dict)  # of the set-ups
+    unacknowledged_by_id: dict[int, RunningTask] = field(default_factory=dict)
     has_ended: bool = False
 
 
+class AllocatorPort:
+    """The port at which a host listens for one allocator. It stays reserved while the host is away."""
+
+    def __init__(self, loop: Loop, accept: Callable[[Stream], None]) -> None:
+        """Listens at once."""
+        self.loop, self.accept = loop, accept
+        self.reservation = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.reservation.bind(("127.0.0.1", 0))
+        self.number = int(self.reservation.getsockname()[1])
+        self.listener = Listener(loop, ("127.0.0.1", self.number), accept)
+
+    def listen(self) -> None:
+        """Accepts connections again."""
+        if self.listener.sock.fileno() < 0:
+            self.listener = Listener(self.loop, ("127.0.0.1", self.number), self.accept)
+
+    def close(self) -> None:
+        """Ends the reservation too."""
+        self.listener.close()
+        self.reservation.close()
+
+
 class SoakHost:
     """An address with its current process. `tasks` records every acceptance there ever was."""
 
-    def __init__(self, loop: Loop, name: str, random: Random, tasks: list[RunningTask]) -> None:
-        """Starts a process that is known as `name`; `tasks` is shared by all hosts."""
-        self.loop, self.random, self.tasks = loop, random, tasks
+    def __init__(
+        self,
+        loop: Loop,
+        name: str,
+        random: Random,
+        tasks: list[RunningTask],
+        find_holder: Callable[[int], int],
+        allocator_count: int,
+    ) -> None:
+        """Starts a process that is known as `name`; `tasks` is shared by all hosts.
+
+        `find_holder` returns the allocator that holds a task now.
+        """
+        self.loop, self.random, self.tasks, self.find_holder = loop, random, tasks, find_holder
         self.process = HostProcess(name)
         self.is_draining = False
+        self.silent_streams: list[Stream] = []  # of former processes
         self.told_at_ms = 0.0  # when the list tells of its latest process
-        self.listener = Listener(loop, ("127.0.0.1", 0), self._accept)
-        self.port = int(self.listener.address[1])
+        self.ports = [
+            AllocatorPort(loop, partial(self._accept, allocator)) for allocator in range(allocator_count)
+        ]
         loop.call_in(NOTE_INTERVAL_MS, self._send_notes)
 
     def drain(self) -> None:
         """Accepts no connection and no task any more, while its tasks run on and are reported."""
         self.is_draining = True
-        self.listener.close()
+        self._stop_listening()
 
     def replace_process(self, name: str, *, are_connections_silent: bool, away_ms: float) -> None:
         """Ends the process and starts one that is known as `name`; connects are refused for `away_ms`."""
@@ -64,34 +113,43 @@
         for task in former.tasks_by_id.values():
             task.ended_at_ms, task.has_process_ended = self.loop.now(), True
         if not are_connections_silent:
-            for stream in list(former.streams):
+            for stream in list(former.allocators_by_stream):
                 reset_stream(stream, "the process has ended")
         if away_ms or self.is_draining:
-            self.listener.close()
+            self._stop_listening()
             self.loop.call_in(away_ms, self._listen)
 
+    def _stop_listening(self) -> None:
+        for port in self.ports:
+            port.listener.close()
+
     def _listen(self) -> None:
-        if self.listener.sock.fileno() < 0:
-            self.listener = Listener(self.loop, ("127.0.0.1", self.port), self._accept)
+        for port in self.ports:
+            port.listen()
         self.is_draining = False
 
     def reset_one_connection(self) -> None:
         """Resets a connection while the process lives on."""
-        if self.process.streams:
-            streams = sorted(self.process.streams, key=lambda stream: stream.fd)
+        streams = self._list_streams()
+        if streams:
             reset_stream(self.random.choice(streams), "reset on the way")
 
     def close(self) -> None:
         """Ends the host."""
-        self.listener.close()
-        for stream in list(self.process.streams):
+        for port in self.ports:
+            port.close()
+        for stream in [*self.process.allocators_by_stream, *self.silent_streams]:
             stream.close("the soak is over")
 
-    def _accept(self, stream: Stream) -> None:
+    def _list_streams(self) -> list[Stream]:
+        return sorted(self.process.allocators_by_stream, key=lambda stream: stream.fd)
+
+    def _accept(self, allocator: int, stream: Stream) -> None:
         process = self.process
-        process.streams.add(stream)
-        for task_id in process.unacknowledged_ids:
-            stream.try_send(m.encode_with_cause(m.RELEASE, task_id, m.ENDED))
+        process.allocators_by_stream[stream] = allocator
+        for task in process.unacknowledged_by_id.values():
+            if self.find_holder(task.task_id) == allocator:
+                self._send_release(process, stream, task)
         self.loop.spawn(self._serve(process, stream), "soak host")
 
     def _serve(self, process: HostProcess, stream: Stream) -> Coroutine:
@@ -105,8 +163,11 @@
         except (StreamClosedError, m.ProtocolError):
             pass
         finally:
-            process.streams.discard(stream)
-            stream.close("it ended")
+            process.allocators_by_stream.pop(stream, None)
+            if process.has_ended and stream.close_reason is None:
+                self.silent_streams.append(stream)  # a machine that has gone does not answer a close either
+            else:
+                stream.close("it ended")
 
     def _handle(self, process: HostProcess, stream: Stream, message: m.PlatformMessage) -> None:
         task_id = message.task_id
@@ -116,7 +177,7 @@
         elif message.kind == m.PROBE:
             stream.try_send(m.encode_with_cause(m.PROBE_ANSWER, task_id, 1))
         elif message.kind == m.RELEASE_COMPLETE:
-            process.unacknowledged_ids.discard(task_id)
+            process.unacknowledged_by_id.pop(task_id, None)
         elif message.kind == m.RELEASE:
             self._cut(process, task_id)
             stream.try_send(m.encode(m.RELEASE_COMPLETE, task_id))
@@ -127,9 +188,11 @@
         if self.is_draining or self.random.random() < REFUSED_SHARE:
             stream.try_send(m.encode_with_cause(m.RELEASE, task_id, m.REJECTED))
             return
-        task = RunningTask(task_id, process.name, self.loop.now())
+        is_quiet = self.random.random() < QUIET_SHARE
+        task = RunningTask(task_id, process.name, self.loop.now(), is_quiet)
         self.tasks.append(task)
         process.tasks_by_id[task_id] = task
+        process.streams_by_task_id[task_id] = stream
         stream.try_send(m.encode(m.ANSWER, task_id, {m.DESCRIPTION: process.name.encode()}))
         self.loop.call_in(self.random.uniform(*LIVES_MS), lambda: self._end(process, task))
 
@@ -138,10 +201,30 @@
             return
         task.ended_at_ms = self.loop.now()
         del process.tasks_by_id[task.task_id]
-        process.unacknowledged_ids.add(task.task_id)
-        stream = next(iter(sorted(process.streams, key=lambda stream: stream.fd)), None)
+        process.unacknowledged_by_id[task.task_id] = task
+        stream = self._choose_stream(process, task)
         if stream is not None:
-            stream.try_send(m.encode_with_cause(m.RELEASE, task.task_id, m.ENDED))
+            self._send_release(process, stream, task)
+
+    def _choose_stream(self, process: HostProcess, task: RunningTask) -> Stream | None:
+        """Returns the connection of the task's set-up, else any of its holder that is open."""
+        holder = self.find_holder(task.task_id)
+        allocators = process.allocators_by_stream
+        own = process.streams_by_task_id[task.task_id]
+        if allocators.get(own) == holder:
+            return own
+        streams = [stream for stream in self._list_streams() if allocators.get(stream) == holder]
+        return self.random.choice(streams) if streams else None
+
+    def _send_release(self, process: HostProcess, stream: Stream, task: RunningTask) -> None:
+        stream.try_send(m.encode_with_cause(m.RELEASE, task.task_id, m.ENDED))
+        allocator, sent_at_ms = process.allocators_by_stream[stream], self.loop.now()
+
+        def record_delivery() -> None:
+            if stream.close_reason is None:
+                task.delivered_at_ms.setdefault(allocator, []).append(sent_at_ms)
+
+        self.loop.call_in(DELIVERY_MS, record_delivery)
 
     def _cut(self, process: HostProcess, task_id: int) -> None:
         task = process.tasks_by_id.pop(task_id, None)
@@ -150,7 +233,10 @@
 
     def _send_notes(self) -> None:
         self.loop.call_in(NOTE_INTERVAL_MS, self._send_notes)
-        streams = sorted(self.process.streams, key=lambda stream: stream.fd)
-        for task_id in list(self.process.tasks_by_id) if streams else ():
-            note = m.encode(m.OBSERVATION, task_id, {m.TOPIC: b"cores", m.VALUE: b"1"})
-            self.random.choice(streams).try_send(note)
+        process = self.process
+        for task in list(process.tasks_by_id.values()):
+            stream = None if task.is_quiet else self._choose_stream(process, task)
+            if stream is not None:
+                note = m.encode(m.OBSERVATION, task.task_id, {m.TOPIC: b"cores", m.VALUE: b"1"})
+                stream.try_send(note)
+                task.noted_at_ms[process.allocators_by_stream[stream]] = self.loop.now()
--- a/benchmarks/process_soak/owners.py
+++ b/benchmarks/process_soak/owners.py
@@ -1,8 +1,11 @@
-"""Owners of the soak: clients that keep their connections to an allocator and use them until it is killed."""
+"""Owners of the soak: clients that keep their connections to an allocator and use them until it is killed.
+
+They know of a task what allocators told them, and nothing of hosts: at a hand-over they name every task that was
+placed and not released, to the same allocator once it has started again or to another one.
+"""
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
 
@@ -15,6 +18,14 @@
 """A set-up that crosses the close of its connection within this time may be sent again, by the page."""
 
 
+@dataclass(frozen=True, slots=True)
+class HandOver:
+    """A placed task was named to an allocator, by a set-up with `at`."""
+
+    allocator: int
+    at_ms: float
+
+
 @dataclass(slots=True, eq=False)
 class Request:
     """A set-up and what its owner received for it, with times of the soak's loop."""
@@ -26,16 +37,20 @@
     sent_at_ms: float
     answers: list[tuple[float, int]] = field(default_factory=list)  # when; the kind or the cause
     placed_on: str = ""
-    releases_at_ms: list[float] = field(default_factory=list)  # after the placement
+    releases_at_ms: list[float] = field(default_factory=list)  # after the placement; a move counts as one
     closed_at_ms: float | None = None  # its connection ended before an answer
-    handed_over_at_ms: list[float] = field(default_factory=list)
-    is_given_up: bool = False  # its host did not hold it any more when the allocator started again
+    hand_overs: list[HandOver] = field(default_factory=list)
 
     @property
     def is_placed(self) -> bool:
         """Whether it was answered by a placement."""
         return bool(self.placed_on)
 
+    @property
+    def holder(self) -> int:
+        """The allocator that is to release it."""
+        return self.hand_overs[-1].allocator if self.hand_overs else self.allocator
+
 
 class OwnerConnection:
     """One connection to an allocator."""
@@ -76,12 +91,13 @@
 class Owners:
     """All owners of all allocators. Set-ups have ever new ids; every one is kept for the verdict."""
 
-    def __init__(self, loop: Loop, random: Random, is_held: Callable[[int], bool]) -> None:
-        """Starts without connections; `is_held` says whether a host still holds a task or owes its release."""
-        self.loop, self.random, self.is_held = loop, random, is_held
+    def __init__(self, loop: Loop, random: Random) -> None:
+        """Starts without connections."""
+        self.loop, self.random = loop, random
         self.connections: set[OwnerConnection] = set()
         self.requests_by_id: dict[int, Request] = {}
-        self.handed_over_allocators: set[int] = set()  # that know, or are being told, what their owners hold
+        # By allocator: tasks that are to be named on its next connection.
+        self.waiting_by_allocator: dict[int, list[Request]] = {}
 
     def connect(self, allocator: int, address: tuple[str, int]) -> None:
         """Opens a further connection."""
@@ -105,28 +121,36 @@
         assert connection.stream is not None
         connection.stream.try_send(self._encode(request))
 
+    def list_held(self, allocator: int) -> list[Request]:
+        """Returns the requests whose tasks the allocator holds, as far as their owners know."""
+        return [
+            request
+            for request in self.requests_by_id.values()
+            if request.is_placed and request.holder == allocator and not request.releases_at_ms
+        ]
+
+    def hand_over(self, held: list[Request], allocator: int) -> None:
+        """Names tasks to an allocator, at once or on the next connection to it."""
+        self.waiting_by_allocator.setdefault(allocator, []).extend(held)
+        connections = self.list_open(allocator)
+        if connections:
+            self.on_connected(self.random.choice(connections))
+
     def on_connected(self, connection: OwnerConnection) -> None:
-        """Names the tasks that the owners hold, on the first connection after the allocator's start."""
-        if connection.allocator in self.handed_over_allocators:
-            return
-        self.handed_over_allocators.add(connection.allocator)
-        for request in self.requests_by_id.values():
-            is_held = request.allocator == connection.allocator and request.is_placed
-            if not is_held or request.releases_at_ms:
-                continue
-            request.is_given_up = request.is_given_up or not self.is_held(request.task_id)
-            if not request.is_given_up:
-                request.handed_over_at_ms.append(self.loop.now())
-                assert connection.stream is not None
+        """Names the tasks that wait for a connection to its allocator."""
+        assert connection.stream is not None
+        for request in self.waiting_by_allocator.pop(connection.allocator, ()):
+            if not request.releases_at_ms:
+                request.hand_overs.append(HandOver(connection.allocator, self.loop.now()))
                 connection.stream.try_send(self._encode(request, at=request.placed_on))
 
     def on_message(self, connection: OwnerConnection, message: m.PlatformMessage) -> None:
         """Records an answer or a release."""
         request = self.requests_by_id.get(message.task_id)
-        if request is None or message.kind not in (m.ANSWER, m.RELEASE):
+        if request is None or message.kind not in (m.ANSWER, m.RELEASE, m.MIGRATE):
             return
         is_open = connection.open_requests.pop(message.task_id, None) is not None
-        if message.kind == m.RELEASE and request.is_placed:
+        if message.kind != m.ANSWER and request.is_placed:
             request.releases_at_ms.append(self.loop.now())
             return
         request.answers.append((self.loop.now(), m.ANSWER if message.kind == m.ANSWER else message.cause))
--- a/benchmarks/process_soak/play.py
+++ b/benchmarks/process_soak/play.py
@@ -4,25 +4,27 @@
 
 import signal
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
 from random import Random
+from typing import Any
 
 from benchmarks.process_soak.hosts import RunningTask, SoakHost
-from benchmarks.process_soak.owners import Owners
+from benchmarks.process_soak.owners import Owners, Request
 from benchmarks.process_soak.verdict import Record, Restart, find_violations, summarize
 from glencleat.emulators.allocator_processes import AllocatorProcesses
 from glencleat.emulators.channel import ChannelService, make_list_entry
 from glencleat.event_loop import Loop
 
-ALLOCATOR_COUNT, HOST_COUNT = 1, 6  # hosts can not tell the connections of several allocators apart
+ALLOCATOR_COUNT, HOST_COUNT = 3, 6
 CONNECTIONS_PER_ALLOCATOR = 4
-SETUP_INTERVAL_MS = 30.0
+SETUP_INTERVAL_MS = 20.0
 WAITS_MS = (400.0, 3_000.0)
 UNSAFE_SHARE = 0.3
 REPLACEMENT_INTERVALS_MS = (700.0, 2_500.0)
 RESET_INTERVALS_MS = (300.0, 2_000.0)
-SIGNAL_INTERVALS_MS = (2_500.0, 6_000.0)
+SIGNAL_INTERVALS_MS = (1_500.0, 4_000.0)
 LIST_DELAYS_MS = (300.0, 2_500.0)
 LIST_CLOCK_OFFSETS_MS = (-3_000.0, 0.0, 3_000.0)
 MIN_EVENT_INTERVAL_MS = 1.0
@@ -33,6 +35,11 @@
 DRAINS_MS = (500.0, 3_000.0)  # from the list's word to the end
 KILL_DELAY_MS = 3_700.0  # the longest deadline, counted as 3 s at most, and 0.7 s
 RESTART_DELAY_MS = 300.0
+OUTRIGHT_KILL_SHARE = 0.3  # of the restarts, those without SIGTERM
+MOVE_SHARE = 0.5  # of the restarts, those after which the owners go to another allocator
+MOVE_DELAYS_MS = (300.0, 3_000.0)  # after the end of the allocator
+CUT_INTERVALS_MS = (6_000.0, 15_000.0)  # between two breaks of an allocator's command channel
+CUTS_MS = (500.0, 12_000.0)
 CROWD_SIZE, CROWD_EVERY = 120, 3  # clients; seeds
 QUIET_MS = 9_500.0  # after the last set-up, until every release is due
 START_TIMEOUT_MS = 30_000.0
@@ -74,16 +81,30 @@
         self.loop, self.random = Loop(), Random(options.seed)
         self.tasks: list[RunningTask] = []
         self.hosts = [
-            SoakHost(self.loop, f"h{number}", Random(self.random.random()), self.tasks)
+            SoakHost(
+                self.loop,
+                f"h{number}",
+                Random(self.random.random()),
+                self.tasks,
+                self._find_holder,
+                ALLOCATOR_COUNT,
+            )
             for number in range(HOST_COUNT)
         ]
         self.name_count = HOST_COUNT
         self.list_clock_offset_ms = self.random.choice(LIST_CLOCK_OFFSETS_MS)
-        entries = [make_list_entry(host.process.name, host.port) for host in self.hosts]
-        self.service = ChannelService(self.loop, entries)
-        self.owners = Owners(self.loop, Random(self.random.random()), self._is_held)
+        self.services = [
+            ChannelService(
+                self.loop,
+                [make_list_entry(host.process.name, host.ports[number].number) for host in self.hosts],
+            )
+            for number in range(ALLOCATOR_COUNT)
+        ]
+        self.owners = Owners(self.loop, Random(self.random.random()))
         self.restarts_by_allocator: dict[int, list[Restart]] = {n: [] for n in range(ALLOCATOR_COUNT)}
         self.stopping: set[int] = set()
+        # Tasks whose owners come back to their allocator once it has started.
+        self.returning_by_allocator: dict[int, list[Request]] = {}
         self.busy_hosts: set[SoakHost] = set()  # that drain
         self.network_resets = 0
         self.is_active, self.is_over = True, False
@@ -91,7 +112,7 @@
     def run(self) -> PlayResult:
         """Plays and judges."""
         for number in range(ALLOCATOR_COUNT):
-            self.allocators.configure(number, self.service.address, self.service.take_snapshot())
+            self._configure(number)
             self.allocators.start(number)
         self._run_until(self._are_all_listening, START_TIMEOUT_MS)
         self._connect_owners()
@@ -102,6 +123,7 @@
             (self._replace_process, REPLACEMENT_INTERVALS_MS),
             (self._reset_connection, RESET_INTERVALS_MS),
             (self._send_signal, SIGNAL_INTERVALS_MS),
+            (self._cut_channel, CUT_INTERVALS_MS),
         ):
             self._repeat(action, intervals)
         self._run_for(self.options.duration_ms)
@@ -128,7 +150,8 @@
         for host in self.hosts:
             host.close()
         self._run_for(100.0)
-        self.service.close()
+        for service in self.services:
+            service.close()
         return result
 
     def _find_faults(self) -> list[str]:
@@ -164,11 +187,8 @@
 
     # ---- owners ----
 
-    def _is_held(self, task_id: int) -> bool:
-        processes = [host.process for host in self.hosts]
-        return any(
-            task_id in process.tasks_by_id or task_id in process.unacknowledged_ids for process in processes
-        )
+    def _find_holder(self, task_id: int) -> int:
+        return self.owners.requests_by_id[task_id].holder
 
     def _are_all_listening(self) -> bool:
         return all(self.allocators.listen_address(number) for number in range(ALLOCATOR_COUNT))
@@ -206,9 +226,12 @@
         """The host drains, which the list tells late, and is replaced some seconds after that."""
         self.busy_hosts.add(host)
         host.drain()
-        entry = make_list_entry(host.process.name, host.port, "DRAINING")
+        name = host.process.name
         told_ms = self.random.uniform(*LIST_DELAYS_MS)
-        self.loop.call_in(told_ms, lambda: self.service.publish([entry]))
+        self.loop.call_in(
+            told_ms,
+            lambda: self._publish(lambda port: [make_list_entry(name, port, "DRAINING")], host),
+        )
 
         def replace() -> None:
             self.busy_hosts.discard(host)
@@ -227,23 +250,35 @@
         are_connections_silent = self.random.random() < SILENT_SHARE
         host.replace_process(name, are_connections_silent=are_connections_silent, away_ms=away_ms)
 
-        def publish() -> None:
-            entries = [make_list_entry(name, host.port, started_ms=started_unix_ms)]
+        deleted_position = self.random.randrange(2)
+
+        def make_entries(port: int) -> list[dict[str, Any]]:
+            entries = [make_list_entry(name, port, started_ms=started_unix_ms)]
             if former_name != name:
-                entries.insert(self.random.randrange(2), make_list_entry(former_name, host.port, "DELETED"))
-            self.service.publish(entries)
+                entries.insert(deleted_position, make_list_entry(former_name, port, "DELETED"))
+            return entries
 
         told_at_ms = self.loop.now() + self.random.uniform(*LIST_DELAYS_MS)
         # The list tells of one host's processes in their order.
         host.told_at_ms = max(told_at_ms, host.told_at_ms + MIN_EVENT_INTERVAL_MS)
-        self.loop.call_in(host.told_at_ms - self.loop.now(), publish)
+        self.loop.call_in(host.told_at_ms - self.loop.now(), lambda: self._publish(make_entries, host))
+
+    def _publish(self, make_entries: Callable[[int], list[dict[str, Any]]], host: SoakHost) -> None:
+        for service, port in zip(self.services, host.ports, strict=True):
+            service.publish(make_entries(port.number))
+
+    def _cut_channel(self) -> None:
+        """Breaks off one allocator's command channel for a while."""
+        service = self.random.choice(self.services)
+        service.cut_off()
+        self.loop.call_in(self.random.uniform(*CUTS_MS), lambda: None if self.is_over else service.restore())
 
     def _reset_connection(self) -> None:
         self.network_resets += 1
         self.random.choice(self.hosts).reset_one_connection()
 
     def _send_signal(self) -> None:
-        """One in three is a planned restart, the others SIGHUP in a row or a stall."""
+        """One in three is a restart, the others SIGHUP in a row or a stall."""
         number = self.random.randrange(ALLOCATOR_COUNT)
         kind = self.random.choice(["restart", "reload", "stall"])
         if number in self.stopping:
@@ -255,27 +290,45 @@
                 self.allocators.processes_by_number[number].send_signal(signal.SIGHUP)
         else:
             self.allocators.stall(number)
-            self.loop.call_in(self.random.uniform(*STALL_MS), lambda: self.allocators.resume(number))
+            process = self.allocators.processes_by_number[number]
+            self.loop.call_in(self.random.uniform(*STALL_MS), lambda: process.send_signal(signal.SIGCONT))
 
     def _stop(self, number: int) -> None:
+        """Ends an allocator, with SIGTERM before SIGKILL or without, and starts it again."""
         self.stopping.add(number)
         stopped_at_ms = self.loop.now()
+        if self.random.random() < OUTRIGHT_KILL_SHARE:
+            self._kill(number, None)
+            return
         child = self.allocators.processes_by_number[number]
         child.send_signal(signal.SIGTERM)
         if self.random.random() < 0.5:
             self.loop.call_in(self.random.uniform(1.0, 500.0), lambda: child.send_signal(signal.SIGTERM))
+        self.loop.call_in(KILL_DELAY_MS, lambda: self._kill(number, stopped_at_ms))
+
+    def _kill(self, number: int, stopped_at_ms: float | None) -> None:
+        """Kills an allocator; `stopped_at_ms` is when it got SIGTERM, None if it did not."""
+        killed_at_ms = self.loop.now()
+        self.allocators.kill(number)
+        self.restarts_by_allocator[number].append(Restart(stopped_at_ms or killed_at_ms, killed_at_ms))
+        self.loop.call_in(RESTART_DELAY_MS, lambda: self._start(number))
+        held = self.owners.list_held(number)
+        if self.random.random() < MOVE_SHARE:
+            other = self.random.choice([other for other in range(ALLOCATOR_COUNT) if other != number])
+            self.loop.call_in(
+                self.random.uniform(*MOVE_DELAYS_MS), lambda: self.owners.hand_over(held, other)
+            )
+        else:
+            self.returning_by_allocator[number] = held
 
-        def kill() -> None:
-            self.allocators.kill(number)
-            self.restarts_by_allocator[number].append(Restart(stopped_at_ms, self.loop.now()))
-            self.loop.call_in(RESTART_DELAY_MS, lambda: self._start(number))
-
-        self.loop.call_in(KILL_DELAY_MS, kill)
+    def _configure(self, number: int) -> None:
+        service = self.services[number]
+        self.allocators.configure(number, service.address, service.take_snapshot())
 
     def _start(self, number: int) -> None:
         log = self.allocators.log_path(number)
         log.rename(log.with_suffix(f".{len(self.restarts_by_allocator[number])}.log"))
-        self.allocators.configure(number, self.service.address, self.service.take_snapshot())
+        self._configure(number)
         self.allocators.start(number)
         self._await_start(number)
 
@@ -283,5 +336,5 @@
         if self.allocators.listen_address(number) is None:
             self.loop.call_in(20.0, lambda: self._await_start(number))
             return
-        self.owners.handed_over_allocators.discard(number)
         self.stopping.discard(number)
+        self.owners.hand_over(self.returning_by_allocator.pop(number, []), number)
--- a/benchmarks/process_soak/verdict.py
+++ b/benchmarks/process_soak/verdict.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
 
 from benchmarks.process_soak.hosts import RunningTask
@@ -12,17 +12,25 @@
 ANSWER_SLACK_MS = 550.0  # an answer up to so long after its time only earns nothing
 RELEASE_DUE_MS = 1_050.0  # after the host's release
 LOST_DUE_MS = 8_050.0  # after the end, if the host could send no release
+REPORT_LASTS_MS = 5_000.0  # a task is not released so soon after a report on it, while it runs
 SHUTDOWN_WINDOW_MS = 700.0  # what came so long after SIGTERM is owed an answer
-HANDED_OVER_MS = 200.0
+HANDED_OVER_MS = 200.0  # what is handed over counts so long after that
+NEVER = float("inf")
 
 
 @dataclass(slots=True)
 class Restart:
-    """An allocator's planned restart."""
+    """An allocator's restart, planned or after an outright kill."""
 
-    stopped_at_ms: float  # SIGTERM
+    stopped_at_ms: float  # SIGTERM, or SIGKILL without it
     killed_at_ms: float  # the end of the process, by SIGKILL at the latest
 
+    def was_open_at_kill(self, request: Request) -> bool:
+        """Whether the request was open when its allocator was killed without notice, which can't answer it."""
+        return self.stopped_at_ms == self.killed_at_ms and (
+            request.sent_at_ms <= self.killed_at_ms <= (request.closed_at_ms or NEVER)
+        )
+
 
 @dataclass(slots=True)
 class Record:
@@ -47,8 +55,8 @@
         restarts = record.restarts_by_allocator.get(request.allocator, [])
         found += _check_answer(request, restarts, record.ended_at_ms)
         found += _check_effects(request, tasks)
-        if request.is_placed and not request.is_given_up:
-            found += _check_end(request, tasks, restarts, record.ended_at_ms)
+        if request.is_placed:
+            found += _check_end(request, tasks, record)
     return found
 
 
@@ -65,6 +73,8 @@
     ):
         return []  # it came too late in a shutdown
     if request.closed_at_ms is not None:
+        if any(restart.was_open_at_kill(request) for restart in restarts):
+            return []
         is_crossed = request.closed_at_ms - request.sent_at_ms <= CROSSED_CLOSE_MS
         return [] if is_crossed else [f"{name}: connection closed without an answer"]
     return [f"{name}: no answer"] if ended_at_ms > due_ms else []
@@ -76,37 +86,82 @@
     return []
 
 
-def _check_end(
-    request: Request, tasks: list[RunningTask], restarts: list[Restart], observed_until_ms: float
-) -> list[str]:
-    name = f"task {request.task_id:x} of n{request.allocator} on {request.placed_on}"
-    task = next((other for other in reversed(tasks) if other.host_name == request.placed_on), None)
+def find_task(request: Request, tasks: list[RunningTask]) -> RunningTask | None:
+    """Returns the task that was placed by the request, None if its host has none."""
+    return next((task for task in reversed(tasks) if task.host_name == request.placed_on), None)
+
+
+def _check_end(request: Request, tasks: list[RunningTask], record: Record) -> list[str]:
+    name = f"task {request.task_id:x} of n{request.holder} on {request.placed_on}"
+    task = find_task(request, tasks)
     if task is None:
         return [f"{name}: no host has accepted it"]
+    name = f"{'quiet ' * task.is_quiet}{name}, {_describe(request, task)}"
     released_at_ms = min(request.releases_at_ms, default=None)
-    if len(request.releases_at_ms) > 1 and not request.handed_over_at_ms:
+    if len(request.releases_at_ms) > 1 and not request.hand_overs:
         return [f"{name}: released {len(request.releases_at_ms)} times"]
     if released_at_ms is not None and (task.ended_at_ms is None or released_at_ms < task.ended_at_ms):
-        return [f"{name}: released at {released_at_ms:.0f} while it ran"]
-    if task.ended_at_ms is None or task.is_cut:
+        return [f"{name}: {fault}" for fault in _check_early_release(released_at_ms, task)]
+    if task.ended_at_ms is None:
         return []
-    due_ms = _release_due_ms(request, task, restarts)
-    if released_at_ms is None and observed_until_ms > due_ms:
+    due_ms = _release_due_ms(request, task, record.restarts_by_allocator)
+    if released_at_ms is None and record.ended_at_ms > due_ms:
         return [f"{name}: ended at {task.ended_at_ms:.0f}, never released, due at {due_ms:.0f}"]
     if released_at_ms is not None and released_at_ms > due_ms:
         return [f"{name}: ended at {task.ended_at_ms:.0f}, released {released_at_ms - due_ms:.0f} ms late"]
     return []
 
 
-def _release_due_ms(request: Request, task: RunningTask, restarts: list[Restart]) -> float:
-    """8 s also where the host could have sent a release at once: it may have had no connection then."""
+def _describe(request: Request, task: RunningTask) -> str:
+    parts = [f"placed at {request.answers[0][0]:.0f}"]
+    parts += [f"handed to n{other.allocator} at {other.at_ms:.0f}" for other in request.hand_overs]
+    parts += [f"noted to n{number} at {at_ms:.0f}" for number, at_ms in task.noted_at_ms.items()]
+    parts += [f"release sent to n{number} at {at[0]:.0f}" for number, at in task.delivered_at_ms.items()]
+    parts += ["its process ended"] * task.has_process_ended + ["cut"] * task.is_cut
+    return ", ".join(parts)
+
+
+def _check_early_release(released_at_ms: float, task: RunningTask) -> Iterator[str]:
+    """An allocator may end a task of which it hears nothing, and then ends it at its host as well."""
+    is_cut = task.is_cut and task.ended_at_ms is not None
+    if not is_cut or task.ended_at_ms is None or task.ended_at_ms > released_at_ms + RELEASE_DUE_MS:
+        yield f"released at {released_at_ms:.0f} while it ran"
+    elif not task.is_quiet and any(
+        at_ms > released_at_ms - REPORT_LASTS_MS for at_ms in task.noted_at_ms.values()
+    ):
+        yield f"released at {released_at_ms:.0f} while its host reported on it"
+
+
+def _list_periods(
+    request: Request, restarts_by_allocator: Mapping[int, list[Restart]]
+) -> Iterator[tuple[int, float, float]]:
+    """Yields the allocators that held a task in their order, each with the times between which it did."""
+    begins = [(request.allocator, request.answers[0][0])]
+    begins += [(hand_over.allocator, hand_over.at_ms + HANDED_OVER_MS) for hand_over in request.hand_overs]
+    for allocator, from_ms in begins:
+        restarts = restarts_by_allocator.get(allocator, [])
+        next_restart = next((restart for restart in restarts if restart.killed_at_ms >= from_ms), None)
+        # What is placed during a shutdown is held by nobody until it is handed over.
+        until_ms = max(from_ms, next_restart.stopped_at_ms) if next_restart is not None else NEVER
+        yield allocator, from_ms, until_ms
+
+
+def _release_due_ms(
+    request: Request, task: RunningTask, restarts_by_allocator: Mapping[int, list[Restart]]
+) -> float:
+    """1 s after the release of the host came to the allocator that holds the task, else 8 s after its end.
+
+    An allocator that is stopped before that owes nothing: the next one that is told of the task does.
+    """
     assert task.ended_at_ms is not None
-    due_ms = task.ended_at_ms + LOST_DUE_MS
-    for restart in restarts:
-        if restart.stopped_at_ms <= due_ms and task.ended_at_ms <= restart.killed_at_ms:
-            later = [at_ms for at_ms in request.handed_over_at_ms if at_ms > restart.stopped_at_ms]
-            due_ms = min(later, default=float("inf")) + HANDED_OVER_MS + LOST_DUE_MS
-    return due_ms
+    for allocator, from_ms, until_ms in _list_periods(request, restarts_by_allocator):
+        due_ms = max(task.ended_at_ms, from_ms) + LOST_DUE_MS
+        for delivered_at_ms in task.delivered_at_ms.get(allocator, []):
+            if from_ms <= delivered_at_ms < until_ms:
+                due_ms = min(due_ms, delivered_at_ms + RELEASE_DUE_MS)
+        if due_ms <= until_ms:
+            return due_ms
+    return NEVER
 
 
 def summarize(record: Record) -> str:
@@ -118,8 +173,11 @@
     )
     ends = sum(task.has_process_ended for task in tasks)
     restarts = sum(map(len, record.restarts_by_allocator.values()))
+    hand_overs = sum(len(request.hand_overs) for request in requests)
+    cuts = sum(task.is_cut for task in tasks)
     return (
         f"{len(requests)} set-ups, {counts['placed']} placed, {counts['answered']} refused or failed,"
         f" {counts['unanswered']} unanswered, {len(tasks)} acceptances, {ends} ended with their process,"
+        f" {hand_overs} hand-overs, {cuts} ended by their allocator,"
         f" {restarts} restarts, {record.network_resets} resets on the way"
     )
--- a/tests/benchmarks/test_process_soak.py
+++ b/tests/benchmarks/test_process_soak.py
@@ -3,7 +3,7 @@
 import pytest
 
 from benchmarks.process_soak.hosts import RunningTask
-from benchmarks.process_soak.owners import Request
+from benchmarks.process_soak.owners import HandOver, Request
 from benchmarks.process_soak.play import PlayOptions, play
 from benchmarks.process_soak.verdict import Record, Restart, find_violations
 from glencleat.platform_protocol import messages as m
@@ -43,20 +43,72 @@
         ([request(closed_at_ms=49.0)], [], [], ""),
         ([request(closed_at_ms=900.0)], [], [Restart(-701.0, 900.0)], ""),
         ([request(closed_at_ms=900.0)], [], [Restart(-699.0, 900.0)], "closed without an answer"),
+        ([request(closed_at_ms=901.0)], [], [Restart(900.0, 900.0)], ""),  # killed without notice
+        ([request(closed_at_ms=899.0)], [], [Restart(900.0, 900.0)], "closed without an answer"),
         ([placed()], [], [], "no host has accepted it"),
         ([placed()], [task(ended_at_ms=100.0, has_process_ended=True)], [], "never released"),
         ([placed(releases_at_ms=[8_149.0])], [task(ended_at_ms=100.0)], [], ""),
         ([placed(releases_at_ms=[8_151.0])], [task(ended_at_ms=100.0)], [], "1 ms late"),
         ([placed(releases_at_ms=[100.0])], [task()], [], "while it ran"),
+        ([placed(releases_at_ms=[100.0])], [task(ended_at_ms=1_150.0, is_cut=True)], [], ""),
+        ([placed(releases_at_ms=[100.0])], [task(ended_at_ms=1_151.0, is_cut=True)], [], "while it ran"),
+        ([placed(releases_at_ms=[100.0])], [task(ended_at_ms=101.0)], [], "while it ran"),
+        (
+            [placed(releases_at_ms=[9_000.0])],
+            [task(ended_at_ms=9_001.0, is_cut=True, noted_at_ms={0: 4_001.0})],
+            [],
+            "while its host reported on it",
+        ),
+        (
+            [placed(releases_at_ms=[9_000.0])],
+            [task(ended_at_ms=9_001.0, is_cut=True, noted_at_ms={0: 3_999.0})],
+            [],
+            "",
+        ),
+        (
+            [placed(releases_at_ms=[1_151.0])],
+            [task(ended_at_ms=90.0, delivered_at_ms={0: [100.0]})],
+            [],
+            "1 ms late",
+        ),
+        ([placed(releases_at_ms=[1_149.0])], [task(ended_at_ms=90.0, delivered_at_ms={0: [100.0]})], [], ""),
+        # Another allocator's connection has it, and the holder's does not.
+        ([placed(releases_at_ms=[8_000.0])], [task(ended_at_ms=90.0, delivered_at_ms={1: [100.0]})], [], ""),
         ([placed(releases_at_ms=[200.0, 300.0])], [task(ended_at_ms=100.0)], [], "released 2 times"),
-        ([placed()], [task(ended_at_ms=100.0, is_cut=True)], [], ""),
+        ([placed()], [task(ended_at_ms=100.0, is_cut=True)], [], "never released"),
         ([placed()], [task(ended_at_ms=100.0)], [Restart(50.0, 3_750.0)], ""),
         (
-            [placed(handed_over_at_ms=[5_000.0])],
+            [placed(hand_overs=[HandOver(0, 5_000.0)])],
             [task(ended_at_ms=100.0)],
             [Restart(50.0, 3_750.0)],
             "never released",
         ),
+        # Its host held nothing any more when its owner named it to another allocator.
+        (
+            [placed(hand_overs=[HandOver(1, 5_000.0)], releases_at_ms=[13_251.0])],
+            [task(ended_at_ms=100.0)],
+            [Restart(50.0, 3_750.0)],
+            "1 ms late",
+        ),
+        (
+            [placed(hand_overs=[HandOver(1, 5_000.0)], releases_at_ms=[13_249.0])],
+            [task(ended_at_ms=100.0)],
+            [Restart(50.0, 3_750.0)],
+            "",
+        ),
+        # It was placed during the shutdown.
+        (
+            [placed(hand_overs=[HandOver(1, 5_000.0)], releases_at_ms=[13_249.0])],
+            [task(ended_at_ms=100.0)],
+            [Restart(5.0, 3_705.0)],
+            "",
+        ),
+        (
+            [placed(hand_overs=[HandOver(1, 5_000.0)], releases_at_ms=[7_551.0])],
+            [task(ended_at_ms=6_000.0, delivered_at_ms={1: [6_500.0]})],
+            [Restart(50.0, 3_750.0)],
+            "1 ms late",
+        ),
     ],
 )
 def test_the_verdict_of_the_soak(requests, tasks, restarts, violation):
