Only a heartbeat confirms the machine list, not an event

After a break of the channel its events come one by one, and the first was taken to confirm the list: the next one, of a process that had started meanwhile, was judged as if the list had vouched for the connections opened during the break. The service's last number confirms the list if it is ours.

Measured: two of the four new cases fail before.

--- a/glencleat/platform_protocol/command_channel.py
+++ b/glencleat/platform_protocol/command_channel.py
@@ -146,9 +146,7 @@
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
             raise ProtocolError(f"invalid event: {error}") from None
         if isinstance(event, int) or event.nodes is None:
-            self._process_heartbeat(event if isinstance(event, int) else event.cursor)
-            if not self.is_resyncing:
-                self.confirmed_at_ms = now
+            self._process_heartbeat(event if isinstance(event, int) else event.cursor, now)
             return
         if self.is_resyncing:
             if event.nodes.reset:
@@ -160,10 +158,9 @@
         if event.cursor > self.cursor + 1 and not event.nodes.reset:
             self._request_missing_events(event.cursor)
         yield self._apply_event(event, event.nodes, now)
-        self.confirmed_at_ms = now  # after the change was handled, which may ask what was confirmed before it
 
-    def _process_heartbeat(self, last_cursor: int) -> None:
-        """Compares the cursor of the service's last event with ours.
+    def _process_heartbeat(self, last_cursor: int, now: float) -> None:
+        """Compares the cursor of the service's last event with ours; alone it shows that none is missing.
 
         A service that has lost its state, or was restored from an old copy, numbers its events from below our
         cursor, so all of them, drains included, would be dropped as repeats. It is therefore asked for
@@ -182,6 +179,8 @@
                 f"the channel's last event is {last_cursor}, we have applied {self.cursor}:"
                 " requesting all events"
             )
+        if last_cursor >= self.cursor:
+            self.confirmed_at_ms = now
 
     def _resolve_phase(self, entry: MachineEntry, cursor: int) -> api.MachinePhase:
         phase = PHASES[entry.lifecycle]
--- a/tests/platform_protocol/test_messages.py
+++ b/tests/platform_protocol/test_messages.py
@@ -173,6 +173,21 @@
     assert snapshot.hosts[0].machine.ready_at_ms == 1.0 - 1_000.0  # a snapshot may contain old starts
 
 
+@pytest.mark.parametrize(
+    ("line", "is_confirmed"),
+    [
+        (event(2, entry("h3")), False),  # others may follow that came up meanwhile
+        ({"cursor": 1}, True),
+        ({"cursor": 0}, False),  # in flight before the last event
+        (1, True),
+    ],
+)
+def test_only_a_heartbeat_with_our_cursor_confirms_the_list(channel, line, is_confirmed):
+    before_ms, now_ms = channel.confirmed_at_ms, NOW + 5_000.0
+    list(channel.feed(lines(line), now=now_ms))
+    assert channel.confirmed_at_ms == (now_ms if is_confirmed else before_ms)
+
+
 def test_events_are_applied_once_from_any_fragmentation(channel):
     data, changes = (
         lines(
