--- a/glencleat/platform_server/connection_pool.py
+++ b/glencleat/platform_server/connection_pool.py
@@ -31,6 +31,7 @@
 from glencleat.platform_server.process_changes import ProcessChanges, find_connection_opened_ms
 from glencleat.platform_server.rate_limited_log import describe_task_ids
 from glencleat.platform_server.release_acknowledger import ReleaseAcknowledger
+from glencleat.platform_server.silent_connections import SilentConnectionCheck
 from glencleat.platform_server.task_leases import TaskLeases
 
 if TYPE_CHECKING:
@@ -85,6 +86,7 @@
         self.trace: Trace | None = None
         self.event_order = EventOrder()
         self.task_leases = TaskLeases(self)
+        self.silent_connections = SilentConnectionCheck(self)
         self.process_changes = ProcessChanges(self)
         self.registry = HostRegistry(loop, random, observer=self.process_changes)
         self.pending_queue = PendingQueue(loop, sender=self)
@@ -159,7 +161,9 @@
         host = self.registry.hosts_by_name.get(name)
         if host is None:
             return
-        connection = next((other for other in host.connections if self.is_healthy(other)), None)
+        healthy = [other for other in host.connections if self.is_healthy(other)]
+        # An older one may reach a former process, which the list has not told of yet.
+        connection = max(healthy, key=lambda other: other.evidence.opened_moment, default=None)
         if len(host.pending_releases) < MAX_PENDING_RELEASES:
             host.pending_releases[task] = None
             self.releasing_hosts.add(host)
@@ -312,6 +316,8 @@
             older.send_health_check(self.exchange.load_probes.allocate_token())
         host.settle_reconnect(connection.evidence.began_moment)
         self.process_changes.on_connected(host, connection)
+        self.silent_connections.on_connected(host)
+        self.task_leases.on_connections_changed(host)
         host.record_connected(self.loop.now())
         self.on_host_heard(host)
         for task in host.unsent_releases:
--- a/glencleat/platform_server/failure_detector.py
+++ b/glencleat/platform_server/failure_detector.py
@@ -7,7 +7,6 @@
 reported.
 
     observation                                        verdict                             may be wrong about
-    no machine list names the host                     dead after UNLISTED_MS              a delayed list
     connections refused, none open                     dead after REFUSAL_PROOF_MS         a live host
     the same, and none ever was                        dead after UNREACHABLE_MS           tasks still running
     the same, while draining or replaced, or after     dead after                          tasks still running
@@ -47,9 +46,6 @@
 """Replaces REFUSAL_PROOF_MS where a refusal is weak evidence: the host is draining and its connections were
 idle, or its only connection was evicted."""
 
-UNLISTED_MS = 5_000.0
-"""Adopted tasks whose host no machine list names are lost after this time."""
-
 NEVER = float("inf")
 """A time that is never reached; `-NEVER` is one that has always passed."""
 
@@ -74,7 +70,6 @@
 _NO_ACTION = Assessment(DetectorAction.NOTHING)
 _CONNECT = Assessment(DetectorAction.CONNECT)
 _CONNECT_NOW = Assessment(DetectorAction.CONNECT_NOW)
-_UNLISTED = Assessment(DetectorAction.DECLARE_DEAD, "no machine list names it")
 _REFUSED = Assessment(DetectorAction.DECLARE_DEAD, "connections are refused")
 _UNREACHABLE = Assessment(DetectorAction.DECLARE_DEAD, "no connection can be opened")
 _REMOVED = Assessment(
@@ -93,7 +88,6 @@
 
     def __init__(self, now_ms: float) -> None:
         """Starts as if the host had sent a message at `now_ms`."""
-        self.created_at_ms = now_ms
         # From the machine list.
         self.is_removed = False
         self.is_replaced = False  # by the host that has its address now, in whose process its tasks run
@@ -237,7 +231,7 @@
                 QUIET_MS.
         """
         if not has_address:
-            return _UNLISTED if now_ms - self.created_at_ms > UNLISTED_MS else _NO_ACTION
+            return _NO_ACTION  # its tasks have leases, see `task_leases.py`
         if now_ms - self.refused_since_ms > self.refusal_proof_ms():
             return _REFUSED
         if self.is_refusing:
@@ -260,7 +254,7 @@
         may request one already.
         """
         if not has_address:
-            return self.created_at_ms + UNLISTED_MS
+            return NEVER
         is_refused_after_removal = self.is_refusing and self.last_failure_at_ms > self.removed_at_ms
         if is_refused_after_removal or not (has_connection or self.is_connection_evicted):
             return -NEVER
--- a/glencleat/platform_server/host_connection.py
+++ b/glencleat/platform_server/host_connection.py
@@ -217,7 +217,7 @@
             self.pool.report_outcome(attempt, outcome)
             return
         attempt.sent_moment = self.pool.event_order.next_moment()
-        self.evidence.is_answer_awaited = True
+        self.evidence.has_sent_since = True
         data = attempt.encode_setup(self.loop.now())
         self.sent_attempts[attempt] = stream.queued_bytes + len(data)
         stream.try_send(data)
@@ -225,6 +225,7 @@
     def write(self, data: bytes) -> None:
         """Queues bytes if the connection is open; after a write error `_read_messages` ends."""
         if self.stream is not None:
+            self.evidence.has_sent_since = True
             self.stream.try_send(data)
 
     def send_health_check(self, token: int) -> None:
@@ -235,7 +236,6 @@
         self.last_used_at_ms = self.loop.now()
         self.health_check_token = token
         self.health_check_moment = self.pool.event_order.next_moment()
-        self.evidence.is_answer_awaited = True
         self.write(m.encode_with_cause(m.PROBE, token, 0))
 
     def cancel_attempt(self, attempt: SetupAttempt) -> DeliveryOutcome:
--- a/glencleat/platform_server/host_maintenance.py
+++ b/glencleat/platform_server/host_maintenance.py
@@ -21,7 +21,7 @@
 from glencleat.platform_server.host_connection import Host, HostConnection
 from glencleat.platform_server.host_registry import HostRegistry
 from glencleat.platform_server.process_changes import find_connection_opened_ms
-from glencleat.platform_server.task_leases import TaskLeases, find_evidence
+from glencleat.platform_server.task_leases import TaskLeases
 
 TICK_MS = 200.0
 """The interval of ticks."""
@@ -220,23 +220,13 @@
             quiet_limit_ms=quiet_limit_ms(self.pool.allocator_count),
         )
         if assessment.action is DetectorAction.DECLARE_DEAD:
-            self._declare_dead(host, assessment.reason)
+            self.pool.declare_tasks_lost(host, assessment.reason)
             return
         if assessment.action is DetectorAction.CONNECT_NOW:
             host.next_connect_at_ms = now_ms
         if assessment.action is not DetectorAction.NOTHING or host.reconnect_owed_since is not None:
             self.pool.reconnect(host)
 
-    def _declare_dead(self, host: Host, reason: str) -> None:
-        """Ends the tasks of a host; without an address, those on which no process has reported."""
-        placed_calls = self.pool.exchange.placed_calls_by_host[host.name]
-        concerned = [
-            task_id
-            for task_id, call in placed_calls.items()
-            if host.has_address or find_evidence(call) is None
-        ]
-        self.pool.declare_tasks_lost(host, reason, concerned)
-
     def _close_unneeded(self, host: Host, now_ms: float) -> None:
         """Closes unneeded connections, and removes a host that the machine list has removed."""
         has_placed_tasks = host.name in self.pool.exchange.placed_calls_by_host
--- a/glencleat/platform_server/incarnations.py
+++ b/glencleat/platform_server/incarnations.py
@@ -120,8 +120,8 @@
         "answered_moment",
         "began_moment",
         "ended_moment",
+        "has_sent_since",
         "incarnation",
-        "is_answer_awaited",
         "is_closed_here",
         "is_unanswered",
         "opened_at_ms",
@@ -135,9 +135,7 @@
         self.opened_at_ms = NEVER
         self.answered_moment = NOT_YET  # the latest at which something was sent on it that was answered
         self.ended_moment = NOT_YET  # the host ended it, by a reset or a close
-        self.is_answer_awaited = (
-            False  # something was sent on it that wants an answer, and nothing came since
-        )
+        self.has_sent_since = False  # something was sent on it that wants an answer, and nothing came since
         self.is_closed_here = False  # by this process, which shows nothing about the host's
         self.is_unanswered = False  # the host does not answer on it, and does on a newer one
         self.incarnation = Incarnation()
@@ -151,7 +149,7 @@
 
     def record_heard(self, now_ms: float) -> None:
         """Bytes were received on the connection."""
-        self.is_answer_awaited = False
+        self.has_sent_since = False
         self.incarnation.find_representative().last_sign_at_ms = now_ms
 
     def record_answer(self, sent_moment: int) -> None:
@@ -169,7 +167,7 @@
         self.ended_moment = moment
         incarnation = self.incarnation.find_representative()
         incarnation.has_lost_connection, incarnation.lost_at_ms = True, now_ms
-        if not self.is_answer_awaited:
+        if not self.has_sent_since:
             incarnation.last_sign_at_ms = now_ms
 
     def record_unanswered(self) -> None:
--- a/glencleat/platform_server/pooled_host.py
+++ b/glencleat/platform_server/pooled_host.py
@@ -51,7 +51,7 @@
 class ProcessRecord(Generic[ConnectionT]):
     """What is known of the processes of a host that connections have reached."""
 
-    __slots__ = ("change", "doubted_until_ms", "expected_loss", "history", "losses")
+    __slots__ = ("change", "doubted_until_ms", "evicted_until_ms", "expected_loss", "history", "losses")
 
     def __init__(self) -> None:
         """Starts without a connection."""
@@ -59,6 +59,7 @@
         self.losses = ConnectionLosses()
         self.change: ProcessChange[PooledHost[ConnectionT], ConnectionT] | None = None  # the latest
         self.expected_loss: ExpectedLoss[PooledHost[ConnectionT]] | None = None
+        self.evicted_until_ms = -NEVER  # when a connection opened after its only one had been evicted
         # A task that is handed over before may be one of a former process.
         self.doubted_until_ms = -NEVER
 
--- a/glencleat/platform_server/process_changes.py
+++ b/glencleat/platform_server/process_changes.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable
 from typing import Protocol, TypeAlias
 
 from glencleat.event_loop import Loop
@@ -26,14 +26,10 @@
 from glencleat.platform_server.pooled_host import PROCESS_DOUBT_MS
 from glencleat.platform_server.rate_limited_log import describe_task_ids
 from glencleat.platform_server.task_leases import TaskLeases, find_evidence
-from glencleat.platform_server.watch_client import SILENCE_TIMEOUT_MS
 
 CHECK_TIMEOUT_MS = 1_000.0
 """How long a connection may take to answer the health check that shows which process it reaches."""
 
-LIST_WATCH_INTERVAL_MS = 1_000.0
-"""The machine list sends a line every second."""
-
 EARLY_EVENT_MS = 1_000.0
 """The list may tell of a new process at most this long before the former one has ended."""
 
@@ -85,7 +81,7 @@
 
     def on_removed(self, host: Host) -> None:
         """The machine list no longer names the host, so it renews no lease of its tasks."""
-        self.pool.task_leases.on_connection_ended(host)
+        self.pool.task_leases.on_connections_changed(host)
 
     def on_address_left(self, host: Host) -> None:
         """The host is removed or has another address, so its connections reach no other host's process."""
@@ -98,10 +94,10 @@
         placed_calls = self.pool.exchange.placed_calls_by_host.get(host.name)
         if placed_calls and host.open_connection_count == 1:
             self.pool.log(f"host {host.name}: connected again, {len(placed_calls)} tasks placed")
+        if host.is_connection_evicted:
+            host.process_record.evicted_until_ms = self.pool.loop.now()
         if connection.is_unconfirmed:
             self._send_check(connection)
-        elif placed_calls and host.open_connection_count > 1:
-            self._watch_list(host, connection)
 
     def on_answer(self, host: Host, connection: HostConnection, sent_moment: int) -> None:
         """The host has answered what was sent on the connection at `sent_moment`."""
@@ -113,7 +109,7 @@
 
     def on_connection_ended(self, host: Host, connection: HostConnection) -> None:
         """A connection has ended, or could not be opened."""
-        self.pool.task_leases.on_connection_ended(host)
+        self.pool.task_leases.on_connections_changed(host)
         change = host.process_record.change
         if change is not None and connection in change.unconfirmed:
             change.record_ended(connection, was_open=connection.stream is not None)
@@ -180,53 +176,6 @@
             # Not at once: the caller may be about to handle what came with the answer.
             self.pool.loop.call_in(0.0, lambda: self._conclude(change))
 
-    # ---- without the machine list ----
-
-    def _watch_list(self, host: Host, newest: HostConnection) -> None:
-        """Checks the older connections if the list falls silent before it vouches for the newest one.
-
-        Health checks have a price, so none is sent while the list does.
-        """
-        confirmed_at_ms = self.pool.channel.confirmed_at_ms
-        if not newest.is_open or confirmed_at_ms >= newest.connected_at_ms + LIST_SETTLE_MS:
-            return
-        if self.pool.loop.now() - confirmed_at_ms > SILENCE_TIMEOUT_MS:
-            self._check_older_connections(host, newest)
-        else:
-            self.pool.loop.call_in(LIST_WATCH_INTERVAL_MS, lambda: self._watch_list(host, newest))
-
-    def _check_older_connections(self, host: Host, newest: HostConnection) -> None:
-        """Sends a health check on the newest connection, and on those without an answer since it opened."""
-        opened_moment = newest.evidence.opened_moment
-        older = [
-            connection
-            for connection in host.connections
-            if connection is not newest
-            and connection.is_open
-            and connection.evidence.answered_moment < opened_moment
-        ]
-        if not older:
-            return
-        checked = [*older, newest]
-        for connection in checked:
-            self._send_check(connection)
-        moments_by_connection = {connection: connection.health_check_moment for connection in checked}
-        self.pool.loop.call_in(
-            CHECK_TIMEOUT_MS, lambda: self._abort_unanswered(newest, moments_by_connection)
-        )
-
-    def _abort_unanswered(
-        self, newest: HostConnection, moments_by_connection: Mapping[HostConnection, int]
-    ) -> None:
-        """Closes the connections that have not answered, if the newest one has."""
-        if newest.evidence.answered_moment < moments_by_connection[newest]:
-            return
-        for connection, moment in moments_by_connection.items():
-            is_last_check = connection.health_check_moment == moment
-            if connection.is_open and is_last_check and connection.evidence.answered_moment < moment:
-                connection.evidence.record_unanswered()
-                connection.abort("no answer, while a newer connection answers")
-
     # ---- the verdict ----
 
     def _conclude(self, change: HostProcessChange) -> None:
--- a/glencleat/platform_server/task_leases.py
+++ b/glencleat/platform_server/task_leases.py
@@ -6,8 +6,8 @@
 
     task                                                          stands until
     an open connection reaches its process                        there is none
-    its process's last connections were closed by this process    the list tells of another process
-    the host has ended the connections to its process             LEASE_MS after that
+    its host's only connection was evicted                        a connection opens
+    no connection reaches its process any more                    LEASE_MS after the last sign of it
     its client handed it over, and its host has not reported it   LEASE_MS after that
     the list tells of another process since                       LEASE_MS after the last sign of its own
 
@@ -38,6 +38,10 @@
 LEASE_MS = UNREACHABLE_MS
 """How long a task stands after the last sign of its process: a release is due 8 s after a task's end."""
 
+RECONNECT_MS = 2_000.0
+"""The shortest lease after the loss of a connection, unless the list tells of another process: the next
+connection may bring a report."""
+
 REVIEW_INTERVAL_MS = 50.0
 """The shortest time between two reviews of a host, so that leases that expire one by one share them."""
 
@@ -98,8 +102,8 @@
             host.reconnect_owed_since = self.pool.event_order.next_moment()
             self.pool.mark_changed(host)
 
-    def on_connection_ended(self, host: Host) -> None:
-        """A connection has ended: reviews the host once the caller is done."""
+    def on_connections_changed(self, host: Host) -> None:
+        """A connection has opened or ended, or the list has removed the host: reviews it after the caller."""
         # The host may report on the tasks of any name on the connections of each.
         for name in {host.name, *self.pool.registry.list_names_at(host.address)}:
             if name in self.pool.exchange.placed_calls_by_host:
@@ -160,7 +164,8 @@
         is_listed = self._is_process_listed(host, call)
         if evidence is not None:
             incarnation = evidence.incarnation.find_representative()
-            if incarnation.open_count or (is_listed and not incarnation.is_end_suspected):
+            is_evicted = host.is_connection_evicted and not incarnation.is_end_suspected
+            if incarnation.open_count or (is_listed and is_evicted):
                 return NEVER
         last_sign_ms = self._compute_last_sign_ms(host, call)
         if is_listed:
@@ -187,9 +192,11 @@
         if evidence is None:
             return call.placed_at_ms
         incarnation = evidence.incarnation.find_representative()
-        # Where the list tells of no end, the process is taken to have run until its connections ended.
-        is_listed = self._is_process_listed(host, call)
-        return max(call.reported_at_ms, incarnation.lost_at_ms if is_listed else incarnation.last_sign_at_ms)
+        sign_ms = incarnation.last_sign_at_ms
+        if self._is_process_listed(host, call):
+            sign_ms = max(sign_ms, incarnation.lost_at_ms + RECONNECT_MS - LEASE_MS)
+            sign_ms = max(sign_ms, host.process_record.evicted_until_ms + RECONNECT_MS - LEASE_MS)
+        return max(call.reported_at_ms, sign_ms)
 
     def _settle_tasks(self, host: Host) -> None:
         """Assigns tasks to a connection that reaches their process, as the list has told of no other one."""
--- a/tests/platform_server/test_failure_detector.py
+++ b/tests/platform_server/test_failure_detector.py
@@ -267,7 +267,7 @@
                 if run.tick(phase).action is DetectorAction.DECLARE_DEAD:
                     break
                 detector = run.detector
-                state = (run.now, detector.created_at_ms, detector.is_removed, detector.is_draining, detector.removed_at_ms, detector.last_unsolicited_at_ms, detector.refused_since_ms,
+                state = (run.now, detector.is_removed, detector.is_draining, detector.removed_at_ms, detector.last_unsolicited_at_ms, detector.refused_since_ms,
                          detector.failing_since_ms, detector.last_failure_at_ms, detector.is_refusing, detector.has_process_ended)  # fmt: skip
                 if number < 2 or state in states:
                     continue
--- a/tests/platform_server/test_host_failures.py
+++ b/tests/platform_server/test_host_failures.py
@@ -8,6 +8,7 @@
 from glencleat.platform_server import (
     failure_detector,
     host_maintenance,
+    task_leases,
 )
 from tests.support.exchange_world import setup
 from tests.support.process_hosts import RepeatingHost
@@ -154,7 +155,8 @@
 
 @pytest.mark.parametrize("how", ["replaced", "restarted", "unlisted"])
 def test_the_machine_list_shows_the_end_of_a_host(world, monkeypatch, how):
-    monkeypatch.setattr(failure_detector, "UNLISTED_MS", 50.0)
+    monkeypatch.setattr(task_leases, "LEASE_MS", 50.0)
+    monkeypatch.setattr(task_leases, "UNLISTED_REVIEW_MS", 20.0)
     peer, client = Peer(world.loop, stands), world.client()
     name = "h9" if how == "unlisted" else "h1"
     world.list(("h1", peer.address))
