Releases to hosts and the tests' replaceable cluster are modules of their own

Two test files set up the same cluster of an allocator and a host whose process is replaced. No behaviour changes.

--- a/glencleat/platform_server/connection_pool.py
+++ b/glencleat/platform_server/connection_pool.py
@@ -26,6 +26,7 @@
 from glencleat.platform_server.host_connection import Host, HostConnection
 from glencleat.platform_server.host_maintenance import HostMaintenance
 from glencleat.platform_server.host_registry import HostRegistry
+from glencleat.platform_server.host_releases import HostReleases
 from glencleat.platform_server.incarnations import EventOrder
 from glencleat.platform_server.pending_queue import PendingQueue
 from glencleat.platform_server.process_changes import ProcessChanges, find_connection_opened_ms
@@ -42,9 +43,6 @@
 """Each carries one open set-up while capacity permits, since one malformed message fails all that are open on
 its connection."""
 
-MAX_PENDING_RELEASES = 1_000
-"""Releases to one host that it has not acknowledged."""
-
 USABLE_IDLE_SHARE = 0.8
 """The part of a host's idle timeout for which a connection is used; at the full one the host closes it."""
 
@@ -85,6 +83,7 @@
         self.warm_up_ms = 0.0  # how long a host is warming up after its start
         self.trace: Trace | None = None
         self.event_order = EventOrder()
+        self.host_releases = HostReleases(self)
         self.task_leases = TaskLeases(self)
         self.silent_connections = SilentConnectionCheck(self)
         self.process_changes = ProcessChanges(self)
@@ -158,27 +157,7 @@
 
     def release_task(self, name: str, task: int) -> None:
         """Releases a placed task at its host, at once or as soon as the host can be reached."""
-        host = self.registry.hosts_by_name.get(name)
-        if host is None:
-            return
-        healthy = [other for other in host.connections if self.is_healthy(other)]
-        # An older one may reach a former process, which the list has not told of yet.
-        connection = max(healthy, key=lambda other: other.evidence.opened_moment, default=None)
-        if len(host.pending_releases) < MAX_PENDING_RELEASES:
-            host.pending_releases[task] = None
-            self.releasing_hosts.add(host)
-            self.mark_changed(host)
-        if connection is not None:
-            self._write_release(host, connection, task)
-        else:
-            self.reconnect(host, Demand.ATTEMPT)
-
-    @staticmethod
-    def _write_release(host: Host, connection: HostConnection, task: int) -> None:
-        """Writes a release. It stays pending until acknowledged: the connection may break before that."""
-        if task in host.pending_releases:
-            host.pending_releases[task] = connection
-        connection.write(m.encode_with_cause(m.RELEASE, task, m.ENDED))
+        self.host_releases.release_task(name, task)
 
     def request_load_report(self, name: str, token: int) -> bool:
         """Requests a load report of a host. False if no connection can carry the request."""
@@ -320,8 +299,7 @@
         self.task_leases.on_connections_changed(host)
         host.record_connected(self.loop.now())
         self.on_host_heard(host)
-        for task in host.unsent_releases:
-            self._write_release(host, connection, task)
+        self.host_releases.on_connected(host, connection)
         self.update_eviction_priorities(host)
         self.on_capacity_freed()
 
--- a/glencleat/platform_server/host_connection.py
+++ b/glencleat/platform_server/host_connection.py
@@ -382,8 +382,7 @@
         stream.close(reason)
         self._leave_host()
         self._unassign_releases()
-        sent_attempts = self.sent_attempts
-        self.sent_attempts = {}
+        sent_attempts, self.sent_attempts = self.sent_attempts, {}
         for attempt, end in sent_attempts.items():
             is_completely_sent = stream.written_bytes >= end
             outcome = DeliveryOutcome.CONNECTION_LOST if is_completely_sent else DeliveryOutcome.NOT_SENT
--- a/tests/platform_server/test_process_changes.py
+++ b/tests/platform_server/test_process_changes.py
@@ -8,12 +8,8 @@
 
 import pytest
 
-from glencleat.emulators.channel import make_list_entry
 from glencleat.platform_protocol import messages as m
-from tests.support.exchange_world import setup
-from tests.support.platform_client import PlatformClient
-from tests.support.process_cluster import ProcessCluster
-from tests.support.process_hosts import ReplaceableHost
+from tests.support.process_cluster import ReplaceableHostCluster
 from tests.support.socket_world import pass_time
 
 FORMER_TASKS, NEW_TASK = {1, 2, 3}, 10
@@ -23,23 +19,9 @@
 OBSERVED_MS = 2_500.0  # how long the new process's task is observed after the others were lost
 
 
-class Cluster(ProcessCluster):
-    def connect(self):
-        client = PlatformClient(self.loop, self.allocators.listen_address(0))
-        self.until(lambda: client.stream, 5_000.0)
-        return client
-
-    def place(self, client, task):
-        client.stream.send(setup(task))
-        self.until(lambda: (m.ANSWER, task) in client.received, 5_000.0)
-
-    def publish_start(self, name, started_unix_ms):
-        self.service.publish([make_list_entry(name, self.host.port, started_ms=started_unix_ms)])
-
-
 @pytest.fixture
 def cluster(tmp_path):
-    with Cluster(tmp_path, 1, ReplaceableHost) as cluster:
+    with ReplaceableHostCluster(tmp_path) as cluster:
         cluster.start()
         yield cluster
 
--- a/tests/platform_server/test_unreported_tasks.py
+++ b/tests/platform_server/test_unreported_tasks.py
@@ -9,12 +9,9 @@
 
 import pytest
 
-from glencleat.emulators.channel import make_list_entry
 from glencleat.platform_protocol import messages as m
 from tests.support.exchange_world import setup
-from tests.support.platform_client import PlatformClient
-from tests.support.process_cluster import ProcessCluster
-from tests.support.process_hosts import ReplaceableHost
+from tests.support.process_cluster import ReplaceableHostCluster
 from tests.support.socket_world import pass_time
 
 TASKS, NEW_TASK = (1, 2, 3), 10
@@ -34,24 +31,11 @@
     BEFORE_HAND_OVER = "before any task was named, while the allocator runs"
 
 
-class Cluster(ProcessCluster):
-    def connect(self):
-        client = PlatformClient(self.loop, self.allocators.listen_address(0))
-        self.until(lambda: client.stream, 5_000.0)
-        return client
-
-    def place(self, client, task):
-        client.stream.send(setup(task))
-        self.until(lambda: (m.ANSWER, task) in client.received, 5_000.0)
-
+class Cluster(ReplaceableHostCluster):
     def hand_over(self, client, *tasks):
         for task in tasks:
             client.stream.send(setup(task, extras="cores:1;memory:1;service:s;at:h0", wait=None))
 
-    def publish_start(self, name):
-        entry = make_list_entry(name, self.host.port, started_ms=round(time.time() * 1e3))
-        self.service.publish([entry])
-
     def await_releases(self, client, tasks, due_ms):
         expected = {(m.RELEASE, task) for task in tasks}
         self.until(lambda: expected <= set(client.received), due_ms - self.loop.now())
@@ -59,7 +43,7 @@
 
 @pytest.fixture
 def cluster(tmp_path):
-    with Cluster(tmp_path, 1, ReplaceableHost) as cluster:
+    with Cluster(tmp_path) as cluster:
         yield cluster
 
 
@@ -80,7 +64,7 @@
     if end in (End.BEFORE_START, End.LISTED_AT_START):
         cluster.host.replace(are_connections_silent=False)
     if end is End.LISTED_AT_START:
-        cluster.publish_start(new_name)
+        cluster.publish_start(new_name, round(time.time() * 1e3))
         cluster.allocators.configure(0, cluster.service.address, cluster.service.take_snapshot())
     cluster.start()
     client = cluster.connect()
@@ -96,7 +80,7 @@
     cluster.hand_over(client, *TASKS[1:])
     pass_time(cluster, LIST_DELAY_MS)
     if end is not End.LISTED_AT_START:
-        cluster.publish_start(new_name)
+        cluster.publish_start(new_name, round(time.time() * 1e3))
     cluster.await_releases(client, TASKS, handed_over_at_ms + HANDED_OVER_MS + LOST_DUE_MS)
 
 
@@ -134,5 +118,5 @@
     ended_at_ms = cluster.loop.now()
     cluster.until(lambda: cluster.host.streams, list_delay_ms)  # a liveness check reaches the new process
     pass_time(cluster, ended_at_ms + list_delay_ms - cluster.loop.now())
-    cluster.publish_start("h1")
+    cluster.publish_start("h1", round(time.time() * 1e3))
     cluster.await_releases(client, TASKS, ended_at_ms + LOST_DUE_MS)
