--- a/glencleat/platform_server/task_leases.py
+++ b/glencleat/platform_server/task_leases.py
@@ -103,11 +103,11 @@
             self.pool.mark_changed(host)
 
     def on_connections_changed(self, host: Host) -> None:
-        """A connection has opened or ended, or the list has removed the host: reviews it after the caller."""
+        """A connection has opened or ended, or the list has removed the host: reviews it soon."""
         # The host may report on the tasks of any name on the connections of each.
         for name in {host.name, *self.pool.registry.list_names_at(host.address)}:
             if name in self.pool.exchange.placed_calls_by_host:
-                self._schedule(name, self.pool.loop.now())
+                self._schedule(name, self.pool.loop.now() + REVIEW_INTERVAL_MS)
 
     def review(self, host_name: str) -> None:
         """Ends the tasks whose lease has expired, and schedules the next review of the host."""
