Refusals from before a host's first task tell nothing of that task

By the allocator's log the host had refused connections 10 s before, until its tasks were lost; with no task left no connection was tried again, and the next assessment took the old refusals for proof. The failure detector begins anew when the first task is placed on a host.

Measured: the test fails before; 201 tests of leases, the failure detector, host failures, ticks, restarts, the lease search, addresses and connections pass.

--- a/glencleat/platform_server/failure_detector.py
+++ b/glencleat/platform_server/failure_detector.py
@@ -130,6 +130,11 @@
         self.removed_at_ms = NEVER
         self.is_draining = draining
 
+    def record_first_task(self, now_ms: float) -> None:
+        """A task is placed on the host, on which none was: what was observed before tells nothing of it."""
+        self.last_unsolicited_at_ms = now_ms
+        self.refused_since_ms = NEVER
+
     def record_connected(self, now_ms: float) -> None:
         """A connection was opened: the host now sends the releases that are still unacknowledged."""
         self.last_heard_at_ms = now_ms
--- a/glencleat/platform_server/host_maintenance.py
+++ b/glencleat/platform_server/host_maintenance.py
@@ -88,8 +88,10 @@
         host = self.pool.registry.hosts_by_name.get(name)
         if host is None:
             self.unlisted_host_names[name] = None
-        else:
-            self.mark_changed(host)
+            return
+        if name in self.pool.exchange.placed_calls_by_host:
+            host.record_first_task(self.pool.loop.now())
+        self.mark_changed(host)
 
     def _tick(self) -> None:
         self.pool.loop.call_in(TICK_MS, self._tick)
--- a/tests/platform_server/test_task_leases.py
+++ b/tests/platform_server/test_task_leases.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from glencleat.event_loop import Listener
 from glencleat.platform_protocol import messages as m
 from glencleat.platform_server.failure_detector import UNREACHABLE_MS
 from glencleat.platform_server.task_leases import LEASE_MS
@@ -160,6 +161,18 @@
     assert world.loop.now() - handed_over_at_ms <= RELEASE_DUE_MS
 
 
+def test_refusals_from_before_a_hand_over_do_not_end_its_tasks(world):
+    """Guards against a release of tasks that run: the host had refused connections, and is back."""
+    world.place(OTHER_TASK)
+    world.host.die()
+    world.await_release(OTHER_TASK, LOST_DUE_MS)
+    pass_time(world, 10_000.0)
+    world.host.listener = Listener(world.loop, world.host.address, world.host.accept)
+    world.hand_over(TASK)
+    pass_time(world, LONG_MS)
+    assert world.placed_tasks() == {TASK}
+
+
 class UnlistedProcess:
     """A process that took h1's address as h2, while the list is silent; a client names its task by that id."""
 
