Leases and health checks: one piece for what stood twice

No behaviour changes.

Measured: 141 tests of the lease search, leases, incarnations, addresses, host failures and restarts pass; format, lint, types and imports are clean.

--- a/benchmarks/process_soak/play.py
+++ b/benchmarks/process_soak/play.py
@@ -270,7 +270,7 @@
     def _cut_channel(self) -> None:
         """Breaks off one allocator's command channel for a while."""
         service = self.random.choice(self.services)
-        service.cut_off()
+        service.close()
         self.loop.call_in(self.random.uniform(*CUTS_MS), lambda: None if self.is_over else service.restore())
 
     def _reset_connection(self) -> None:
--- a/benchmarks/process_soak/verdict.py
+++ b/benchmarks/process_soak/verdict.py
@@ -123,8 +123,7 @@
 
 def _check_early_release(released_at_ms: float, task: RunningTask) -> Iterator[str]:
     """An allocator may end a task of which it hears nothing, and then ends it at its host as well."""
-    is_cut = task.is_cut and task.ended_at_ms is not None
-    if not is_cut or task.ended_at_ms is None or task.ended_at_ms > released_at_ms + RELEASE_DUE_MS:
+    if not task.is_cut or task.ended_at_ms is None or task.ended_at_ms > released_at_ms + RELEASE_DUE_MS:
         yield f"released at {released_at_ms:.0f} while it ran"
     elif not task.is_quiet and any(
         at_ms > released_at_ms - REPORT_LASTS_MS for at_ms in task.noted_at_ms.values()
--- a/glencleat/emulators/channel.py
+++ b/glencleat/emulators/channel.py
@@ -100,12 +100,8 @@
         for stream in list(self.streams):
             self._line(stream)
 
-    def cut_off(self) -> None:
-        """Ends all connections and refuses new ones; events are kept for those that come after `restore`."""
-        self.close()
-
     def restore(self) -> None:
-        """Accepts connections again."""
+        """Accepts connections again after `close`; events that were published meanwhile are sent on them."""
         if self.listener.sock.fileno() < 0:
             self.listener = Listener(self.loop, self.address, self._accepted)
 
--- a/glencleat/platform_protocol/exchange.py
+++ b/glencleat/platform_protocol/exchange.py
@@ -327,8 +327,8 @@
         if call is None or attempt is None:
             return None
         is_placed = call.state is SetupState.PLACED
-        is_same = self.process_names.is_same_process(host, attempt.host)
-        return attempt if is_same or (is_placed and self._may_be_same_process(host, attempt.host)) else None
+        is_there = self._may_be_same_process if is_placed else self.process_names.is_same_process
+        return attempt if is_there(host, attempt.host) else None
 
     def _may_be_same_process(self, host: str, named_host: str) -> bool:
         is_same = self.process_names.is_same_process(host, named_host)
--- a/glencleat/platform_server/connection_pool.py
+++ b/glencleat/platform_server/connection_pool.py
@@ -292,7 +292,7 @@
     def on_connected(self, host: Host, connection: HostConnection) -> None:
         """A connection has opened: sends the waiting releases on it."""
         for older in host.restart_detector.record_reconnected(self.loop.now()):
-            older.send_health_check(self.exchange.load_probes.allocate_token())
+            older.send_health_check()
         host.settle_reconnect(connection.evidence.began_moment)
         self.process_changes.on_connected(host, connection)
         self.silent_connections.on_connected(host)
--- a/glencleat/platform_server/host_connection.py
+++ b/glencleat/platform_server/host_connection.py
@@ -228,13 +228,13 @@
             self.evidence.has_sent_since = True
             self.stream.try_send(data)
 
-    def send_health_check(self, token: int) -> None:
+    def send_health_check(self) -> None:
         """Sends a health check, whose answer or reset shows what has become of the host's process.
 
         It counts as a use, so that the connection isn't closed as unneeded before that.
         """
         self.last_used_at_ms = self.loop.now()
-        self.health_check_token = token
+        token = self.health_check_token = self.pool.exchange.load_probes.allocate_token()
         self.health_check_moment = self.pool.event_order.next_moment()
         self.write(m.encode_with_cause(m.PROBE, token, 0))
 
--- a/glencleat/platform_server/incarnations.py
+++ b/glencleat/platform_server/incarnations.py
@@ -31,6 +31,7 @@
 from typing import Generic, TypeVar
 
 from glencleat.platform_protocol.command_channel import MAX_LIST_DELAY_MS
+from glencleat.platform_server.failure_detector import NEVER
 
 RECENT_LOSS_MS = MAX_LIST_DELAY_MS
 """An older loss is not explained by a process change that the machine list tells now."""
@@ -41,9 +42,6 @@
 NOT_YET = -1
 """The number of a moment that has not come."""
 
-NEVER = float("inf")
-"""A time that is never reached; `-NEVER` is one that has always passed."""
-
 HostT = TypeVar("HostT")
 ConnectionT = TypeVar("ConnectionT")
 
--- a/glencleat/platform_server/process_changes.py
+++ b/glencleat/platform_server/process_changes.py
@@ -97,7 +97,7 @@
         if host.is_connection_evicted:
             host.process_record.evicted_until_ms = self.pool.loop.now()
         if connection.is_unconfirmed:
-            self._send_check(connection)
+            connection.send_health_check()
 
     def on_answer(self, host: Host, connection: HostConnection, sent_moment: int) -> None:
         """The host has answered what was sent on the connection at `sent_moment`."""
@@ -155,7 +155,7 @@
             self._log_begin(change, host)
         for connection in list(change.unconfirmed):
             if connection.is_open:
-                self._send_check(connection)
+                connection.send_health_check()
         if change.unconfirmed:
             self.pool.loop.call_in(CHECK_TIMEOUT_MS, lambda: self._conclude(change))
         else:
@@ -168,9 +168,6 @@
                 f" {len(placed_calls)} tasks placed, {len(host.connections)} connections to check"
             )
 
-    def _send_check(self, connection: HostConnection) -> None:
-        connection.send_health_check(self.pool.exchange.load_probes.allocate_token())
-
     def _conclude_if_decided(self, change: HostProcessChange) -> None:
         if not (change.unconfirmed or change.is_concluded):
             # Not at once: the caller may be about to handle what came with the answer.
--- a/glencleat/platform_server/silent_connections.py
+++ b/glencleat/platform_server/silent_connections.py
@@ -14,7 +14,7 @@
 from glencleat.event_loop import Loop
 from glencleat.platform_protocol.command_channel import LIST_SETTLE_MS, CommandChannel
 from glencleat.platform_protocol.exchange import Exchange
-from glencleat.platform_server.host_connection import Host, HostConnection
+from glencleat.platform_server.host_connection import Host
 from glencleat.platform_server.incarnations import ConnectionEvidence
 from glencleat.platform_server.watch_client import SILENCE_TIMEOUT_MS
 
@@ -91,10 +91,7 @@
         for connection in older:
             is_pending = connection.evidence.answered_moment < connection.health_check_moment
             if connection is not newest and not is_pending:
-                self._send_check(connection)
+                connection.send_health_check()
         if older:
-            self._send_check(newest)
+            newest.send_health_check()
             self.newest_by_host[host] = newest.evidence
-
-    def _send_check(self, connection: HostConnection) -> None:
-        connection.send_health_check(self.pool.exchange.load_probes.allocate_token())
--- a/glencleat/platform_server/task_leases.py
+++ b/glencleat/platform_server/task_leases.py
@@ -45,7 +45,6 @@
 REVIEW_INTERVAL_MS = 50.0
 """The shortest time between two reviews of a host, so that leases that expire one by one share them."""
 
-
 UNLISTED_REVIEW_MS = 500.0
 """The time between two reviews of a host whose address is not known."""
 
@@ -73,9 +72,14 @@
         """Releases a task at its host, at once or as soon as the host can be reached."""
 
 
+def find_connection(call: SetupCall) -> HostConnection | None:
+    """Returns the connection that reaches, or last reached, a placed task's process; None without one."""
+    return call.attempt.connection if call.attempt is not None else None
+
+
 def find_evidence(call: SetupCall) -> ConnectionEvidence | None:
-    """Returns the evidence of the connection that reaches a placed task's process; None if none is known."""
-    connection: HostConnection | None = call.attempt.connection if call.attempt is not None else None
+    """Returns the evidence of that connection; None if none is known."""
+    connection = find_connection(call)
     return connection.evidence if connection is not None else None
 
 
@@ -167,7 +171,7 @@
             is_evicted = host.is_connection_evicted and not incarnation.is_end_suspected
             if incarnation.open_count or (is_listed and is_evicted):
                 return NEVER
-        last_sign_ms = self._compute_last_sign_ms(host, call)
+        last_sign_ms = self._compute_last_sign_ms(host, call, is_listed=is_listed)
         if is_listed:
             last_sign_ms = max(last_sign_ms, self.pool.channel.confirmed_at_ms - LIST_SETTLE_MS)
         return last_sign_ms + LEASE_MS
@@ -186,16 +190,17 @@
         answered_moment = evidence.incarnation.find_representative().answered_moment
         return change.announced_moment < max(evidence.began_moment, answered_moment)
 
-    def _compute_last_sign_ms(self, host: Host, call: SetupCall) -> float:
+    @staticmethod
+    def _compute_last_sign_ms(host: Host, call: SetupCall, *, is_listed: bool) -> float:
         """Returns when the process of a task with a lease is last known to have run, without the list."""
         evidence = find_evidence(call)
         if evidence is None:
             return call.placed_at_ms
         incarnation = evidence.incarnation.find_representative()
         sign_ms = incarnation.last_sign_at_ms
-        if self._is_process_listed(host, call):
-            sign_ms = max(sign_ms, incarnation.lost_at_ms + RECONNECT_MS - LEASE_MS)
-            sign_ms = max(sign_ms, host.process_record.evicted_until_ms + RECONNECT_MS - LEASE_MS)
+        if is_listed:
+            lost_at_ms = max(incarnation.lost_at_ms, host.process_record.evicted_until_ms)
+            sign_ms = max(sign_ms, lost_at_ms + RECONNECT_MS - LEASE_MS)
         return max(call.reported_at_ms, sign_ms)
 
     def _settle_tasks(self, host: Host) -> None:
@@ -205,8 +210,9 @@
         if connection is None:
             return
         for call, _ in self.iterate_leases(host):
-            is_settled = self._compute_last_sign_ms(host, call) <= settled_until_ms
-            if is_settled and self._is_process_listed(host, call) and call.attempt is not None:
+            if call.attempt is None or not self._is_process_listed(host, call):
+                continue
+            if self._compute_last_sign_ms(host, call, is_listed=True) <= settled_until_ms:
                 call.attempt.connection = connection
                 self.renewed_count += 1
 
@@ -252,6 +258,6 @@
 
     def _find_process_name(self, host: Host, call: SetupCall) -> str:
         """Returns the host by whose name the process can be reached that may run the task."""
-        connection: HostConnection | None = call.attempt.connection if call.attempt is not None else None
+        connection = find_connection(call)
         reached_host = connection.host if connection is not None else host
         return self.pool.exchange.process_names.find_current_name(reached_host.name)
