--- a/tests/support/process_hosts.py
+++ b/tests/support/process_hosts.py
@@ -1,5 +1,6 @@
 """Hosts for tests with allocator processes."""
 
+from glencleat.emulators.unreachable_port import UnreachablePort
 from glencleat.event_loop import Listener
 from glencleat.platform_protocol import messages as m
 from tests.support.socket_world import Peer, reset
@@ -87,3 +88,56 @@
         self.running_tasks.discard(task)
         stream = next(stream for stream in self.streams if stream.close_reason is None)
         stream.send(m.encode_with_cause(m.RELEASE, task, m.ENDED))
+
+
+class VanishingHost(ReplaceableHost):
+    """A host whose machine can vanish, be cut off or hang: its connections stay open and silent meanwhile."""
+
+    def __init__(self, loop):
+        self.unreachable, self.is_silent, self.held = None, False, []
+        super().__init__(loop)
+
+    def close(self):
+        self.restore_port()
+        super().close()
+
+    def vanish(self, *, are_connects_refused=False):
+        """Its tasks have ended; connects never come up, or are refused by another machine's port."""
+        former, self.streams = self.streams, []
+        self.former_streams += former
+        self.running_tasks.clear()
+        self.listener.close()
+        if not are_connects_refused:
+            self.unreachable = UnreachablePort(self.address)
+
+    def start_process(self):
+        """A process listens at the address once more."""
+        self.restore_port()
+        self.listener = Listener(self.loop, self.address, self.accept)
+
+    def restore_port(self):
+        if self.unreachable is not None:
+            self.unreachable.close()
+            self.unreachable = None
+
+    def fall_silent(self, *, do_connects_come_up):
+        """The process lives on: it hangs, or its machine is cut off."""
+        self.is_silent = True
+        if not do_connects_come_up:
+            self.listener.close()
+            self.unreachable = UnreachablePort(self.address)
+
+    def recover(self):
+        """What came meanwhile is read now."""
+        self.is_silent = False
+        if self.unreachable is not None:
+            self.start_process()
+        held, self.held = self.held, []
+        for stream, message in held:
+            self.handle(stream, message)
+
+    def handle(self, stream, message):
+        if self.is_silent and stream not in self.former_streams:
+            self.held.append((stream, message))
+        else:
+            super().handle(stream, message)
