A new process at a vanished machine's address renews nothing of the former one

What callers saw: tasks of a machine that had vanished were released 8.2 to 9.8 s after their end, with the list's word, where another process had taken the address after 5 to 7 s.

Cause: three places took a connection to the new process for the old one. Class: evidence of one process counted for another, with no end.

Change: `process_evidence.py` says when a task's own process last showed itself: bytes on a connection that reaches it, a report, or a connection that opened and that the list, up and telling of no other process, has settled. `reachability.py` keeps when connects came up again after failures. While the list is up and connects come up nothing is sent, as before.

Logged since: a host that is reachable again, with the ages of the last signs; each health check; the ages, connections and outages of expired leases; a count of checks.

--- a/glencleat/platform_server/connection_pool.py
+++ b/glencleat/platform_server/connection_pool.py
@@ -296,13 +296,21 @@
         host.settle_reconnect(connection.evidence.began_moment)
         self.process_changes.on_connected(host, connection)
         self.silent_connections.on_connected(host)
-        self.task_leases.on_connections_changed(host)
+        self._record_reachable(host)
         host.record_connected(self.loop.now())
         self.on_host_heard(host)
         self.host_releases.on_connected(host, connection)
         self.update_eviction_priorities(host)
         self.on_capacity_freed()
 
+    def _record_reachable(self, host: Host) -> None:
+        failing_since_ms = host.failing_since_ms
+        was_failing = failing_since_ms <= self.loop.now()
+        host.process_record.reachability.record_opened(self.loop.now(), is_after_failure=was_failing)
+        self.task_leases.on_connections_changed(host)
+        if was_failing:
+            self.task_leases.on_reachable_again(host, failing_since_ms)
+
     def on_answer(self, host: Host, connection: HostConnection, sent_moment: int) -> None:
         """The host has answered what was sent on the connection at `sent_moment`."""
         self.process_changes.on_answer(host, connection, sent_moment)
--- a/glencleat/platform_server/host_connection.py
+++ b/glencleat/platform_server/host_connection.py
@@ -109,6 +109,11 @@
         change = self.host.process_record.change
         return change is not None and self in change.unconfirmed
 
+    @property
+    def is_health_check_pending(self) -> bool:
+        """Whether the last health check that was sent on it has not been answered."""
+        return self.evidence.answered_moment < self.health_check_moment
+
     def detect_close_by_host(self) -> bool:
         """Checks whether the host has closed the connection by now, and records it.
 
--- a/glencleat/platform_server/host_maintenance.py
+++ b/glencleat/platform_server/host_maintenance.py
@@ -91,6 +91,7 @@
             return
         if name in self.pool.exchange.placed_calls_by_host:
             host.record_first_task(self.pool.loop.now())
+            self.pool.task_leases.on_first_task(host)
         self.mark_changed(host)
 
     def _tick(self) -> None:
--- a/glencleat/platform_server/host_registry.py
+++ b/glencleat/platform_server/host_registry.py
@@ -31,6 +31,9 @@
     def on_process_changed(self, hosts: Iterable[Host], successor_name: str, reason: str) -> None:
         """A new process runs at the address of the hosts; it is known by the name of `successor_name`."""
 
+    def before_removed(self, host: Host) -> None:
+        """The machine list is about to name the host no longer."""
+
     def on_removed(self, host: Host) -> None:
         """The machine list no longer names the host."""
 
@@ -105,6 +108,7 @@
             self._apply_entry(entry, is_snapshot=change.is_snapshot)
 
     def _remove(self, host: Host) -> None:
+        self.observer.before_removed(host)
         host.record_removed(self.loop.now())
         self.observer.on_removed(host)
 
@@ -164,6 +168,7 @@
         if in_use:
             self.replaced_hosts_by_address[entry.address] = list(in_use)
         for host in replaced:
+            self.observer.before_removed(host)
             host.record_replaced(self.loop.now())
             self.observer.on_removed(host)
             if host not in in_use:
--- a/glencleat/platform_server/pooled_host.py
+++ b/glencleat/platform_server/pooled_host.py
@@ -14,6 +14,7 @@
     ExpectedLoss,
     ProcessChange,
 )
+from glencleat.platform_server.reachability import ReachabilityHistory
 from glencleat.platform_server.restart_detector import RestartDetector
 
 NO_ADDRESS: tuple[str, int] = ("", 0)
@@ -51,12 +52,21 @@
 class ProcessRecord(Generic[ConnectionT]):
     """What is known of the processes of a host that connections have reached."""
 
-    __slots__ = ("change", "doubted_until_ms", "evicted_until_ms", "expected_loss", "history", "losses")
+    __slots__ = (
+        "change",
+        "doubted_until_ms",
+        "evicted_until_ms",
+        "expected_loss",
+        "history",
+        "losses",
+        "reachability",
+    )
 
     def __init__(self) -> None:
         """Starts without a connection."""
         self.history = ConnectionHistory()
         self.losses = ConnectionLosses()
+        self.reachability = ReachabilityHistory()
         self.change: ProcessChange[PooledHost[ConnectionT], ConnectionT] | None = None  # the latest
         self.expected_loss: ExpectedLoss[PooledHost[ConnectionT]] | None = None
         self.evicted_until_ms = -NEVER  # when a connection opened after its only one had been evicted
--- a/glencleat/platform_server/process_changes.py
+++ b/glencleat/platform_server/process_changes.py
@@ -24,8 +24,9 @@
     TaskVerdict,
 )
 from glencleat.platform_server.pooled_host import PROCESS_DOUBT_MS
+from glencleat.platform_server.process_evidence import find_evidence
 from glencleat.platform_server.rate_limited_log import describe_task_ids
-from glencleat.platform_server.task_leases import TaskLeases, find_evidence
+from glencleat.platform_server.task_leases import TaskLeases
 
 CHECK_TIMEOUT_MS = 1_000.0
 """How long a connection may take to answer the health check that shows which process it reaches."""
@@ -79,6 +80,10 @@
         """A new process runs at the address of the hosts; it is known by the name of `successor_name`."""
         self._begin(tuple(hosts), successor_name, reason)
 
+    def before_removed(self, host: Host) -> None:
+        """The machine list is about to name the host no longer."""
+        self.pool.task_leases.on_list_evidence_ends(host)
+
     def on_removed(self, host: Host) -> None:
         """The machine list no longer names the host, so it renews no lease of its tasks."""
         self.pool.task_leases.on_connections_changed(host)
@@ -148,6 +153,7 @@
             settled_until_ms=self.pool.channel.confirmed_at_ms - LIST_SETTLE_MS,
         )
         for host in hosts:
+            self.pool.task_leases.on_list_evidence_ends(host)
             host.process_record.change, host.process_record.expected_loss = change, None
             host.process_record.doubted_until_ms = now_ms + PROCESS_DOUBT_MS
             self.pool.mark_changed(host)
--- a/glencleat/platform_server/silent_connections.py
+++ b/glencleat/platform_server/silent_connections.py
@@ -89,8 +89,7 @@
             if connection.evidence.answered_moment < newest.evidence.opened_moment
         ]
         for connection in older:
-            is_pending = connection.evidence.answered_moment < connection.health_check_moment
-            if connection is not newest and not is_pending:
+            if connection is not newest and not connection.is_health_check_pending:
                 connection.send_health_check()
         if older:
             newest.send_health_check()
--- a/glencleat/platform_server/task_leases.py
+++ b/glencleat/platform_server/task_leases.py
@@ -1,21 +1,30 @@
 """Until when a placed task may stand without evidence that its process runs.
 
-Every placed task has either evidence or a due time: a lease, which only evidence about the task's own process
-renews. A task whose lease expires is released to its client, and released at its host too, since it may run
-after all. `TaskLeases.compute_due_ms` is the only place that decides it:
+Every placed task has a due time, a lease, unless the machine list would tell in time that its process has
+been replaced. Only evidence about the task's own process renews a lease; `process_evidence.py` has what that
+is. A task whose lease expires is released to its client, and at its host too, since it may run after all.
+`TaskLeases.compute_due_ms` is the only place that decides it:
 
     task                                                          stands until
-    an open connection reaches its process                        there is none
-    its host's only connection was evicted                        a connection opens
-    no connection reaches its process any more                    LEASE_MS after the last sign of it
-    its client handed it over, and its host has not reported it   LEASE_MS after that
+    connected, listed, no outage since the last sign              one of these ends
+    connected, the list is silent or does not name its process    HANG_LEASE_MS after the last sign of it
+    connected, connects have failed and come up since its last    RESTORED_LEASE_MS after that sign
+    sign
+    not connected                                                 LEASE_MS after the last sign of its process
+    its client handed it over, and its host has not reported it   LEASE_MS after that, or a later sign
     the list tells of another process since                       LEASE_MS after the last sign of its own
 
-A report on the task renews the lease: it names a connection to the task's process. So does the machine list
-as long as it is confirmed and has not told of another process: it then shows that the process ran
-LIST_SETTLE_MS before. Once that holds for MAX_LIST_DELAY_MS, and a connection has been open for as long, that
-connection reaches the task's process. A later connection, an answer on one, or reports on other tasks renew
-nothing: they may come from a new process at the same address.
+A task is connected while a connection to its process is open, or was evicted by this process. An open
+connection is a way to ask: where the list does not vouch for a process, a health check is sent on it
+CHECK_AFTER_MS after the last sign, and the answer is the next one. What tells similar cases apart:
+
+    case                                          old connection   new connection   list
+    the machine was cut off and is back           answers          answers          tells of no other process
+    it has vanished, another process is there     is silent        answers          tells of another one, late
+    its host hangs                                is silent        is silent        tells of no other process
+
+A host that hangs keeps its tasks while the list is up and connects come up; without a list, or after an
+outage of its connects that the list does not settle in time, it looks like one that has vanished.
 
 `ProcessChanges` ends tasks earlier where connections show in which process they ran, and the failure detector
 where a host can't be reached.
@@ -30,17 +39,32 @@
 from glencleat.platform_protocol.command_channel import LIST_SETTLE_MS, MAX_LIST_DELAY_MS, CommandChannel
 from glencleat.platform_protocol.exchange import Exchange
 from glencleat.platform_protocol.setup_calls import SetupCall
-from glencleat.platform_server.failure_detector import NEVER, UNREACHABLE_MS
-from glencleat.platform_server.host_connection import Host, HostConnection
+from glencleat.platform_server.failure_detector import NEVER
+from glencleat.platform_server.host_connection import Host
 from glencleat.platform_server.host_registry import HostRegistry
-from glencleat.platform_server.incarnations import ConnectionEvidence, EventOrder
-
-LEASE_MS = UNREACHABLE_MS
-"""How long a task stands after the last sign of its process: a release is due 8 s after a task's end."""
-
-RECONNECT_MS = 2_000.0
-"""The shortest lease after the loss of a connection, unless the list tells of another process: the next
-connection may bring a report."""
+from glencleat.platform_server.incarnations import EventOrder
+from glencleat.platform_server.process_evidence import (
+    LEASE_MS,
+    ProcessEvidence,
+    collect_evidence,
+    compute_own_sign_ms,
+    compute_settled_sign_ms,
+    find_connection,
+    find_incarnation,
+    find_open_connection,
+    is_process_listed,
+    list_settled_connections,
+)
+from glencleat.platform_server.watch_client import SILENCE_TIMEOUT_MS
+
+RESTORED_LEASE_MS = 7_500.0
+"""Replaces LEASE_MS once connections to a host come up again: its process may still answer a health check."""
+
+HANG_LEASE_MS = 25_000.0
+"""Replaces LEASE_MS for a process that is connected and does not answer: a host hangs for at most so long."""
+
+CHECK_AFTER_MS = 4_000.0
+"""After so long without a sign a process that the list does not vouch for is sent a health check."""
 
 REVIEW_INTERVAL_MS = 50.0
 """The shortest time between two reviews of a host, so that leases that expire one by one share them."""
@@ -48,6 +72,9 @@
 UNLISTED_REVIEW_MS = 500.0
 """The time between two reviews of a host whose address is not known."""
 
+LIST_CHECK_INTERVAL_MS = 500.0
+"""The time between two checks whether the list has fallen silent."""
+
 
 class TaskLeasePort(Protocol):
     """What is needed of the connection pool."""
@@ -72,17 +99,6 @@
         """Releases a task at its host, at once or as soon as the host can be reached."""
 
 
-def find_connection(call: SetupCall) -> HostConnection | None:
-    """Returns the connection that reaches, or last reached, a placed task's process; None without one."""
-    return call.attempt.connection if call.attempt is not None else None
-
-
-def find_evidence(call: SetupCall) -> ConnectionEvidence | None:
-    """Returns the evidence of that connection; None if none is known."""
-    connection = find_connection(call)
-    return connection.evidence if connection is not None else None
-
-
 class TaskLeases:
     """The leases of all placed tasks. They follow from the evidence; only the times of reviews are kept."""
 
@@ -90,7 +106,9 @@
         """Starts without a review."""
         self.pool = pool
         self.review_times_by_host: dict[str, float] = {}  # the next review of each host with leases
-        self.renewed_count = self.expired_count = 0
+        self.renewed_count = self.expired_count = self.check_count = 0
+        self.is_list_silent = False  # as of the last check
+        pool.loop.call_in(LIST_CHECK_INTERVAL_MS, self._watch_list)
 
     # ---- called by the pool and its parts ----
 
@@ -106,6 +124,34 @@
             host.reconnect_owed_since = self.pool.event_order.next_moment()
             self.pool.mark_changed(host)
 
+    def on_first_task(self, host: Host) -> None:
+        """A task is placed on a host on which none was: it has a lease if the list does not name the host."""
+        if self.is_list_silent or host.is_removed:
+            self._schedule(host.name, self.pool.loop.now() + REVIEW_INTERVAL_MS)
+
+    def on_reachable_again(self, host: Host, failing_since_ms: float) -> None:
+        """A connection has opened after connects had failed: a new process may listen at the address."""
+        calls = self.pool.exchange.placed_calls_by_host.get(host.name)
+        if not calls:
+            return
+        now_ms = self.pool.loop.now()
+        ages_ms = [now_ms - self.collect(host, call).last_sign_at_ms for call in calls.values()]
+        self.pool.log(
+            f"host {host.name}: reachable again after {now_ms - failing_since_ms:.0f} ms,"
+            f" {len(calls)} tasks placed, last sign of their processes {min(ages_ms):.0f} to"
+            f" {max(ages_ms):.0f} ms ago, {host.describe_connections()}"
+        )
+
+    def on_list_evidence_ends(self, host: Host) -> None:
+        """The list is about to tell of another process, or no longer names the host.
+
+        What it has shown until now stays known.
+        """
+        for call in self.pool.exchange.placed_calls_by_host.get(host.name, {}).values():
+            incarnation = find_incarnation(call)
+            if incarnation is not None and is_process_listed(host, call):
+                incarnation.last_sign_at_ms = compute_settled_sign_ms(host, call, self._settled_until_ms)
+
     def on_connections_changed(self, host: Host) -> None:
         """A connection has opened or ended, or the list has removed the host: reviews it soon."""
         # The host may report on the tasks of any name on the connections of each.
@@ -128,7 +174,7 @@
             if due_ms <= now_ms:
                 expired.append(call)
             else:
-                next_due_ms = min(next_due_ms, due_ms)
+                next_due_ms = min(next_due_ms, due_ms, self._check_process(host, call))
         if not host.has_address and host_name in self.pool.exchange.placed_calls_by_host:
             # The ends of connections that were opened by other names concern its tasks.
             next_due_ms = min(next_due_ms, now_ms + UNLISTED_REVIEW_MS)
@@ -149,7 +195,8 @@
         next_due = f", the next due in {min(due_times_ms) - now_ms:.0f} ms" if due_times_ms else ""
         return (
             f"leases: {len(due_times_ms)} tasks stand without evidence of their process{next_due};"
-            f" renewed by the list {self.renewed_count} expired {self.expired_count},"
+            f" renewed by the list {self.renewed_count} expired {self.expired_count}"
+            f" health checks {self.check_count},"
             f" list confirmed {now_ms - self.pool.channel.confirmed_at_ms:.0f} ms ago"
         )
 
@@ -162,68 +209,69 @@
             if due_ms < NEVER:
                 yield call, due_ms
 
+    def collect(self, host: Host, call: SetupCall) -> ProcessEvidence:
+        """Collects the evidence about a placed task's process."""
+        return collect_evidence(host, call, self._settled_until_ms, is_list_silent=self.is_list_silent)
+
+    @property
+    def _settled_until_ms(self) -> float:
+        """The list has told of every process that started up to then."""
+        return self.pool.channel.confirmed_at_ms - LIST_SETTLE_MS
+
     def compute_due_ms(self, host: Host, call: SetupCall) -> float:
-        """Returns until when a placed task stands; NEVER if there is evidence that its process runs."""
-        evidence = find_evidence(call)
-        is_listed = self._is_process_listed(host, call)
-        if evidence is not None:
-            incarnation = evidence.incarnation.find_representative()
-            is_evicted = host.is_connection_evicted and not incarnation.is_end_suspected
-            if incarnation.open_count or (is_listed and is_evicted):
-                return NEVER
-        last_sign_ms = self._compute_last_sign_ms(host, call, is_listed=is_listed)
-        if is_listed:
-            last_sign_ms = max(last_sign_ms, self.pool.channel.confirmed_at_ms - LIST_SETTLE_MS)
-        return last_sign_ms + LEASE_MS
-
-    @staticmethod
-    def _is_process_listed(host: Host, call: SetupCall) -> bool:
-        """Whether the list names the task's process, and has told of no other one since it was reached."""
-        if host.is_removed or not host.has_address:
-            return False
-        evidence, record = find_evidence(call), host.process_record
-        if evidence is None:
-            return call.placed_at_ms >= record.doubted_until_ms
-        change = record.change
-        if change is None:
-            return True
-        answered_moment = evidence.incarnation.find_representative().answered_moment
-        return change.announced_moment < max(evidence.began_moment, answered_moment)
-
-    @staticmethod
-    def _compute_last_sign_ms(host: Host, call: SetupCall, *, is_listed: bool) -> float:
-        """Returns when the process of a task with a lease is last known to have run, without the list."""
-        evidence = find_evidence(call)
-        if evidence is None:
-            return call.placed_at_ms
-        incarnation = evidence.incarnation.find_representative()
-        sign_ms = incarnation.last_sign_at_ms
-        if is_listed:
-            lost_at_ms = max(incarnation.lost_at_ms, host.process_record.evicted_until_ms)
-            sign_ms = max(sign_ms, lost_at_ms + RECONNECT_MS - LEASE_MS)
-        return max(call.reported_at_ms, sign_ms)
+        """Returns until when a placed task stands; NEVER while the list would tell of another process."""
+        evidence = self.collect(host, call)
+        if not evidence.is_connected:
+            return evidence.last_sign_at_ms + LEASE_MS
+        if evidence.is_restored:
+            return evidence.last_sign_at_ms + RESTORED_LEASE_MS
+        change = host.process_record.change
+        is_being_checked = change is not None and not change.is_concluded
+        if is_being_checked or self._does_list_vouch(evidence):
+            return NEVER
+        return evidence.last_sign_at_ms + HANG_LEASE_MS
+
+    def _does_list_vouch(self, evidence: ProcessEvidence) -> bool:
+        """Whether the list would tell of a process that has replaced the task's."""
+        return evidence.is_listed and not (evidence.is_restored or self.is_list_silent)
+
+    def _check_process(self, host: Host, call: SetupCall) -> float:
+        """Sends a health check to a silent process that the list does not vouch for, once one is due.
+
+        Returns when it is due, NEVER if none is.
+        """
+        evidence = self.collect(host, call)
+        connection = find_open_connection(host, call, self._settled_until_ms)
+        if connection is None or self._does_list_vouch(evidence) or connection.is_health_check_pending:
+            return NEVER
+        now_ms, due_ms = self.pool.loop.now(), evidence.last_sign_at_ms + CHECK_AFTER_MS
+        if now_ms < due_ms:
+            return due_ms
+        self.check_count += 1
+        self.pool.log(
+            f"host {host.name}: health check on a connection that has been silent for"
+            f" {now_ms - evidence.last_sign_at_ms:.0f} ms"
+        )
+        connection.send_health_check()
+        return NEVER
 
     def _settle_tasks(self, host: Host) -> None:
         """Assigns tasks to a connection that reaches their process, as the list has told of no other one."""
         settled_until_ms = self.pool.channel.confirmed_at_ms - MAX_LIST_DELAY_MS
-        connection = self._find_connection_open_since(host, settled_until_ms)
+        settled = list_settled_connections(host, settled_until_ms)
+        connection = next((other for other in settled if other.is_open), None)
         if connection is None:
             return
         for call, _ in self.iterate_leases(host):
-            if call.attempt is None or not self._is_process_listed(host, call):
+            incarnation = find_incarnation(call)
+            if call.attempt is None or not is_process_listed(host, call):
+                continue
+            if incarnation is not None and incarnation.open_count:
                 continue
-            if self._compute_last_sign_ms(host, call, is_listed=True) <= settled_until_ms:
+            if compute_own_sign_ms(call) <= settled_until_ms:
                 call.attempt.connection = connection
                 self.renewed_count += 1
 
-    @staticmethod
-    def _find_connection_open_since(host: Host, at_ms: float) -> HostConnection | None:
-        for connection in host.connections:
-            is_in_use = connection.is_open and not connection.is_unconfirmed
-            if is_in_use and connection.evidence.opened_at_ms <= at_ms:
-                return connection
-        return None
-
     # ---- reviews ----
 
     def is_review_due_in_time(self, host: Host) -> bool:
@@ -232,6 +280,16 @@
         latest_ms = self.pool.loop.now() + REVIEW_INTERVAL_MS
         return all(review_at_ms <= max(due_ms, latest_ms) for _, due_ms in self.iterate_leases(host))
 
+    def _watch_list(self) -> None:
+        """Reviews all hosts with tasks once the list has fallen silent: it vouches for no process."""
+        self.pool.loop.call_in(LIST_CHECK_INTERVAL_MS, self._watch_list)
+        was_silent = self.is_list_silent
+        silent_ms = self.pool.loop.now() - self.pool.channel.confirmed_at_ms
+        self.is_list_silent = silent_ms > SILENCE_TIMEOUT_MS
+        if self.is_list_silent and not was_silent:
+            for host_name in self.pool.exchange.placed_calls_by_host:
+                self._schedule(host_name, self.pool.loop.now() + REVIEW_INTERVAL_MS)
+
     def _schedule(self, host_name: str, at_ms: float) -> None:
         if self.review_times_by_host.get(host_name, NEVER) <= at_ms:
             return
@@ -245,10 +303,15 @@
 
     def _expire(self, host: Host, calls: list[SetupCall]) -> None:
         self.expired_count += len(calls)
-        list_age_ms = self.pool.loop.now() - self.pool.channel.confirmed_at_ms
+        now_ms = self.pool.loop.now()
+        found = [self.collect(host, call) for call in calls]
+        ages_ms = [now_ms - evidence.last_sign_at_ms for evidence in found]
         self.pool.log(
-            f"host {host.name}: {len(calls)} leases expired;"
-            f" {host.describe_connections()}, list confirmed {list_age_ms:.0f} ms ago"
+            f"host {host.name}: {len(calls)} leases expired, last sign of their processes"
+            f" {min(ages_ms):.0f} to {max(ages_ms):.0f} ms ago; {host.describe_connections()},"
+            f" {sum(evidence.is_connected for evidence in found)} connected,"
+            f" {sum(evidence.is_restored for evidence in found)} after an outage,"
+            f" list confirmed {now_ms - self.pool.channel.confirmed_at_ms:.0f} ms ago"
         )
         names_by_task_id = {call.setup.task_id: self._find_process_name(host, call) for call in calls}
         self.pool.declare_tasks_lost(host, "their leases have expired", list(names_by_task_id))
--- a/tests/platform_server/test_task_leases.py
+++ b/tests/platform_server/test_task_leases.py
@@ -5,7 +5,7 @@
 from glencleat.event_loop import Listener
 from glencleat.platform_protocol import messages as m
 from glencleat.platform_server.failure_detector import UNREACHABLE_MS
-from glencleat.platform_server.task_leases import LEASE_MS
+from glencleat.platform_server.process_evidence import LEASE_MS
 from tests.support.exchange_world import setup
 from tests.support.lease_world import LeaseWorld
 from tests.support.process_hosts import ReplaceableHost
