--- a/glencleat/platform_server/connection_pool.py
+++ b/glencleat/platform_server/connection_pool.py
@@ -326,6 +326,7 @@
             failure = f"connection {'refused' if refused else 'timed out'}, {len(host.connections)} others"
             self.log(f"host {host.name}: {failure}, last data {now_ms - host.last_heard_at_ms:.0f} ms ago")
         host.record_connect_failure(now_ms, refused=refused, disconnected=host.is_disconnected)
+        self.task_leases.on_connect_failed(host)
         if host.is_disconnected:
             self.process_changes.record_loss(host)
         host.next_connect_at_ms = now_ms + host.backoff.next_delay_ms()
--- a/glencleat/platform_server/host_registry.py
+++ b/glencleat/platform_server/host_registry.py
@@ -34,6 +34,9 @@
     def before_removed(self, host: Host) -> None:
         """The machine list is about to name the host no longer."""
 
+    def before_replaced(self, host: Host) -> None:
+        """The machine list is about to name another host at its address."""
+
     def on_removed(self, host: Host) -> None:
         """The machine list no longer names the host."""
 
@@ -168,7 +171,7 @@
         if in_use:
             self.replaced_hosts_by_address[entry.address] = list(in_use)
         for host in replaced:
-            self.observer.before_removed(host)
+            self.observer.before_replaced(host)
             host.record_replaced(self.loop.now())
             self.observer.on_removed(host)
             if host not in in_use:
--- a/glencleat/platform_server/process_changes.py
+++ b/glencleat/platform_server/process_changes.py
@@ -83,6 +83,11 @@
     def before_removed(self, host: Host) -> None:
         """The machine list is about to name the host no longer."""
         self.pool.task_leases.on_list_evidence_ends(host)
+        self.pool.task_leases.settle_tasks(host)
+
+    def before_replaced(self, host: Host) -> None:
+        """The machine list is about to name another host at its address."""
+        self.pool.task_leases.on_list_evidence_ends(host)
 
     def on_removed(self, host: Host) -> None:
         """The machine list no longer names the host, so it renews no lease of its tasks."""
--- a/glencleat/platform_server/process_evidence.py
+++ b/glencleat/platform_server/process_evidence.py
@@ -9,7 +9,6 @@
     confirmed and tells of no other process:
         and was confirmed LIST_SETTLE_MS after that
         or no connect has failed since the process's last sign
-    the same, and the connection is still open                     LIST_SETTLE_MS before the list's line
 
 Neither an open connection nor a list that tells of nothing is evidence by itself: the connections of a
 machine that has vanished stay open, and the list may tell of that after the lease has ended.
@@ -20,10 +19,9 @@
 from dataclasses import dataclass
 
 from glencleat.platform_protocol.setup_calls import SetupCall
-from glencleat.platform_server.failure_detector import UNREACHABLE_MS
+from glencleat.platform_server.failure_detector import NEVER, UNREACHABLE_MS
 from glencleat.platform_server.host_connection import Host, HostConnection
 from glencleat.platform_server.incarnations import ConnectionEvidence, Incarnation
-from glencleat.platform_server.reachability import ReachabilityHistory
 
 LEASE_MS = UNREACHABLE_MS
 """How long a task stands after the last sign of its process: a release is due 8 s after a task's end."""
@@ -64,10 +62,10 @@
     return change.announced_moment < max(evidence.began_moment, answered_moment)
 
 
-def find_reachability(host: Host, call: SetupCall) -> ReachabilityHistory:
-    """Returns the history of the host whose connections reach, or last reached, the task's process."""
+def find_reached_host(host: Host, call: SetupCall) -> Host:
+    """Returns the host whose connections reach, or last reached, the task's process."""
     connection = find_connection(call)
-    return (connection.host if connection is not None else host).process_record.reachability
+    return connection.host if connection is not None else host
 
 
 def list_settled_connections(host: Host, settled_until_ms: float) -> list[HostConnection]:
@@ -104,12 +102,13 @@
     is_listed: bool  # by the machine list, which has told of no other process since
     is_connected: bool  # a connection to it is open, or was evicted by this process
     is_restored: bool  # connects have failed and come up again since the last sign
+    is_failing: bool  # the last connect to its host has failed
 
 
 def compute_own_sign_ms(call: SetupCall) -> float:
     """Returns when a task's process last showed itself, without the machine list."""
     incarnation = find_incarnation(call)
-    return call.placed_at_ms if incarnation is None else max(call.reported_at_ms, incarnation.last_sign_at_ms)
+    return call.placed_at_ms if incarnation is None else incarnation.last_sign_at_ms
 
 
 def compute_settled_sign_ms(host: Host, call: SetupCall, settled_until_ms: float) -> float:
@@ -118,10 +117,8 @@
     if is_process_listed(host, call):
         settled = list_settled_connections(host, settled_until_ms)
         signs_ms = [other.evidence.incarnation.find_representative().last_sign_at_ms for other in settled]
-        history = find_reachability(host, call)
+        history = find_reached_host(host, call).process_record.reachability
         sign_ms = max(sign_ms, history.find_latest_opening(settled_until_ms), *signs_ms)
-        if settled and history.restored_at_ms <= sign_ms:
-            sign_ms = max(sign_ms, settled_until_ms)
     return sign_ms
 
 
@@ -136,7 +133,8 @@
         settled_until_ms: The list has told of every process that started up to then.
         is_list_silent: The list has not been confirmed for so long that it counts as silent.
     """
-    incarnation, history = find_incarnation(call), find_reachability(host, call)
+    incarnation, reached_host = find_incarnation(call), find_reached_host(host, call)
+    history = reached_host.process_record.reachability
     is_listed = is_process_listed(host, call)
     sign_ms = compute_settled_sign_ms(host, call, settled_until_ms)
     if is_listed and not is_list_silent:
@@ -150,6 +148,7 @@
         is_listed=is_listed,
         is_connected=is_connected or (is_listed and is_evicted),
         is_restored=history.restored_at_ms > sign_ms,
+        is_failing=reached_host.failing_since_ms < NEVER,
     )
 
 
--- a/glencleat/platform_server/reachability.py
+++ b/glencleat/platform_server/reachability.py
@@ -10,10 +10,10 @@
 
 from glencleat.platform_server.failure_detector import NEVER
 
-MIN_INTERVAL_MS = 200.0
+MIN_INTERVAL_MS = 400.0
 """Of several connections that open within this time the first one counts."""
 
-MAX_OPENINGS = 32
+MAX_OPENINGS = 16
 """Openings that are kept: at MIN_INTERVAL_MS, more than the list's usual delay."""
 
 
--- a/glencleat/platform_server/task_leases.py
+++ b/glencleat/platform_server/task_leases.py
@@ -8,8 +8,8 @@
     task                                                          stands until
     connected, listed, no outage since the last sign              one of these ends
     connected, the list is silent or does not name its process    HANG_LEASE_MS after the last sign of it
-    connected, connects have failed and come up since its last    RESTORED_LEASE_MS after that sign
-    sign
+    connected, connects have failed since, and come up again      RESTORED_LEASE_MS after that sign
+    or the list is silent
     not connected                                                 LEASE_MS after the last sign of its process
     its client handed it over, and its host has not reported it   LEASE_MS after that, or a later sign
     the list tells of another process since                       LEASE_MS after the last sign of its own
@@ -129,6 +129,11 @@
         if self.is_list_silent or host.is_removed:
             self._schedule(host.name, self.pool.loop.now() + REVIEW_INTERVAL_MS)
 
+    def on_connect_failed(self, host: Host) -> None:
+        """A connect has failed, which shortens leases while the list is silent."""
+        if self.is_list_silent:
+            self.on_connections_changed(host)
+
     def on_reachable_again(self, host: Host, failing_since_ms: float) -> None:
         """A connection has opened after connects had failed: a new process may listen at the address."""
         calls = self.pool.exchange.placed_calls_by_host.get(host.name)
@@ -166,7 +171,7 @@
             if host_name in self.pool.exchange.placed_calls_by_host:
                 self._schedule(host_name, self.pool.loop.now() + REVIEW_INTERVAL_MS)
             return
-        self._settle_tasks(host)
+        self.settle_tasks(host, list_delay_ms=MAX_LIST_DELAY_MS)
         now_ms = self.pool.loop.now()
         expired: list[SetupCall] = []
         next_due_ms = NEVER
@@ -223,7 +228,7 @@
         evidence = self.collect(host, call)
         if not evidence.is_connected:
             return evidence.last_sign_at_ms + LEASE_MS
-        if evidence.is_restored:
+        if evidence.is_restored or (evidence.is_failing and self.is_list_silent):
             return evidence.last_sign_at_ms + RESTORED_LEASE_MS
         change = host.process_record.change
         is_being_checked = change is not None and not change.is_concluded
@@ -255,18 +260,22 @@
         connection.send_health_check()
         return NEVER
 
-    def _settle_tasks(self, host: Host) -> None:
-        """Assigns tasks to a connection that reaches their process, as the list has told of no other one."""
-        settled_until_ms = self.pool.channel.confirmed_at_ms - MAX_LIST_DELAY_MS
+    def settle_tasks(self, host: Host, *, list_delay_ms: float = LIST_SETTLE_MS) -> None:
+        """Assigns tasks to a connection that reaches their process, as the list has told of no other one.
+
+        Args:
+            host: The host with the tasks.
+            list_delay_ms: How long the list may have taken to tell of a process.
+        """
+        settled_until_ms = self.pool.channel.confirmed_at_ms - list_delay_ms
         settled = list_settled_connections(host, settled_until_ms)
         connection = next((other for other in settled if other.is_open), None)
         if connection is None:
             return
-        for call, _ in self.iterate_leases(host):
+        for call in self.pool.exchange.placed_calls_by_host.get(host.name, {}).values():
             incarnation = find_incarnation(call)
-            if call.attempt is None or not is_process_listed(host, call):
-                continue
-            if incarnation is not None and incarnation.open_count:
+            is_connected = incarnation is not None and incarnation.open_count
+            if call.attempt is None or is_connected or not is_process_listed(host, call):
                 continue
             if compute_own_sign_ms(call) <= settled_until_ms:
                 call.attempt.connection = connection
