Tasks named at an id that the list had removed don't count as the new process's

What callers saw: a task that a client names (`at`) at a host whose process has ended is never released, if the list had removed the host's id and names it again for another process: with no connection and no start known from before, nothing compared the two.

Class: absence of evidence taken for evidence.

Change: the registry remembers up to 10,000 removed ids. If such an id, or one that a client named first, is listed with a late start, tasks named within 15 s have a lease that only a report renews, as after a process change.

Measured: both forms of the new test failed before and pass; a task on which its host reports stands.

--- a/glencleat/platform_server/host_registry.py
+++ b/glencleat/platform_server/host_registry.py
@@ -18,6 +18,9 @@
 ADDRESS_TAKEN = "another host has taken its address"
 STARTED_AGAIN = "the machine list shows another start of its process"
 
+MAX_REMOVED_NAMES = 10_000
+"""Names of removed hosts that are remembered, the latest ones."""
+
 
 class HostObserver(Protocol):
     """Receives notifications of changes that the machine list makes."""
@@ -65,6 +68,7 @@
         self.host_names_by_address: dict[tuple[str, int], str] = {}
         # Hosts whose tasks run in the process of the host that has their address now.
         self.replaced_hosts_by_address: dict[tuple[str, int], list[Host]] = {}
+        self.removed_names: dict[str, None] = {}  # the list has removed them; the oldest first
         self.created_host_count = 0
 
     def add_host(self, name: str) -> Host:
@@ -112,6 +116,9 @@
 
     def _remove(self, host: Host) -> None:
         self.observer.before_removed(host)
+        self.removed_names[host.name] = None
+        if len(self.removed_names) > MAX_REMOVED_NAMES:
+            del self.removed_names[next(iter(self.removed_names))]
         host.record_removed(self.loop.now())
         self.observer.on_removed(host)
 
@@ -127,6 +134,7 @@
         if entry.machine.phase is api.MachinePhase.REMOVED:
             self._remove(host)
             return
+        self._doubt_former_tasks(host, entry)
         host.record_listed(draining=entry.machine.phase is api.MachinePhase.DRAINING)
         if entry.address != host.address:
             host.abort_connections("the host's address has changed")
@@ -142,6 +150,17 @@
             concerned = list(dict.fromkeys([host, *former, *concerned]))
         self.observer.on_process_changed(concerned, name, reason)
 
+    def _doubt_former_tasks(self, host: Host, entry: HostEntry) -> None:
+        """Tasks that clients name at a host may be those of a former process with the same id.
+
+        That is so if the list had removed the id, or a client has named it before the list did.
+        """
+        is_late_start = bool(entry.started_unix_ms) and host.process_started_unix_ms is None
+        was_named_before = host.name in self.removed_names or not host.has_address and host.is_removed
+        self.removed_names.pop(host.name, None)
+        if is_late_start and was_named_before:
+            host.process_record.doubted_until_ms = self.loop.now() + PROCESS_DOUBT_MS
+
     @staticmethod
     def _record_process_start(host: Host, started_unix_ms: float) -> bool:
         """Returns whether the start is that of another process than the one listed before.
--- a/tests/platform_server/test_task_leases.py
+++ b/tests/platform_server/test_task_leases.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from glencleat import interface as api
 from glencleat.event_loop import Listener
 from glencleat.platform_protocol import messages as m
 from glencleat.platform_server.failure_detector import UNREACHABLE_MS
@@ -243,3 +244,35 @@
     world.open_streams()[0].send(m.encode_with_cause(m.RELEASE, TASK, m.ENDED))
     settled(world)
     assert TASK in world.placed_tasks()
+
+
+@pytest.mark.parametrize("is_named_before_the_list", [True, False])
+def test_a_task_of_a_former_process_whose_id_the_list_had_removed_is_released(
+    world, is_named_before_the_list
+):
+    """Guards against a task that stands for ever: the list names its host's id again, for another process."""
+    address = world.host.address
+    world.list(("h1", address, 1.0), phase=api.MachinePhase.REMOVED)
+    pass_time(world, 500.0)
+    world.owner = world.client()
+    if is_named_before_the_list:
+        world.hand_over(TASK)
+    handed_over_at_ms = world.loop.now()
+    world.list(("h1", address, 2.0))
+    if not is_named_before_the_list:
+        world.hand_over(TASK)
+    world.await_release(TASK, handed_over_at_ms + LOST_DUE_MS - world.loop.now())
+
+
+def test_a_task_that_is_named_at_a_host_of_which_the_list_tells_later_stands_if_its_host_reports_on_it(world):
+    """Its process may be the one that the list tells of."""
+    address = world.host.address
+    world.list(("h1", address, 1.0), phase=api.MachinePhase.REMOVED)
+    pass_time(world, 500.0)
+    world.owner = world.client()
+    world.hand_over(TASK)
+    world.list(("h1", address, 2.0))
+    world.until(world.open_streams)
+    world.report(TASK)
+    pass_time(world, LONG_MS)
+    assert world.placed_tasks() == {TASK}
