A host that hangs keeps its connections, and tasks named during an outage their lease

What callers saw, in plays of the fault table: (1) tasks that run were released where a client had named them just before their machine was reachable again: the restart detector took the time of the hand-over for that of a connection. (2) Tasks at a host that hangs were released once the list had removed it: the connection to their process was closed as surplus beside a newer one of which the list tells nothing any more. (3) A task whose connection had been lost did not count as connected by the settled one beside it.

Change: the restart detector ends no task without a connection of its own; its lease does. No connection is surplus at a removed host with tasks. A listed process is connected by every settled connection of its host, and tasks are assigned to one when the list is about to tell of another process. What the list has shown is kept when it falls silent. The emulators' hosts close nothing while they hang, which the search had taken for answers.

--- a/glencleat/platform_server/host_maintenance.py
+++ b/glencleat/platform_server/host_maintenance.py
@@ -21,6 +21,7 @@
 from glencleat.platform_server.host_connection import Host, HostConnection
 from glencleat.platform_server.host_registry import HostRegistry
 from glencleat.platform_server.process_changes import find_connection_opened_ms
+from glencleat.platform_server.process_evidence import find_evidence
 from glencleat.platform_server.task_leases import TaskLeases
 
 TICK_MS = 200.0
@@ -212,7 +213,7 @@
             former_task_ids = [
                 task_id
                 for task_id, call in placed_calls.items()
-                if find_connection_opened_ms(call) < restarted_at_ms
+                if find_evidence(call) is not None and find_connection_opened_ms(call) < restarted_at_ms
             ]
             self.pool.declare_tasks_lost(host, "it has started again while unreachable", former_task_ids)
             return
@@ -276,6 +277,8 @@
         return any(
             other is not connection
             and self.pool.is_healthy(other)
-            and not (must_reach_listed_process and other.connected_at_ms > settled_until_ms)
+            and not (
+                must_reach_listed_process and (host.is_removed or other.connected_at_ms > settled_until_ms)
+            )
             for other in host.connections
         )
--- a/glencleat/platform_server/task_leases.py
+++ b/glencleat/platform_server/task_leases.py
@@ -152,6 +152,10 @@
 
         What it has shown until now stays known.
         """
+        self.settle_tasks(host, list_delay_ms=MAX_LIST_DELAY_MS)
+        self._record_listed_signs(host)
+
+    def _record_listed_signs(self, host: Host) -> None:
         for call in self.pool.exchange.placed_calls_by_host.get(host.name, {}).values():
             incarnation = find_incarnation(call)
             if incarnation is not None and is_process_listed(host, call):
@@ -297,6 +301,9 @@
         self.is_list_silent = silent_ms > SILENCE_TIMEOUT_MS
         if self.is_list_silent and not was_silent:
             for host_name in self.pool.exchange.placed_calls_by_host:
+                host = self.pool.registry.hosts_by_name.get(host_name)
+                if host is not None:
+                    self._record_listed_signs(host)
                 self._schedule(host_name, self.pool.loop.now() + REVIEW_INTERVAL_MS)
 
     def _schedule(self, host_name: str, at_ms: float) -> None:
--- a/tests/platform_server/test_task_leases.py
+++ b/tests/platform_server/test_task_leases.py
@@ -7,9 +7,10 @@
 from glencleat.platform_protocol import messages as m
 from glencleat.platform_server.failure_detector import UNREACHABLE_MS
 from glencleat.platform_server.process_evidence import LEASE_MS
+from glencleat.platform_server.task_leases import HANG_LEASE_MS
 from tests.support.exchange_world import setup
 from tests.support.lease_world import LeaseWorld
-from tests.support.process_hosts import ReplaceableHost
+from tests.support.process_hosts import ReplaceableHost, VanishingHost
 from tests.support.socket_world import kinds, pass_time, settled
 
 TASK, OTHER_TASK, NEW_TASK = 1, 2, 3
@@ -276,3 +277,53 @@
     world.report(TASK)
     pass_time(world, LONG_MS)
     assert world.placed_tasks() == {TASK}
+
+
+@pytest.fixture
+def vanishing():
+    world = LeaseWorld(VanishingHost)
+    yield world
+    world.host.close()
+    for sock in world.clients:
+        sock.close()
+
+
+def test_a_task_that_is_named_while_its_machine_starts_again_is_not_released_at_once(vanishing):
+    """Guards against a release of a task of the new process: an outage of 6 s ends with a reset."""
+    vanishing.place(OTHER_TASK)
+    pass_time(vanishing, 3_000.0)
+    vanishing.host.resets_former_streams = True
+    vanishing.host.vanish()
+    vanished_at_ms = vanishing.loop.now()
+    pass_time(vanishing, 6_000.0)
+    vanishing.host.start_process()
+    vanishing.hand_over(TASK)
+    vanishing.until(
+        lambda: vanishing.placed_tasks() == {TASK}, vanished_at_ms + LOST_DUE_MS - vanishing.loop.now()
+    )
+    pass_time(vanishing, 2_000.0)
+    assert vanishing.placed_tasks() == {TASK}
+
+
+def test_a_silent_process_is_asked_once_connects_come_up_again_and_keeps_its_tasks(vanishing):
+    vanishing.place(TASK)
+    pass_time(vanishing, 3_000.0)
+    vanishing.host.fall_silent(do_connects_come_up=False)
+    pass_time(vanishing, 5_000.0)
+    assert m.PROBE not in kinds(vanishing.host)
+    vanishing.host.recover()
+    pass_time(vanishing, LONG_MS)
+    assert vanishing.placed_tasks() == {TASK}
+    assert m.PROBE in kinds(vanishing.host)
+
+
+@pytest.mark.parametrize("is_list_up", [True, False])
+def test_a_host_that_hangs_keeps_its_tasks_until_the_list_is_silent_for_long(vanishing, is_list_up):
+    vanishing.place(TASK)
+    pass_time(vanishing, 5_000.0)
+    vanishing.host.fall_silent(do_connects_come_up=True)
+    vanishing.is_list_up = is_list_up
+    pass_time(vanishing, HANG_LEASE_MS - 5_000.0)
+    assert vanishing.placed_tasks() == {TASK}
+    pass_time(vanishing, 10_000.0)
+    assert vanishing.placed_tasks() == ({TASK} if is_list_up else set())
--- a/tests/support/socket_world.py
+++ b/tests/support/socket_world.py
@@ -48,6 +48,10 @@
                     self.script(stream, message)
         except StreamClosedError:
             pass
+        self.finish(stream)
+
+    def finish(self, stream):
+        """The other side has ended the connection."""
         stream.close()
 
     def die(self):
