--- a/benchmarks/process_soak/play.py
+++ b/benchmarks/process_soak/play.py
@@ -3,27 +3,14 @@
 from __future__ import annotations
 
 import signal
-import time
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from pathlib import Path
 from random import Random
 from typing import Any
 
-from benchmarks.host_faults import (
-    AT_ONCE_MS,
-    END_LISTED_MS,
-    LIST_SILENT_MS,
-    SECOND_FAULT_MS,
-    SILENT_END_LISTED_MS,
-    START_LISTED_MS,
-    FaultCell,
-    FormerConnections,
-    HostFault,
-    RangeMs,
-    Successor,
-    draw_cells,
-)
+from benchmarks.host_faults import LIST_SILENT_MS, FaultCell
+from benchmarks.process_soak.host_fault_script import HostFaultScript
 from benchmarks.process_soak.hosts import RunningTask, SoakHost
 from benchmarks.process_soak.owners import Owners, Request
 from benchmarks.process_soak.verdict import Record, Restart, find_violations, summarize
@@ -40,11 +27,7 @@
 RESET_INTERVALS_MS = (300.0, 2_000.0)
 SIGNAL_INTERVALS_MS = (1_500.0, 4_000.0)
 LIST_CLOCK_OFFSETS_MS = (-3_000.0, 0.0, 3_000.0)
-MIN_EVENT_INTERVAL_MS = 1.0
-START_OFFSETS_MS = (-400.0, -2.0, 0.0, 2.0)
 STALL_MS = (50.0, 600.0)
-MAX_FAULTY_HOSTS = 4  # at the same time
-DRAINS_MS = (500.0, 3_000.0)  # from the list's word to the end
 KILL_DELAY_MS = 3_700.0  # the longest deadline, counted as 3 s at most, and 0.7 s
 RESTART_DELAY_MS = 300.0
 OUTRIGHT_KILL_SHARE = 0.3  # of the restarts, those without SIGTERM
@@ -77,14 +60,6 @@
     played_cells: list[FaultCell]
 
 
-class Removal:
-    """The list's word that a process has gone, which is cancelled if another one is told of before."""
-
-    def __init__(self) -> None:
-        """Starts as one that is to come."""
-        self.is_cancelled = False
-
-
 def play(options: PlayOptions, folder: Path) -> PlayResult:
     """Plays one seed with configurations and logs in the folder."""
     with AllocatorProcesses(
@@ -112,8 +87,6 @@
             )
             for number in range(HOST_COUNT)
         ]
-        self.name_count = HOST_COUNT
-        self.list_clock_offset_ms = self.random.choice(LIST_CLOCK_OFFSETS_MS)
         self.services = [
             ChannelService(
                 self.loop,
@@ -126,9 +99,15 @@
         self.stopping: set[int] = set()
         # Tasks whose owners come back to their allocator once it has started.
         self.returning_by_allocator: dict[int, list[Request]] = {}
-        self.busy_hosts: set[SoakHost] = set()  # with a fault that is not over, or that drain
-        self.cells = draw_cells(Random(options.seed))
-        self.played_cells: list[FaultCell] = []
+        self.faults = HostFaultScript(
+            self.loop,
+            Random(self.random.random()),
+            self.hosts,
+            drain_share=options.drain_share,
+            list_clock_offset_ms=self.random.choice(LIST_CLOCK_OFFSETS_MS),
+            publish=self._publish,
+            cut_channel=self._cut_channel,
+        )
         self.network_resets = 0
         self.is_active, self.is_over = True, False
 
@@ -143,7 +122,7 @@
         began_at_ms = self.loop.now()
         for action, intervals in (
             (self._send_setup, (SETUP_INTERVAL_MS, SETUP_INTERVAL_MS)),
-            (self._begin_fault, REPLACEMENT_INTERVALS_MS),
+            (self.faults.begin, REPLACEMENT_INTERVALS_MS),
             (self._reset_connection, RESET_INTERVALS_MS),
             (self._send_signal, SIGNAL_INTERVALS_MS),
             (self._cut_channel, CUT_INTERVALS_MS),
@@ -164,7 +143,7 @@
             self.network_resets,
             self._find_faults(),
         )
-        result = PlayResult(find_violations(record), summarize(record), self.played_cells)
+        result = PlayResult(find_violations(record), summarize(record), self.faults.played_cells)
         note = f"seed {self.options.seed}: set-ups began at {began_at_ms:.0f} of the loop's clock"
         (self.folder / "verdict.txt").write_text("\n".join([note, result.summary, *result.violations]) + "\n")
         self.is_over = True
@@ -238,120 +217,6 @@
 
     # ---- faults ----
 
-    def _begin_fault(self) -> None:
-        hosts = [host for host in self.hosts if host not in self.busy_hosts]
-        if len(self.hosts) - len(hosts) >= MAX_FAULTY_HOSTS:
-            return
-        host = self.random.choice(hosts)
-        self.busy_hosts.add(host)
-        if self.random.random() < self.options.drain_share:
-            self._drain(host)
-            return
-        cell = next(self.cells)
-        self.played_cells.append(cell)
-        if cell.is_list_silent:
-            self._cut_channel()
-        away_ms = self.random.uniform(*cell.away_ms)
-        if cell.successor is Successor.SAME_PROCESS:
-            self._begin_silence(host, cell, away_ms)
-        else:
-            self._end_process(host, cell, away_ms)
-
-    def _begin_silence(self, host: SoakHost, cell: FaultCell, away_ms: float) -> None:
-        host.fall_silent(is_hanging=cell.fault is HostFault.HANGS)
-        removal = self._remove_later(host, SILENT_END_LISTED_MS)
-
-        def recover() -> None:
-            host.recover()
-            self._list_process(host, removal, is_same_process=True)
-
-        self.loop.call_in(away_ms, recover)
-
-    def _end_process(self, host: SoakHost, cell: FaultCell, away_ms: float) -> None:
-        is_reset = cell.fault is HostFault.PROCESS_ENDS
-        are_connects_refused = is_reset or cell.fault is HostFault.PORT_REFUSES
-        host.end_process(cell.connections, are_connects_refused=are_connects_refused)
-        removal = self._remove_later(host, END_LISTED_MS if is_reset else SILENT_END_LISTED_MS)
-        if cell.successor is Successor.NOBODY:
-            return
-        if cell.away_ms == AT_ONCE_MS:
-            self._start_process(host, cell, removal)
-        else:
-            self.loop.call_in(away_ms, lambda: self._start_process(host, cell, removal))
-
-    def _start_process(self, host: SoakHost, cell: FaultCell, removal: Removal) -> None:
-        name = host.process.name
-        if cell.successor is not Successor.SAME_NAME:
-            name, self.name_count = f"h{self.name_count}", self.name_count + 1
-        host.start_process(name)
-        self._list_process(host, removal)
-        if cell.successor is Successor.VANISHES_TOO:
-            once_more = replace(cell, successor=Successor.OTHER_NAME)
-            away_ms = self.random.uniform(*cell.away_ms)
-            self.busy_hosts.add(host)
-            in_ms = self.random.uniform(*SECOND_FAULT_MS)
-            self.loop.call_in(in_ms, lambda: self._end_process(host, once_more, away_ms))
-
-    def _drain(self, host: SoakHost) -> None:
-        """The host drains, which the list tells late, and is replaced some seconds after that."""
-        host.drain()
-        name = host.process.name
-        told_ms = self.random.uniform(*START_LISTED_MS)
-        self.loop.call_in(
-            told_ms,
-            lambda: self._publish(lambda port: [make_list_entry(name, port, "DRAINING")], host),
-        )
-
-        def end() -> None:
-            host.end_process(FormerConnections.RESET, are_connects_refused=True)
-            self.name_count += 1
-            host.start_process(f"h{self.name_count - 1}")
-            self._list_process(host, Removal())
-
-        self.loop.call_in(told_ms + self.random.uniform(*DRAINS_MS), end)
-
-    # ---- the list ----
-
-    def _remove_later(self, host: SoakHost, delays_ms: RangeMs) -> Removal:
-        """The list tells that the host's process has gone, unless that is cancelled before."""
-        name, removal = host.process.name, Removal()
-
-        def remove() -> None:
-            if not removal.is_cancelled:
-                self._publish(lambda port: [make_list_entry(name, port, "DELETED")], host)
-
-        in_ms = max(
-            self.random.uniform(*delays_ms), host.told_at_ms + MIN_EVENT_INTERVAL_MS - self.loop.now()
-        )
-        self.loop.call_in(in_ms, remove)
-        return removal
-
-    def _list_process(self, host: SoakHost, removal: Removal, *, is_same_process: bool = False) -> None:
-        """The list tells of the process that runs now, after which the fault is over."""
-        removal.is_cancelled = True
-        name, former_name = host.process.name, host.listed_name
-        if not is_same_process:
-            start_offset_ms = self.random.choice(START_OFFSETS_MS) + self.list_clock_offset_ms
-            host.started_unix_ms = round(time.time() * 1e3 + start_offset_ms)
-        started_unix_ms = host.started_unix_ms
-        host.listed_name = name
-        deleted_position = self.random.randrange(2)
-
-        def make_entries(port: int) -> list[dict[str, Any]]:
-            entries = [make_list_entry(name, port, started_ms=started_unix_ms)]
-            if former_name != name:
-                entries.insert(deleted_position, make_list_entry(former_name, port, "DELETED"))
-            return entries
-
-        self._tell_later(host, START_LISTED_MS, lambda: self._publish(make_entries, host))
-        self.busy_hosts.discard(host)
-
-    def _tell_later(self, host: SoakHost, delays_ms: RangeMs, tell: Callable[[], None]) -> None:
-        """Has the list tell of one host's processes in their order."""
-        told_at_ms = self.loop.now() + self.random.uniform(*delays_ms)
-        host.told_at_ms = max(told_at_ms, host.told_at_ms + MIN_EVENT_INTERVAL_MS)
-        self.loop.call_in(host.told_at_ms - self.loop.now(), tell)
-
     def _publish(self, make_entries: Callable[[int], list[dict[str, Any]]], host: SoakHost) -> None:
         for service, port in zip(self.services, host.ports, strict=True):
             service.publish(make_entries(port.number))
--- a/glencleat/platform_server/silent_connections.py
+++ b/glencleat/platform_server/silent_connections.py
@@ -4,7 +4,8 @@
 others. While the list is confirmed, it tells of the new process, and `ProcessChanges` checks the connections.
 While it is silent, health checks on the older connections and on the newest one tell: if the newest answers
 and an older one does not, they reach different processes, and that of the older one has ended. If neither
-answers, the host hangs, which shows nothing. Health checks have a price: none is sent while the list is up.
+answers, the host hangs, which shows nothing. Health checks have a price: none is sent here while the list is
+up; `task_leases.py` sends those to processes for which the list does not vouch.
 """
 
 from __future__ import annotations
