An outage ends when its first connection opened, so the tasks placed on that stand

Cause: `on_connected` passed the current time to the restart detector, some microseconds after the connection's own time of opening, so tasks placed on that very connection counted as placed before.

Change: the detector gets the connection's time.

Measured: the new test failed before and passes.

--- a/glencleat/platform_server/connection_pool.py
+++ b/glencleat/platform_server/connection_pool.py
@@ -291,7 +291,8 @@
 
     def on_connected(self, host: Host, connection: HostConnection) -> None:
         """A connection has opened: sends the waiting releases on it."""
-        for older in host.restart_detector.record_reconnected(self.loop.now()):
+        # As its evidence has it: the tasks that are placed on it are not those of the former process.
+        for older in host.restart_detector.record_reconnected(connection.evidence.opened_at_ms):
             older.send_health_check()
         host.settle_reconnect(connection.evidence.began_moment)
         self.process_changes.on_connected(host, connection)
--- a/tests/benchmarks/test_process_soak.py
+++ b/tests/benchmarks/test_process_soak.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from benchmarks.process_soak.hosts import RunningTask
+from benchmarks.process_soak.hosts import RunningTask, Silence
 from benchmarks.process_soak.owners import HandOver, Request
 from benchmarks.process_soak.play import PlayOptions, play
 from benchmarks.process_soak.verdict import Record, Restart, find_violations
@@ -30,6 +30,10 @@
     return RunningTask(1, "h0", 5.0, **more)
 
 
+def silent_task(until_ms, **more):
+    return task(silences=[Silence(50.0, until_ms)], **more)
+
+
 # What was observed; the violation that it shows, "" for none.
 @pytest.mark.parametrize(
     ("requests", "tasks", "restarts", "violation"),
@@ -53,6 +57,23 @@
         ([placed(releases_at_ms=[100.0])], [task(ended_at_ms=1_150.0, is_cut=True)], [], ""),
         ([placed(releases_at_ms=[100.0])], [task(ended_at_ms=1_151.0, is_cut=True)], [], "while it ran"),
         ([placed(releases_at_ms=[100.0])], [task(ended_at_ms=101.0)], [], "while it ran"),
+        # Its process was silent then, and is cut off from what is sent until it is heard.
+        ([placed(releases_at_ms=[100.0])], [silent_task(2_000.0, ended_at_ms=3_050.0, is_cut=True)], [], ""),
+        (
+            [placed(releases_at_ms=[100.0])],
+            [silent_task(2_000.0, ended_at_ms=3_051.0, is_cut=True)],
+            [],
+            "while it ran",
+        ),
+        ([placed(releases_at_ms=[100.0])], [silent_task(2_000.0)], [], "while it ran"),
+        ([placed(releases_at_ms=[100.0])], [silent_task(END_MS)], [], ""),
+        ([placed(releases_at_ms=[8_149.0])], [task(ended_at_ms=100.0, untold_until_ms=7_000.0)], [], ""),
+        (
+            [placed(releases_at_ms=[9_051.0])],
+            [task(ended_at_ms=100.0, untold_until_ms=8_000.0)],
+            [],
+            "1 ms late",
+        ),
         (
             [placed(releases_at_ms=[9_000.0])],
             [task(ended_at_ms=9_001.0, is_cut=True, noted_at_ms={0: 4_001.0})],
--- a/tests/platform_server/test_task_leases.py
+++ b/tests/platform_server/test_task_leases.py
@@ -11,7 +11,7 @@
 from tests.support.exchange_world import setup
 from tests.support.lease_world import LeaseWorld
 from tests.support.process_hosts import ReplaceableHost, VanishingHost
-from tests.support.socket_world import kinds, pass_time, settled
+from tests.support.socket_world import kinds, live, pass_time, settled
 
 TASK, OTHER_TASK, NEW_TASK = 1, 2, 3
 RELEASE_DUE_MS = 1_050.0  # after the host's release
@@ -327,3 +327,25 @@
     assert vanishing.placed_tasks() == {TASK}
     pass_time(vanishing, 10_000.0)
     assert vanishing.placed_tasks() == ({TASK} if is_list_up else set())
+
+
+def test_an_outage_ends_when_the_first_connection_after_it_opened(vanishing, monkeypatch):
+    """Guards against a release of the tasks that are placed on it: the clock runs on while it opens."""
+    clock, now = vanishing.loop.clock, vanishing.loop.clock.now
+
+    def tick():
+        clock.at += 0.001
+        return now()
+
+    monkeypatch.setattr(clock, "now", tick, raising=False)
+    vanishing.place(OTHER_TASK)
+    pass_time(vanishing, 3_000.0)
+    vanishing.host.vanish()
+    pass_time(vanishing, 5_000.0)
+    host = vanishing.hosts.hosts_by_name["h1"]
+    outage = host.restart_detector.outage
+    vanishing.host.start_process()
+    vanishing.until(vanishing.open_streams)
+    vanishing.until(lambda: outage.reconnected_at_ms)
+    openings_ms = [connection.evidence.opened_at_ms for connection in live(vanishing, "h1")]
+    assert max(openings_ms) >= outage.reconnected_at_ms
