--- a/tests/benchmarks/test_process_soak.py
+++ b/tests/benchmarks/test_process_soak.py
@@ -67,6 +67,8 @@
         ),
         ([placed(releases_at_ms=[100.0])], [silent_task(2_000.0)], [], "while it ran"),
         ([placed(releases_at_ms=[100.0])], [silent_task(END_MS)], [], ""),
+        ([placed(releases_at_ms=[100.0])], [silent_task(2_000.0, ended_at_ms=2_000.0)], [], ""),
+        ([placed(releases_at_ms=[100.0])], [silent_task(99.0, ended_at_ms=101.0)], [], "while it ran"),
         ([placed(releases_at_ms=[8_149.0])], [task(ended_at_ms=100.0, untold_until_ms=7_000.0)], [], ""),
         (
             [placed(releases_at_ms=[9_051.0])],
