--- a/glencleat/platform_server/process_changes.py
+++ b/glencleat/platform_server/process_changes.py
@@ -162,6 +162,7 @@
             host.process_record.change, host.process_record.expected_loss = change, None
             host.process_record.doubted_until_ms = now_ms + PROCESS_DOUBT_MS
             self.pool.mark_changed(host)
+            self.pool.task_leases.on_connections_changed(host)
             self.pool.exchange.process_names.record_successor(host.name, successor_name)
             self._log_begin(change, host)
         for connection in list(change.unconfirmed):
--- a/glencleat/platform_server/task_leases.py
+++ b/glencleat/platform_server/task_leases.py
@@ -8,8 +8,8 @@
     task                                                          stands until
     connected, listed, no outage since the last sign              one of these ends
     connected, the list is silent or does not name its process    HANG_LEASE_MS after the last sign of it
-    connected, connects have failed since, and come up again      RESTORED_LEASE_MS after that sign
-    or the list is silent
+    connected, connects have failed since, and come up again,     RESTORED_LEASE_MS after that sign
+    or the list is silent or does not name its process
     not connected                                                 LEASE_MS after the last sign of its process
     its client handed it over, and its host has not reported it   LEASE_MS after that, or a later sign
     the list tells of another process since                       LEASE_MS after the last sign of its own
@@ -130,8 +130,8 @@
             self._schedule(host.name, self.pool.loop.now() + REVIEW_INTERVAL_MS)
 
     def on_connect_failed(self, host: Host) -> None:
-        """A connect has failed, which shortens leases while the list is silent."""
-        if self.is_list_silent:
+        """A connect has failed, which shortens leases where the list does not vouch for a process."""
+        if self.is_list_silent or host.is_removed or host.process_record.change is not None:
             self.on_connections_changed(host)
 
     def on_reachable_again(self, host: Host, failing_since_ms: float) -> None:
@@ -232,7 +232,8 @@
         evidence = self.collect(host, call)
         if not evidence.is_connected:
             return evidence.last_sign_at_ms + LEASE_MS
-        if evidence.is_restored or (evidence.is_failing and self.is_list_silent):
+        is_vouched = evidence.is_listed and not self.is_list_silent
+        if evidence.is_restored or (evidence.is_failing and not is_vouched):
             return evidence.last_sign_at_ms + RESTORED_LEASE_MS
         change = host.process_record.change
         is_being_checked = change is not None and not change.is_concluded
--- a/tests/platform_server/test_task_leases.py
+++ b/tests/platform_server/test_task_leases.py
@@ -349,3 +349,22 @@
     vanishing.until(lambda: outage.reconnected_at_ms)
     openings_ms = [connection.evidence.opened_at_ms for connection in live(vanishing, "h1")]
     assert max(openings_ms) >= outage.reconnected_at_ms
+
+
+def test_a_check_that_begins_when_the_list_is_back_does_not_delay_a_release(vanishing):
+    """Guards against a wait for answers where connects fail: two machines have vanished in a row."""
+    vanishing.place(TASK)
+    pass_time(vanishing, 5_200.0)
+    vanishing.report(TASK)
+    settled(vanishing)
+    vanishing.is_list_up = False
+    vanishing.host.vanish()
+    vanished_at_ms = vanishing.loop.now()
+    vanishing.host.start_process()
+    vanishing.until(vanishing.open_streams)
+    pass_time(vanishing, 500.0)
+    vanishing.host.vanish()
+    pass_time(vanishing, vanished_at_ms + 7_150.0 - vanishing.loop.now())
+    vanishing.list(("h2", vanishing.host.address, 2.0))
+    vanishing.is_list_up, vanishing.channel.confirmed_at_ms = True, vanishing.loop.now()
+    vanishing.await_release(TASK, vanished_at_ms + LOST_DUE_MS - vanishing.loop.now())
