The soak's verdict passes over an uncut task only if its process was silent

Change: it holds for a process that was silent at the release. The argument has the name of what it is, the end of the observation.

--- a/benchmarks/process_soak/verdict.py
+++ b/benchmarks/process_soak/verdict.py
@@ -123,14 +123,15 @@
     return ", ".join(parts)
 
 
-def _check_early_release(released_at_ms: float, task: RunningTask, ended_at_ms: float) -> Iterator[str]:
+def _check_early_release(released_at_ms: float, task: RunningTask, observed_until_ms: float) -> Iterator[str]:
     """An allocator may end a task of which it hears nothing, and then ends it at its host as well."""
     heard_at_ms = _find_heard_ms(task, released_at_ms)
+    was_silent = heard_at_ms > released_at_ms
     cut_due_ms = heard_at_ms + RELEASE_DUE_MS
-    if cut_due_ms > ended_at_ms and task.ended_at_ms is None:
+    if was_silent and task.ended_at_ms is None and cut_due_ms > observed_until_ms:
         return  # its host is not heard again before the end of the observation
     # One that ends by itself while its process is silent may do so before the release is read there.
-    is_cut = task.is_cut or heard_at_ms > released_at_ms
+    is_cut = task.is_cut or was_silent
     if not is_cut or task.ended_at_ms is None or task.ended_at_ms > cut_due_ms:
         yield f"released at {released_at_ms:.0f} while it ran"
     elif not task.is_quiet and any(
--- a/tests/benchmarks/test_process_soak.py
+++ b/tests/benchmarks/test_process_soak.py
@@ -67,6 +67,9 @@
         ),
         ([placed(releases_at_ms=[100.0])], [silent_task(2_000.0)], [], "while it ran"),
         ([placed(releases_at_ms=[100.0])], [silent_task(END_MS)], [], ""),
+        # Just before the end of the observation, by a host that is heard.
+        ([placed(releases_at_ms=[END_MS - 500.0])], [task()], [], "while it ran"),
+        ([placed(releases_at_ms=[END_MS - 500.0])], [silent_task(60.0)], [], "while it ran"),
         ([placed(releases_at_ms=[100.0])], [silent_task(2_000.0, ended_at_ms=2_000.0)], [], ""),
         ([placed(releases_at_ms=[100.0])], [silent_task(99.0, ended_at_ms=101.0)], [], "while it ran"),
         ([placed(releases_at_ms=[8_149.0])], [task(ended_at_ms=100.0, untold_until_ms=7_000.0)], [], ""),
