Settled time, refused connects and listed ends are each told in one place

Need: a re-read of the change: the list's settled time stood three times, what a fault does to connects and when the list tells of its end stood in search and soak, `_does_list_vouch` was spelt out again beside its call, and a field of `Removal` was never read.

Change: `CommandChannel.settled_until_ms`, `FaultCell.are_connects_refused` and `end_listed_ms`; evidence of settled connections and of a connection to ask on is looked up only where it decides. No behaviour changes; no test or bound does.

Measured: test_lease_rules and test_task_leases pass; the whole script runs on this commit.

--- a/benchmarks/host_faults.py
+++ b/benchmarks/host_faults.py
@@ -132,6 +132,16 @@
     away_ms: RangeMs
     is_list_silent: bool  # from just before the fault on
 
+    @property
+    def are_connects_refused(self) -> bool:
+        """Whether connects are refused while no process runs; otherwise they never come up."""
+        return self.fault in (HostFault.PROCESS_ENDS, HostFault.PORT_REFUSES)
+
+    @property
+    def end_listed_ms(self) -> RangeMs:
+        """When the list tells of the end."""
+        return END_LISTED_MS if self.fault is HostFault.PROCESS_ENDS else SILENT_END_LISTED_MS
+
     def __str__(self) -> str:
         """Returns the cell as one word for the id of a test."""
         low_s, high_s = self.away_ms[0] / 1e3, self.away_ms[1] / 1e3
--- a/benchmarks/process_soak/host_fault_script.py
+++ b/benchmarks/process_soak/host_fault_script.py
@@ -10,9 +10,7 @@
 
 from benchmarks.host_faults import (
     AT_ONCE_MS,
-    END_LISTED_MS,
     SECOND_FAULT_MS,
-    SILENT_END_LISTED_MS,
     START_LISTED_MS,
     FaultCell,
     FormerConnections,
@@ -75,6 +73,7 @@
         self.played_cells: list[FaultCell] = []
 
     def begin(self) -> None:
+        """Begins the next fault at a host that has none, unless enough have one."""
         hosts = [host for host in self.hosts if host not in self.busy_hosts]
         if len(self.hosts) - len(hosts) >= MAX_FAULTY_HOSTS:
             return
@@ -95,7 +94,7 @@
 
     def _begin_silence(self, host: SoakHost, cell: FaultCell, away_ms: float) -> None:
         host.fall_silent(is_hanging=cell.fault is HostFault.HANGS)
-        removal = self._remove_later(host, SILENT_END_LISTED_MS)
+        removal = self._remove_later(host, cell.end_listed_ms)
 
         def recover() -> None:
             host.recover()
@@ -104,10 +103,8 @@
         self.loop.call_in(away_ms, recover)
 
     def _end_process(self, host: SoakHost, cell: FaultCell, away_ms: float) -> None:
-        is_reset = cell.fault is HostFault.PROCESS_ENDS
-        are_connects_refused = is_reset or cell.fault is HostFault.PORT_REFUSES
-        host.end_process(cell.connections, are_connects_refused=are_connects_refused)
-        removal = self._remove_later(host, END_LISTED_MS if is_reset else SILENT_END_LISTED_MS)
+        host.end_process(cell.connections, are_connects_refused=cell.are_connects_refused)
+        removal = self._remove_later(host, cell.end_listed_ms)
         if cell.successor is Successor.NOBODY:
             return
         if cell.away_ms == AT_ONCE_MS:
--- a/glencleat/platform_protocol/command_channel.py
+++ b/glencleat/platform_protocol/command_channel.py
@@ -102,6 +102,11 @@
         # Draining and removed machines: start time and phase.
         self.leaving_by_name: dict[str, tuple[float, api.MachinePhase]] = {}
 
+    @property
+    def settled_until_ms(self) -> float:
+        """While the channel is up, it has mostly told of every process that had started by then."""
+        return self.confirmed_at_ms - LIST_SETTLE_MS
+
     def encode_resume(self) -> bytes:
         """Returns the request to write on a new connection; drops a partial line of the previous one."""
         self.buffer.clear()
--- a/glencleat/platform_server/host_maintenance.py
+++ b/glencleat/platform_server/host_maintenance.py
@@ -14,7 +14,7 @@
 from glencleat.flow_control.connection_limiter import quiet_limit_ms
 from glencleat.index.dirty_set import DirtySet
 from glencleat.index.due_queue import DueQueue
-from glencleat.platform_protocol.command_channel import LIST_SETTLE_MS, CommandChannel
+from glencleat.platform_protocol.command_channel import CommandChannel
 from glencleat.platform_protocol.exchange import Exchange
 from glencleat.platform_server import host_connection
 from glencleat.platform_server.failure_detector import NEVER, DetectorAction
@@ -273,7 +273,7 @@
         One that has just opened may reach a new process of which the list has not told yet. The tasks of this
         connection would be taken for that one's, as the host's close of its half counts as an answer.
         """
-        settled_until_ms = self.pool.channel.confirmed_at_ms - LIST_SETTLE_MS
+        settled_until_ms = self.pool.channel.settled_until_ms
         return any(
             other is not connection
             and self.pool.is_healthy(other)
--- a/glencleat/platform_server/host_registry.py
+++ b/glencleat/platform_server/host_registry.py
@@ -156,7 +156,7 @@
         That is so if the list had removed the id, or a client has named it before the list did.
         """
         is_late_start = bool(entry.started_unix_ms) and host.process_started_unix_ms is None
-        was_named_before = host.name in self.removed_names or not host.has_address and host.is_removed
+        was_named_before = host.name in self.removed_names or (host.is_removed and not host.has_address)
         self.removed_names.pop(host.name, None)
         if is_late_start and was_named_before:
             host.process_record.doubted_until_ms = self.loop.now() + PROCESS_DOUBT_MS
--- a/glencleat/platform_server/process_changes.py
+++ b/glencleat/platform_server/process_changes.py
@@ -11,7 +11,7 @@
 from typing import Protocol, TypeAlias
 
 from glencleat.event_loop import Loop
-from glencleat.platform_protocol.command_channel import LIST_SETTLE_MS, CommandChannel
+from glencleat.platform_protocol.command_channel import CommandChannel
 from glencleat.platform_protocol.exchange import Exchange
 from glencleat.platform_protocol.setup_calls import SetupCall
 from glencleat.platform_server.host_connection import Host, HostConnection
@@ -155,7 +155,7 @@
             [connection for host in hosts for connection in host.connections],
             min((loss for loss in losses if loss), key=lambda loss: loss.moment, default=None),
             is_loss_expected=is_loss_expected,
-            settled_until_ms=self.pool.channel.confirmed_at_ms - LIST_SETTLE_MS,
+            settled_until_ms=self.pool.channel.settled_until_ms,
         )
         for host in hosts:
             self.pool.task_leases.on_list_evidence_ends(host)
--- a/glencleat/platform_server/process_evidence.py
+++ b/glencleat/platform_server/process_evidence.py
@@ -142,12 +142,14 @@
     if is_listed and history.restored_at_ms <= sign_ms:
         sign_ms = max(sign_ms, _compute_reconnect_sign_ms(host, incarnation))
     is_evicted = host.is_connection_evicted and incarnation is not None and not incarnation.is_end_suspected
-    is_connected = incarnation is not None and incarnation.open_count > 0
-    is_connected_by_list = is_listed and bool(is_evicted or list_settled_connections(host, settled_until_ms))
+    is_open = incarnation is not None and incarnation.open_count > 0
+    is_connected = is_open or (
+        is_listed and (is_evicted or bool(list_settled_connections(host, settled_until_ms)))
+    )
     return ProcessEvidence(
         last_sign_at_ms=sign_ms,
         is_listed=is_listed,
-        is_connected=is_connected or is_connected_by_list,
+        is_connected=is_connected,
         is_restored=history.restored_at_ms > sign_ms,
         is_failing=reached_host.failing_since_ms < NEVER,
     )
--- a/glencleat/platform_server/task_leases.py
+++ b/glencleat/platform_server/task_leases.py
@@ -224,20 +224,19 @@
 
     @property
     def _settled_until_ms(self) -> float:
-        """The list has told of every process that started up to then."""
-        return self.pool.channel.confirmed_at_ms - LIST_SETTLE_MS
+        return self.pool.channel.settled_until_ms
 
     def compute_due_ms(self, host: Host, call: SetupCall) -> float:
         """Returns until when a placed task stands; NEVER while the list would tell of another process."""
         evidence = self.collect(host, call)
         if not evidence.is_connected:
             return evidence.last_sign_at_ms + LEASE_MS
-        is_vouched = evidence.is_listed and not self.is_list_silent
-        if evidence.is_restored or (evidence.is_failing and not is_vouched):
+        is_vouched_for = self._does_list_vouch(evidence)
+        if evidence.is_restored or (evidence.is_failing and not is_vouched_for):
             return evidence.last_sign_at_ms + RESTORED_LEASE_MS
         change = host.process_record.change
         is_being_checked = change is not None and not change.is_concluded
-        if is_being_checked or self._does_list_vouch(evidence):
+        if is_being_checked or is_vouched_for:
             return NEVER
         return evidence.last_sign_at_ms + HANG_LEASE_MS
 
@@ -251,8 +250,10 @@
         Returns when it is due, NEVER if none is.
         """
         evidence = self.collect(host, call)
+        if self._does_list_vouch(evidence):
+            return NEVER
         connection = find_open_connection(host, call, self._settled_until_ms)
-        if connection is None or self._does_list_vouch(evidence) or connection.is_health_check_pending:
+        if connection is None or connection.is_health_check_pending:
             return NEVER
         now_ms, due_ms = self.pool.loop.now(), evidence.last_sign_at_ms + CHECK_AFTER_MS
         if now_ms < due_ms:
--- a/tests/support/lease_search.py
+++ b/tests/support/lease_search.py
@@ -10,10 +10,8 @@
 from benchmarks.host_faults import (
     AT_ONCE_MS,
     COLD_START_MS,
-    END_LISTED_MS,
     LIST_SILENT_MS,
     SECOND_FAULT_MS,
-    SILENT_END_LISTED_MS,
     START_LISTED_MS,
     HostFault,
     Successor,
@@ -55,7 +53,6 @@
     """The list's word that a process has gone."""
 
     is_cancelled: bool = False
-    is_done: bool = False
 
 
 class Search:
@@ -190,7 +187,7 @@
             not cell.is_list_silent and self.world.is_list_up and (is_hang or away_ms <= KEPT_MS)
         )
         self.host.fall_silent(do_connects_come_up=is_hang, must_keep_tasks=must_keep_tasks)
-        removal = self.remove_later(SILENT_END_LISTED_MS)
+        removal = self.remove_later(cell.end_listed_ms)
 
         def recover():
             self.host.recover()
@@ -199,10 +196,8 @@
         self.loop.call_in(away_ms, recover)
 
     def end_process(self, cell, away_ms):
-        is_reset = cell.fault is HostFault.PROCESS_ENDS
-        are_connects_refused = is_reset or cell.fault is HostFault.PORT_REFUSES
-        self.host.end_process(cell.connections, are_connects_refused=are_connects_refused)
-        removal = self.remove_later(END_LISTED_MS if is_reset else SILENT_END_LISTED_MS)
+        self.host.end_process(cell.connections, are_connects_refused=cell.are_connects_refused)
+        removal = self.remove_later(cell.end_listed_ms)
         if cell.successor is Successor.NOBODY:
             self.loop.call_in(COLD_START_MS, lambda: self.start_process(cell, removal))
         elif cell.away_ms == AT_ONCE_MS:
@@ -230,7 +225,6 @@
 
         def remove():
             if not removal.is_cancelled:
-                removal.is_done = True
                 self.tell_in(0.0, Entry(name, self.host.address, 1.0, api.MachinePhase.REMOVED))
 
         self.loop.call_in(self.random.uniform(*delays_ms), remove)
