--- a/benchmarks/process_soak/hosts.py
+++ b/benchmarks/process_soak/hosts.py
@@ -273,7 +273,8 @@
             process.deferred.append(lambda: self._end(process, task))
             return
         task.ended_at_ms = self.loop.now()
-        del process.tasks_by_id[task.task_id]
+        if process.tasks_by_id.get(task.task_id) is task:  # else the process has accepted its set-up again
+            del process.tasks_by_id[task.task_id]
         process.unacknowledged_by_id[task.task_id] = task
         stream = self._choose_stream(process, task)
         if stream is not None:
--- a/tests/benchmarks/test_process_soak.py
+++ b/tests/benchmarks/test_process_soak.py
@@ -1,11 +1,14 @@
 """The soak in short, on real processes; the long run is `python -m benchmarks.process_soak`. And its verdict."""
 
+from random import Random
+
 import pytest
 
-from benchmarks.process_soak.hosts import RunningTask, Silence
+from benchmarks.process_soak.hosts import RunningTask, Silence, SoakHost
 from benchmarks.process_soak.owners import HandOver, Request
 from benchmarks.process_soak.play import PlayOptions, play
 from benchmarks.process_soak.verdict import Record, Restart, find_violations
+from glencleat.event_loop import Loop
 from glencleat.platform_protocol import messages as m
 
 SHORT_MS = 15_000.0
@@ -146,3 +149,15 @@
     unsafe = Request(1, 0, is_unsafe=True, wait_ms=1_000.0, sent_at_ms=0.0, answers=[(10.0, m.FAILED)])
     (violation,) = find_violations(Record([unsafe], [task(), task()], {}, END_MS))
     assert "took effect 2 times" in violation
+
+
+def test_the_end_of_a_task_that_a_host_has_accepted_twice_leaves_the_second():
+    """Guards against a play that stops: a set-up is sent again to a host that was silent."""
+    tasks = [task(), task()]
+    host = SoakHost(Loop(), "h0", Random(1), tasks, lambda task_id: 0, 1)
+    host.process.tasks_by_id[1], host.process.streams_by_task_id[1] = tasks[1], None
+    for ended in tasks:
+        assert host.process.tasks_by_id == {1: tasks[1]}
+        host._end(host.process, ended)
+    assert host.process.tasks_by_id == {}
+    host.close()
